--- /dev/null
+++ b/adapters/asio_timers.h
@@ -0,0 +1,49 @@
+/// @file
+/// Timers and worker threads on standalone Asio.
+#pragma once
+
+#include "core/timer_service.h"
+#include "core/worker_pool.h"
+
+#include <asio.hpp>
+#include <thread>
+
+namespace hawthornlug {
+
+/// TimerService on one thread, on the clock that counts through suspension.
+class AsioTimers : public TimerService
+{
+public:
+  AsioTimers();
+  ~AsioTimers() override;
+  AsioTimers(const AsioTimers&) = delete;
+  AsioTimers& operator=(const AsioTimers&) = delete;
+
+  Instant Now() const override;
+  std::unique_ptr<TimerSubscription> Every(Duration aInterval,
+                                           std::function<void(Instant)> aCallback) override;
+
+private:
+  asio::io_context mContext;
+  asio::executor_work_guard<asio::io_context::executor_type> mGuard;
+  std::thread mThread;
+};
+
+/// WorkerPool with a fixed number of threads.
+class AsioWorkers : public WorkerPool
+{
+public:
+  explicit AsioWorkers(std::size_t aThreads);
+  ~AsioWorkers() override;
+  AsioWorkers(const AsioWorkers&) = delete;
+  AsioWorkers& operator=(const AsioWorkers&) = delete;
+
+  void Post(std::function<void()> aTask) override;
+  /// Waits for the tasks that were posted and ends the threads.
+  void Join();
+
+private:
+  asio::thread_pool mPool;
+};
+
+} // namespace hawthornlug
--- /dev/null
+++ b/adapters/http_platform.h
@@ -0,0 +1,31 @@
+/// @file
+/// The platform over HTTP.
+#pragma once
+
+#include "adapters/http_pool.h"
+#include "ports/platform_port.h"
+
+namespace hawthornlug {
+
+/// PlatformPort on cpp-httplib.
+class HttpPlatform : public PlatformPort
+{
+public:
+  /// Calls other than watches are given up after @p aTimeout.
+  HttpPlatform(const std::string& aUrl, Duration aTimeout);
+
+  Result<PlatformObject> Get(const std::string& aName) override;
+  Result<Version> Put(const std::string& aName,
+                      Version aExpected,
+                      const std::string& aValue) override;
+  Result<ObjectChanges> Watch(Version aSince, Duration aWait) override;
+  Result<std::vector<ListedHost>> Hosts() override;
+
+private:
+  Result<std::string> Fetch(const std::string& aPath, Duration aTimeout);
+
+  const Duration mTimeout;
+  HttpPool mPool;
+};
+
+} // namespace hawthornlug
--- /dev/null
+++ b/adapters/http_pool.cpp
@@ -0,0 +1,75 @@
+#include "adapters/http_pool.h"
+
+#include <charconv>
+
+namespace hawthornlug {
+
+namespace {
+
+/// Idle connections are closed before servers close them, so that no request meets a closing one.
+constexpr std::chrono::seconds kMaxIdleTime{ 4 };
+
+} // namespace
+
+HttpPool::HttpPool(std::string aUrl, std::size_t aMaxIdle, Duration aConnectTimeout)
+  : mUrl(std::move(aUrl))
+  , mMaxIdle(aMaxIdle)
+  , mConnectTimeout(aConnectTimeout)
+{
+}
+
+std::unique_ptr<httplib::Client> HttpPool::Acquire()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    const auto now = std::chrono::steady_clock::now();
+    while (!mIdle.empty()) {
+      Idle idle = std::move(mIdle.back());
+      mIdle.pop_back();
+      if (now - idle.since < kMaxIdleTime) {
+        return std::move(idle.client);
+      }
+    }
+  }
+  auto client = std::make_unique<httplib::Client>(mUrl);
+  client->set_tcp_nodelay(true);
+  client->set_keep_alive(true);
+  client->set_connection_timeout(mConnectTimeout);
+  return client;
+}
+
+void HttpPool::Release(std::unique_ptr<httplib::Client> aClient)
+{
+  const std::lock_guard lock(mMutex);
+  if (mIdle.size() < mMaxIdle) {
+    mIdle.push_back({ std::move(aClient), std::chrono::steady_clock::now() });
+  }
+}
+
+httplib::Result HttpPool::Send(httplib::Request aRequest, Duration aTimeout)
+{
+  std::unique_ptr<httplib::Client> client = Acquire();
+  client->set_read_timeout(aTimeout);
+  client->set_write_timeout(aTimeout);
+  httplib::Result result = client->send(aRequest);
+  if (result) {
+    Release(std::move(client));
+  }
+  return result;
+}
+
+std::uint64_t NumberHeader(const httplib::Headers& aHeaders,
+                           const std::string& aName,
+                           std::uint64_t aDefault)
+{
+  const auto it = aHeaders.find(aName);
+  if (it == aHeaders.end()) {
+    return aDefault;
+  }
+  std::uint64_t value = 0;
+  const char* last = it->second.data() + it->second.size();
+  const auto [end, ec] = std::from_chars(it->second.data(), last, value);
+  return ec == std::errc() && end == last ? value : aDefault;
+}
+
+} // namespace hawthornlug
--- /dev/null
+++ b/adapters/zmq_peers.cpp
@@ -0,0 +1,207 @@
+#include "adapters/zmq_peers.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <asio.hpp>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace hawthornlug {
+
+namespace {
+
+constexpr int kIoThreads = 1;
+constexpr int kSendHighWaterMark = 4096;
+constexpr int kReconnectMs = 50;
+constexpr int kReconnectMaxMs = 200;
+constexpr std::size_t kBatch = 256;
+constexpr std::chrono::milliseconds kRetryInterval{ 5 };
+/// An answer waits for its connection for at most a second.
+constexpr unsigned kRetries = 200;
+constexpr std::size_t kMaxWaiting = 10000;
+constexpr std::string_view kScheme = "tcp://";
+
+} // namespace
+
+ZmqPeers::ZmqPeers(const std::string& aEndpoint)
+  : mContext(kIoThreads)
+  , mListener(mContext, zmq::socket_type::router)
+  , mWakeFd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+  mListener.set(zmq::sockopt::linger, 0);
+  mListener.set(zmq::sockopt::rcvhwm, 0);
+  mListener.bind(aEndpoint);
+  mThread = std::thread([this] { Run(); });
+}
+
+ZmqPeers::~ZmqPeers()
+{
+  Stop();
+  ::close(mWakeFd);
+}
+
+void ZmqPeers::Stop()
+{
+  if (mStopping.exchange(true)) {
+    return;
+  }
+  Wake();
+  mThread.join();
+}
+
+void ZmqPeers::SetReceiver(Receiver aReceiver)
+{
+  const std::lock_guard lock(mMutex);
+  mReceiver = std::move(aReceiver);
+}
+
+void ZmqPeers::Send(const std::string& aEndpoint,
+                    wire::Envelope aMessage,
+                    Delivery aDelivery,
+                    Unsent aUnsent)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mQueue.push_back({ aEndpoint, std::move(aMessage), aDelivery, std::move(aUnsent), kRetries });
+  }
+  Wake();
+}
+
+void ZmqPeers::Wake() const
+{
+  const std::uint64_t one = 1;
+  [[maybe_unused]] const auto n = ::write(mWakeFd, &one, sizeof one);
+}
+
+void ZmqPeers::Run()
+{
+  std::array<zmq::pollitem_t, 2> items = { { { mListener.handle(), 0, ZMQ_POLLIN, 0 },
+                                             { nullptr, mWakeFd, ZMQ_POLLIN, 0 } } };
+  while (!mStopping) {
+    const auto wait = mWaiting.empty() ? std::chrono::milliseconds(-1) : kRetryInterval;
+    zmq::poll(items.data(), items.size(), wait);
+    RetryWaiting();
+    if ((items[1].revents & ZMQ_POLLIN) != 0) {
+      std::uint64_t count = 0;
+      [[maybe_unused]] const auto n = ::read(mWakeFd, &count, sizeof count);
+      Flush();
+    }
+    if ((items[0].revents & ZMQ_POLLIN) != 0) {
+      Receive();
+    }
+  }
+}
+
+void ZmqPeers::Flush()
+{
+  std::deque<Item> queue;
+  {
+    const std::lock_guard lock(mMutex);
+    queue.swap(mQueue);
+  }
+  for (Item& it : queue) {
+    if (TrySend(it)) {
+      continue;
+    }
+    if (it.delivery == Delivery::kSoon && mWaiting.size() < kMaxWaiting) {
+      mWaiting.push_back(std::move(it));
+    } else if (it.unsent) {
+      it.unsent();
+    }
+  }
+}
+
+void ZmqPeers::RetryWaiting()
+{
+  std::erase_if(mWaiting, [this](Item& aItem) {
+    const bool over = TrySend(aItem) || --aItem.triesLeft == 0;
+    return over;
+  });
+}
+
+zmq::socket_t& ZmqPeers::SocketTo(const std::string& aEndpoint)
+{
+  const auto it = mSockets.find(aEndpoint);
+  if (it != mSockets.end()) {
+    return it->second;
+  }
+  zmq::socket_t socket(mContext, zmq::socket_type::dealer);
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::immediate, true);
+  socket.set(zmq::sockopt::sndhwm, kSendHighWaterMark);
+  socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+  socket.connect(aEndpoint);
+  return mSockets.emplace(aEndpoint, std::move(socket)).first->second;
+}
+
+bool ZmqPeers::TrySend(const Item& aItem)
+{
+  try {
+    zmq::socket_t& socket = SocketTo(aItem.endpoint);
+    const std::size_t size = aItem.message.ByteSizeLong();
+    zmq::message_t buf(size);
+    aItem.message.SerializeToArray(buf.data(), static_cast<int>(size));
+    return socket.send(buf, zmq::send_flags::dontwait).has_value();
+  } catch (const zmq::error_t&) {
+    return false;
+  }
+}
+
+void ZmqPeers::Receive()
+{
+  Receiver receiver;
+  {
+    const std::lock_guard lock(mMutex);
+    receiver = mReceiver;
+  }
+  for (std::size_t n = 0; n < kBatch; ++n) {
+    zmq::message_t sender;
+    if (!mListener.recv(sender, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    zmq::message_t body;
+    if (!sender.more() || !mListener.recv(body, zmq::recv_flags::none)) {
+      continue;
+    }
+    while (body.more()) {
+      if (!mListener.recv(body, zmq::recv_flags::none)) {
+        break;
+      }
+    }
+    wire::Envelope envelope;
+    const bool read = envelope.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    if (read && receiver) {
+      receiver(std::move(envelope));
+    }
+  }
+}
+
+bool ZmqPeers::IsRefused(const std::string& aEndpoint)
+{
+  if (aEndpoint.rfind(kScheme, 0) != 0) {
+    return false;
+  }
+  const std::string address = aEndpoint.substr(kScheme.size());
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  asio::error_code ec;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+  if (ec) {
+    return false;
+  }
+  const auto port =
+    static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  bool refused = false;
+  socket.async_connect({ ip, port }, [&](const asio::error_code& aError) {
+    refused = aError == asio::error::connection_refused;
+  });
+  context.run_for(std::chrono::milliseconds(200));
+  return refused;
+}
+
+} // namespace hawthornlug
--- /dev/null
+++ b/core/event_log.cpp
@@ -0,0 +1,67 @@
+#include "core/event_log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <array>
+
+namespace hawthornlug {
+
+namespace {
+
+constexpr std::array<EventInfo, 32> kCatalogue = { {
+  { 100, 'i', "started" },          { 101, 'i', "stopping" },
+  { 102, 'i', "stopped" },          { 103, 'e', "listen-failed" },
+  { 200, 'i', "config-in-force" },  { 201, 'w', "config-refused" },
+  { 300, 'w', "platform-lost" },    { 301, 'i', "platform-back" },
+  { 400, 'w', "member-suspect" },   { 401, 'w', "member-gone" },
+  { 402, 'i', "member-alive" },     { 500, 'i', "cell-taken" },
+  { 501, 'w', "cell-superseded" },  { 502, 'i', "cell-handed-over" },
+  { 510, 'i', "server-fenced" },    { 511, 'w', "server-lapsed" },
+  { 512, 'w', "server-restarted" }, { 520, 'd', "shard-serving" },
+  { 521, 'i', "shard-moved" },      { 522, 'w', "shard-inherited" },
+  { 523, 'w', "shard-recovered" },  { 524, 'i', "shard-sent" },
+  { 525, 'i', "shard-received" },   { 526, 'w', "move-abandoned" },
+  { 600, 'i', "server-cold" },      { 601, 'i', "server-warm" },
+  { 610, 'w', "straggler-found" },  { 611, 'i', "straggler-over" },
+  { 620, 'i', "move-planned" },     { 630, 'i', "domain-out" },
+  { 700, 'w', "message-refused" },  { 710, 'w', "span-lost" },
+} };
+
+} // namespace
+
+const EventInfo& InfoOf(EventId aId)
+{
+  return kCatalogue.at(static_cast<std::size_t>(aId));
+}
+
+std::size_t EventCount()
+{
+  return kCatalogue.size();
+}
+
+EventLog::EventLog(const std::string& aLevel)
+  : mLogger(std::make_shared<spdlog::logger>("hawthornlug",
+                                             std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+{
+  mLogger->set_level(spdlog::level::from_str(aLevel));
+  mLogger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+}
+
+EventLog::~EventLog() = default;
+
+void EventLog::Write(EventId aId, const std::string& aDetails)
+{
+  const EventInfo& info = InfoOf(aId);
+  spdlog::level::level_enum level = spdlog::level::info;
+  if (info.level == 'd') {
+    level = spdlog::level::debug;
+  } else if (info.level == 'w') {
+    level = spdlog::level::warn;
+  } else if (info.level == 'e') {
+    level = spdlog::level::err;
+  }
+  mLogger->log(level, "H{} {} {}", info.number, info.name, aDetails);
+}
+
+} // namespace hawthornlug
--- /dev/null
+++ b/core/event_log.h
@@ -0,0 +1,83 @@
+/// @file
+/// Numbered log events. docs/EVENTS.md explains each number.
+#pragma once
+
+#include "core/enum_names.h"
+
+#include <memory>
+#include <string>
+
+namespace spdlog {
+class logger;
+}
+
+namespace hawthornlug {
+
+/// Everything that is logged. A number never changes its meaning.
+enum class EventId
+{
+  kStarted,
+  kStopping,
+  kStopped,
+  kListenFailed,
+  kConfigInForce,
+  kConfigRefused,
+  kPlatformLost,
+  kPlatformBack,
+  kMemberSuspect,
+  kMemberGone,
+  kMemberAlive,
+  kCellTaken,
+  kCellSuperseded,
+  kCellHandedOver,
+  kServerFenced,
+  kServerLapsed,
+  kServerRestarted,
+  kShardServing,
+  kShardMoved,
+  kShardInherited,
+  kShardRecovered,
+  kShardSent,
+  kShardReceived,
+  kMoveAbandoned,
+  kServerCold,
+  kServerWarm,
+  kStragglerFound,
+  kStragglerOver,
+  kMovePlanned,
+  kDomainOut,
+  kMessageRefused,
+  kSpanLost,
+};
+
+/// Number, level and text of an event.
+struct EventInfo
+{
+  int number;
+  char level; ///< 'd' debug, 'i' information, 'w' warning, 'e' error.
+  std::string_view name;
+};
+
+/// Returns the catalogue's entry for @p aId.
+const EventInfo& InfoOf(EventId aId);
+
+/// Number of entries in the catalogue.
+std::size_t EventCount();
+
+/// Writes events to the log, one line each: number, name, then details as name=value.
+class EventLog
+{
+public:
+  /// Logs to the standard error stream; @p aLevel is one of debug, info, warning, error.
+  explicit EventLog(const std::string& aLevel);
+  ~EventLog();
+  EventLog(const EventLog&) = delete;
+  EventLog& operator=(const EventLog&) = delete;
+
+  void Write(EventId aId, const std::string& aDetails);
+
+private:
+  std::shared_ptr<spdlog::logger> mLogger;
+};
+
+} // namespace hawthornlug
--- /dev/null
+++ b/limits/server_gate.h
@@ -0,0 +1,114 @@
+/// @file
+/// Admits orders to one backend server: slots, a bounded queue, and care after a cold start.
+#pragma once
+
+#include "core/enum_names.h"
+#include "core/instant.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornlug {
+
+/// Names a waiting or running order within one gate.
+using TicketId = std::uint64_t;
+
+/// What happens to an offered order.
+enum class GateDecision
+{
+  kRun,
+  kQueue,
+  kRefuse,
+};
+inline constexpr EnumNames<3> kGateDecisionNames = { "run", "queue", "refuse" };
+
+/// An order that asks for a slot.
+struct GateOffer
+{
+  TicketId ticket = 0;
+  /// Orders of one key take turns with orders of other keys.
+  std::uint64_t keyFlow = 0;
+  /// Orders of one caller take turns with orders of other callers.
+  std::uint64_t callerFlow = 0;
+  Instant deadline;
+};
+
+/// How an order that ran came out.
+enum class GateResult
+{
+  kServed,
+  kShed,   ///< The server said that it is overloaded.
+  kFailed, ///< No answer.
+};
+inline constexpr EnumNames<3> kGateResultNames = { "served", "shed", "failed" };
+
+struct GateLimits
+{
+  std::uint32_t slots = 1;
+  std::size_t queueLimit = 256;
+  /// Served orders that a cold server has to answer for each further slot.
+  std::uint32_t warmupPerSlot = 16;
+  /// An answer that takes so many times the usual latency counts as a sign of a cold server.
+  std::int64_t coldLatencyFactor = 8;
+};
+
+/// Decides when orders run at one server. Purely a function of its inputs; the caller serialises.
+class ServerGate
+{
+public:
+  explicit ServerGate(GateLimits aLimits);
+
+  GateDecision Offer(Instant aNow, const GateOffer& aOffer);
+  /// Takes in a result; returns the tickets that run now.
+  std::vector<TicketId> Finish(Duration aLatency, GateResult aResult);
+  /// Gives a slot back that was not used; returns the tickets that run now.
+  std::vector<TicketId> GiveBack();
+  /// Takes overdue tickets out of the queue and returns them.
+  std::vector<TicketId> Expire(Instant aNow);
+  /// Takes all waiting tickets out of the queue and returns them.
+  std::vector<TicketId> Drain();
+  /// Takes one waiting ticket out; false if it isn't waiting.
+  bool Cancel(TicketId aTicket);
+  /// The server has been restarted: one order at first, more only by success.
+  void OnColdStart();
+  void SetSlots(std::uint32_t aSlots);
+
+  std::uint32_t Running() const { return mRunning; }
+  std::size_t Waiting() const { return mQueue.size(); }
+  /// Orders that may run at once at present.
+  std::uint32_t Allowed() const { return mAllowed; }
+  bool IsCold() const { return mAllowed < mLimits.slots; }
+  /// Usual latency of a served order; 0 before the first.
+  Duration UsualLatency() const { return mLatency; }
+  /// How long an order would wait that is offered now.
+  Duration ExpectedWait() const;
+
+private:
+  /// Place in the queue: the fair share's turn first, then the deadline.
+  struct Turn
+  {
+    std::uint64_t start = 0;
+    Instant deadline;
+    TicketId ticket = 0;
+
+    auto operator<=>(const Turn&) const = default;
+  };
+
+  std::vector<TicketId> StartWaiting();
+  std::uint64_t TakeTurn(const GateOffer& aOffer);
+  void Grow();
+
+  GateLimits mLimits;
+  std::uint32_t mAllowed;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mServedSinceGrowth = 0;
+  Duration mLatency = Duration::zero();
+  std::map<Turn, GateOffer> mQueue;
+  std::uint64_t mVirtualTime = 0;
+  std::map<std::uint64_t, std::uint64_t> mKeyTurns;
+  std::map<std::uint64_t, std::uint64_t> mCallerTurns;
+};
+
+} // namespace hawthornlug
--- /dev/null
+++ b/main/settings.h
@@ -0,0 +1,72 @@
+/// @file
+/// Flags and environment variables of the commands, checked before anything starts.
+#pragma once
+
+#include "core/errors.h"
+#include "ports/caller_port.h"
+#include "runtime/daemon.h"
+
+#include <string>
+#include <vector>
+
+namespace hawthornlug {
+
+/// What a command line came to.
+enum class ParseResult
+{
+  kRun,
+  kHelpShown,
+  kUsageError,
+};
+
+/// Settings of `serve`.
+struct ServeSettings
+{
+  DaemonSettings daemon;
+  std::string httpHost;
+  int httpPort = 0;
+  std::string platformUrl;
+  std::string logLevel;
+  std::string spanFile;
+  CallerLimits callerLimits;
+  std::size_t callerThreads = 0;
+  std::size_t orderThreads = 0;
+  Duration drainWait = Duration::zero();
+};
+
+/// Settings of the operators' commands.
+struct ToolSettings
+{
+  std::string platformUrl;
+  std::string daemonUrl;
+  std::vector<std::string> words;
+  bool json = false;
+  bool wait = false;
+};
+
+/// Which settings a tool takes.
+struct ToolShape
+{
+  std::string name;
+  std::string description;
+  /// Name of the words that follow the flags, empty for none.
+  std::string words;
+  std::size_t fewestWords = 0;
+  std::size_t mostWords = 0;
+  bool usesPlatform = false;
+  bool usesDaemon = false;
+  bool hasJson = false;
+  bool hasWait = false;
+};
+
+/// Reads the settings of `serve`; all that is wrong is named on the standard error stream.
+ParseResult ParseServe(std::vector<std::string> aArgs, ServeSettings& aSettings);
+/// Reads the settings of a tool.
+ParseResult ParseTool(const ToolShape& aShape,
+                      std::vector<std::string> aArgs,
+                      ToolSettings& aSettings);
+
+/// Checks the values of `serve`, as ParseServe() does; returns everything that is wrong.
+std::vector<SettingError> CheckServe(const ServeSettings& aSettings);
+
+} // namespace hawthornlug
--- /dev/null
+++ b/membership/membership.cpp
@@ -0,0 +1,317 @@
+#include "membership/membership.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornlug {
+
+Membership::Membership(Member aSelf, MembershipTimings aTimings)
+  : mSelf(std::move(aSelf))
+  , mTimings(aTimings)
+{
+}
+
+void Membership::Learn(Instant aNow, const Member& aMember)
+{
+  if (aMember.id == mSelf.id) {
+    return;
+  }
+  const auto [it, fresh] = mEntries.try_emplace(aMember.id);
+  if (!fresh) {
+    return;
+  }
+  it->second.member = aMember;
+  it->second.member.version = 0;
+  it->second.heardAt = aNow;
+  it->second.changedAt = aNow - mTimings.gossipFor;
+}
+
+void Membership::OnHeartbeat(Instant aNow, const Member& aFrom, const HeartbeatInfo& aHeartbeat)
+{
+  if (aFrom.id == mSelf.id) {
+    return;
+  }
+  const auto known = mEntries.find(aFrom.id);
+  if (known != mEntries.end() && known->second.member.incarnation > aFrom.incarnation) {
+    return;
+  }
+  Merge(aNow, aFrom);
+  Entry& entry = mEntries[aFrom.id];
+  entry.heardAt = aNow;
+  entry.configRevision = std::max(entry.configRevision, aHeartbeat.configRevision);
+  mDomainHeardAt[aFrom.domain] = aNow;
+  for (const auto& [domain, age] : aHeartbeat.domainAges) {
+    const Instant at = aNow - age;
+    const auto [it, fresh] = mDomainHeardAt.try_emplace(domain, at);
+    if (!fresh) {
+      it->second = std::max(it->second, at);
+    }
+  }
+  for (const Member& it : aHeartbeat.changes) {
+    Merge(aNow, it);
+  }
+  if (aHeartbeat.wantTable) {
+    mWantTable.insert(aFrom.id);
+  }
+}
+
+void Membership::Merge(Instant aNow, const Member& aMember)
+{
+  if (aMember.id == mSelf.id) {
+    const bool wrong = aMember.incarnation == mSelf.incarnation && aMember.status != mSelf.status &&
+                       aMember.version >= mSelf.version;
+    if (wrong) {
+      mSelf.version = aMember.version + 1;
+      mSelfChangedAt = aNow;
+    }
+    return;
+  }
+  const auto [it, fresh] = mEntries.try_emplace(aMember.id);
+  Entry& entry = it->second;
+  const Member& held = entry.member;
+  const auto rank = [](const Member& aItem) {
+    return std::make_tuple(aItem.incarnation, aItem.version, aItem.status);
+  };
+  if (!fresh && rank(aMember) <= rank(held)) {
+    return;
+  }
+  const bool shown =
+    fresh || held.incarnation != aMember.incarnation || held.status != aMember.status;
+  entry.member = aMember;
+  entry.changedAt = aNow;
+  if (aMember.IsLive()) {
+    entry.heardAt = aNow;
+  }
+  if (shown) {
+    mChanges.push_back({ aMember });
+  }
+}
+
+void Membership::Leave(Instant aNow)
+{
+  mSelf.status = MemberStatus::kLeft;
+  mSelf.version += 1;
+  mSelfChangedAt = aNow;
+  mNextHeartbeat = aNow;
+}
+
+void Membership::SetRevisions(Version aObjects, Version aConfig)
+{
+  mObjectsRevision = aObjects;
+  mConfigRevision = aConfig;
+}
+
+void Membership::SetStatus(Instant aNow, Entry& aEntry, MemberStatus aStatus)
+{
+  if (aEntry.member.status == aStatus) {
+    return;
+  }
+  aEntry.member.status = aStatus;
+  aEntry.changedAt = aNow;
+  mChanges.push_back({ aEntry.member });
+}
+
+std::vector<HeartbeatOut> Membership::OnTick(Instant aNow)
+{
+  for (const std::string& id : Watched()) {
+    Entry& entry = mEntries[id];
+    if (!entry.watched) {
+      // Watching begins now; silence before does not count.
+      entry.watched = true;
+      entry.heardAt = aNow;
+    }
+    const Duration silence = aNow - entry.heardAt;
+    if (silence >= mTimings.goneAfter) {
+      SetStatus(aNow, entry, MemberStatus::kGone);
+    } else if (silence >= mTimings.suspectAfter) {
+      SetStatus(aNow, entry, MemberStatus::kSuspect);
+    }
+  }
+  std::vector<HeartbeatOut> due;
+  if (aNow < mNextHeartbeat) {
+    return due;
+  }
+  mNextHeartbeat = aNow + mTimings.heartbeatInterval;
+  for (const std::string& id : Links()) {
+    const bool whole = mWantTable.erase(id) != 0;
+    due.push_back({ mEntries[id].member, MakeHeartbeat(aNow, whole) });
+  }
+  return due;
+}
+
+std::vector<std::string> Membership::RingOf(const std::string& aDomain) const
+{
+  std::vector<std::string> ring;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.member.domain == aDomain && entry.member.IsLive()) {
+      ring.push_back(id);
+    }
+  }
+  if (aDomain == mSelf.domain) {
+    ring.push_back(mSelf.id);
+  }
+  std::sort(ring.begin(), ring.end());
+  return ring;
+}
+
+std::vector<std::string> Membership::RingFromSelf() const
+{
+  std::vector<std::string> ring = RingOf(mSelf.domain);
+  const auto self = std::find(ring.begin(), ring.end(), mSelf.id);
+  std::rotate(ring.begin(), self, ring.end());
+  return ring;
+}
+
+std::vector<std::string> Membership::Successors() const
+{
+  const std::vector<std::string> ring = RingFromSelf();
+  const std::size_t n = std::min(mTimings.watchers, ring.size() - 1);
+  return { ring.begin() + 1, ring.begin() + 1 + static_cast<std::ptrdiff_t>(n) };
+}
+
+std::set<std::string> Membership::Watched() const
+{
+  const std::vector<std::string> ring = RingFromSelf();
+  const std::size_t n = std::min(mTimings.watchers, ring.size() - 1);
+  // Across failure domains silence speaks of the link, not of the daemon: nobody is watched there.
+  return { ring.end() - static_cast<std::ptrdiff_t>(n), ring.end() };
+}
+
+std::vector<std::string> Membership::Links() const
+{
+  std::vector<std::string> links = Successors();
+  // A daemon that is believed gone still gets heartbeats, so that it can prove the belief wrong.
+  for (const auto& [id, entry] : mEntries) {
+    const bool lostNeighbour =
+      entry.member.domain == mSelf.domain && entry.member.status == MemberStatus::kGone;
+    if (lostNeighbour) {
+      links.push_back(id);
+    }
+  }
+  const auto first = FirstRanked(mSelf.domain, "links");
+  if (!first || first->id != mSelf.id) {
+    return links;
+  }
+  std::set<std::string> domains;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.member.domain != mSelf.domain) {
+      domains.insert(entry.member.domain);
+    }
+  }
+  for (const std::string& domain : domains) {
+    const auto peer = FirstRanked(domain, "links");
+    if (peer) {
+      links.push_back(peer->id);
+    }
+  }
+  for (const std::string& id : mWantTable) {
+    if (std::find(links.begin(), links.end(), id) == links.end()) {
+      links.push_back(id);
+    }
+  }
+  return links;
+}
+
+HeartbeatInfo Membership::MakeHeartbeat(Instant aNow, bool aWhole) const
+{
+  HeartbeatInfo info;
+  info.objectsRevision = mObjectsRevision;
+  info.configRevision = mConfigRevision;
+  for (const auto& [id, entry] : mEntries) {
+    const bool recent = aNow - entry.changedAt < mTimings.gossipFor;
+    if (entry.member.incarnation != 0 && (aWhole || recent)) {
+      info.changes.push_back(entry.member);
+    }
+  }
+  info.wantTable = std::any_of(mEntries.begin(), mEntries.end(), [](const auto& aEntry) {
+    return aEntry.second.member.incarnation == 0;
+  });
+  for (const auto& [domain, at] : mDomainHeardAt) {
+    info.domainAges[domain] = aNow - at;
+  }
+  return info;
+}
+
+std::vector<MemberChange> Membership::TakeChanges()
+{
+  return std::exchange(mChanges, {});
+}
+
+std::vector<Member> Membership::All() const
+{
+  std::vector<Member> all = { mSelf };
+  for (const auto& [id, entry] : mEntries) {
+    all.push_back(entry.member);
+  }
+  return all;
+}
+
+std::optional<Member> Membership::Find(const std::string& aId) const
+{
+  if (aId == mSelf.id) {
+    return mSelf;
+  }
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end()) {
+    return std::nullopt;
+  }
+  return it->second.member;
+}
+
+std::vector<Member> Membership::LiveIn(const std::string& aDomain) const
+{
+  std::vector<Member> live;
+  for (const std::string& id : RingOf(aDomain)) {
+    const auto member = Find(id);
+    if (member && member->IsLive() && member->incarnation != 0) {
+      live.push_back(*member);
+    }
+  }
+  return live;
+}
+
+bool Membership::IsLive(const DaemonRef& aRef) const
+{
+  const auto member = Find(aRef.id);
+  return member && member->incarnation == aRef.incarnation && member->IsLive();
+}
+
+std::optional<Member> Membership::FirstRanked(const std::string& aDomain,
+                                              const std::string& aItem) const
+{
+  std::optional<Member> best;
+  std::uint64_t bestWeight = 0;
+  for (const std::string& id : RingOf(aDomain)) {
+    const std::uint64_t weight = RendezvousWeight(aItem, id);
+    if (!best || weight > bestWeight) {
+      best = Find(id);
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+bool Membership::IsCutOff(Instant aNow, const std::string& aDomain) const
+{
+  if (aDomain == mSelf.domain) {
+    return false;
+  }
+  const auto it = mDomainHeardAt.find(aDomain);
+  return it == mDomainHeardAt.end() || aNow - it->second >= mTimings.domainCutAfter;
+}
+
+std::map<std::string, Version> Membership::ConfigRevisions() const
+{
+  std::map<std::string, Version> revisions;
+  revisions[mSelf.id] = mConfigRevision;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.member.IsLive()) {
+      revisions[id] = entry.configRevision;
+    }
+  }
+  return revisions;
+}
+
+} // namespace hawthornlug
--- /dev/null
+++ b/ports/platform_port.h
@@ -0,0 +1,40 @@
+/// @file
+/// The platform's object API and list of hosts.
+#pragma once
+
+#include "config/object_cache.h"
+#include "core/errors.h"
+#include "core/instant.h"
+
+#include <string>
+#include <vector>
+
+namespace hawthornlug {
+
+/// An entry host as the platform lists it; the list lags.
+struct ListedHost
+{
+  std::string id;
+  std::string domain;
+  std::string httpUrl;
+  std::string peerEndpoint;
+  bool leaving = false;
+};
+
+/// Blocking calls; safe to use from any thread. Failures are of type PlatformError.
+class PlatformPort
+{
+public:
+  virtual ~PlatformPort() = default;
+
+  virtual Result<PlatformObject> Get(const std::string& aName) = 0;
+  /// Writes @p aValue if the object's version is still @p aExpected (0: there is none yet).
+  virtual Result<Version> Put(const std::string& aName,
+                              Version aExpected,
+                              const std::string& aValue) = 0;
+  /// Returns what changed after @p aSince; waits up to @p aWait for a change.
+  virtual Result<ObjectChanges> Watch(Version aSince, Duration aWait) = 0;
+  virtual Result<std::vector<ListedHost>> Hosts() = 0;
+};
+
+} // namespace hawthornlug
--- /dev/null
+++ b/runtime/attached.h
@@ -0,0 +1,31 @@
+/// @file
+/// Takes in orders for the cells that this daemon is attached to.
+#pragma once
+
+#include "routing/request_table.h"
+#include "routing/routing_table.h"
+#include "runtime/directory.h"
+
+namespace hawthornlug {
+
+/// Runs orders at most once each and answers what became of them.
+class Attached
+{
+public:
+  using Done = std::function<void(const OrderAnswer&)>;
+
+  Attached(Services& aServices, const Directory& aDirectory, const RoutingTable& aRoutes);
+
+  /// Runs @p aOrder; with @p aInline on the calling thread if it can start at once.
+  void Run(Order aOrder, bool aInline, Done aDone);
+  /// Answers what became of a request; one that was never seen is refused from now on.
+  OrderAnswer Ask(const std::string& aRequestId);
+
+private:
+  Services& mServices;
+  const Directory& mDirectory;
+  const RoutingTable& mRoutes;
+  RequestTable mRequests;
+};
+
+} // namespace hawthornlug
--- /dev/null
+++ b/runtime/cell_runner.cpp
@@ -0,0 +1,821 @@
+#include "runtime/cell_runner.h"
+
+#include "core/hashing.h"
+
+#include <algorithm>
+
+namespace hawthornlug {
+
+namespace {
+
+constexpr std::size_t kMaxHeld = 2048;
+constexpr unsigned kMaxTries = 8;
+constexpr Duration kRetryPause = milliseconds(20);
+/// How long a failure domain that was taken out may still serve what could not be moved.
+constexpr Duration kOutGrace = seconds(2);
+/// A shard that was moved for balance stays where it is for so long.
+constexpr Duration kSettleTime = seconds(60);
+constexpr std::size_t kHistoryLength = 4;
+constexpr std::size_t kMaxTransfersPerRound = 64;
+constexpr double kTransferTolerance = 1.10;
+constexpr double kWorkSmoothing = 0.3;
+constexpr double kLatencySmoothing = 0.5;
+constexpr double kSecondsPerMinute = 60.0;
+constexpr double kPercent = 100.0;
+constexpr std::uint64_t kFewestSamples = 5;
+
+EventId EventOf(CellEvent aEvent)
+{
+  switch (aEvent) {
+    case CellEvent::kTaken:
+      return EventId::kCellTaken;
+    case CellEvent::kSuperseded:
+      return EventId::kCellSuperseded;
+    case CellEvent::kHandedOver:
+      return EventId::kCellHandedOver;
+    case CellEvent::kServerFenced:
+      return EventId::kServerFenced;
+    case CellEvent::kServerLapsed:
+      return EventId::kServerLapsed;
+    case CellEvent::kServerRestarted:
+      return EventId::kServerRestarted;
+    case CellEvent::kShardServing:
+      return EventId::kShardServing;
+    case CellEvent::kShardMoved:
+      return EventId::kShardMoved;
+    case CellEvent::kShardInherited:
+      return EventId::kShardInherited;
+    case CellEvent::kShardRecovered:
+      return EventId::kShardRecovered;
+    case CellEvent::kShardSent:
+      return EventId::kShardSent;
+    case CellEvent::kShardReceived:
+      return EventId::kShardReceived;
+    case CellEvent::kMoveAbandoned:
+      return EventId::kMoveAbandoned;
+  }
+  return EventId::kMessageRefused;
+}
+
+WriteOutcome OutcomeOf(PlatformError aError)
+{
+  switch (aError) {
+    case PlatformError::kConflict:
+      return WriteOutcome::kConflict;
+    case PlatformError::kUnavailable:
+    case PlatformError::kNotFound:
+      return WriteOutcome::kNotWritten;
+    case PlatformError::kUnknown:
+    case PlatformError::kMalformed:
+      break;
+  }
+  return WriteOutcome::kUnknown;
+}
+
+GateResult GateResultOf(SendResult aResult)
+{
+  switch (aResult) {
+    case SendResult::kAnswered:
+      return GateResult::kServed;
+    case SendResult::kShed:
+      return GateResult::kShed;
+    default:
+      return GateResult::kFailed;
+  }
+}
+
+} // namespace
+
+CellRunner::CellRunner(std::string aCell, DaemonRef aSelf, Services& aServices)
+  : mCell(aCell)
+  , mSelf(aSelf)
+  , mServices(aServices)
+  , mMachine(std::move(aCell), std::move(aSelf), CellTimings{})
+{
+}
+
+// --- Inputs ---------------------------------------------------------------------------------
+
+/// Gives the machine an input under the lock and carries out what follows from it.
+template<typename Input>
+void CellRunner::Feed(Input aInput)
+{
+  Effects effects;
+  {
+    const std::lock_guard lock(mMutex);
+    aInput(mServices.timers.Now());
+    Collect(effects);
+    RouteHeld(effects);
+  }
+  Carry(std::move(effects));
+}
+
+void CellRunner::Configure(const CellConfig& aCell, const ServiceConfig& aService, bool aDomainOut)
+{
+  Feed([&](Instant aNow) {
+    mService = aService;
+    if (!aDomainOut) {
+      mDomainOutSince.reset();
+    } else if (!mDomainOutSince) {
+      mDomainOutSince = aNow;
+    }
+    std::vector<CellServerSpec> specs;
+    for (const ServerConfig& it : aCell.servers) {
+      const bool checked = it.fencing == Fencing::kChecked;
+      Server& server = mServers[it.id];
+      if (!server.port) {
+        server.port = mServices.servers.Make({ it.id, it.url, checked, aService.connections });
+        GateLimits limits;
+        limits.slots = aService.slots;
+        server.gate = std::make_unique<ServerGate>(limits);
+      }
+      server.gate->SetSlots(aService.slots);
+      server.draining = it.state == UnitState::kDraining;
+      server.checked = checked;
+      specs.push_back({ it.id, checked, !server.draining && !aDomainOut });
+    }
+    mMachine.SetServers(aNow, specs);
+  });
+}
+
+void CellRunner::SetInitialShards(std::vector<ShardId> aShards)
+{
+  const std::lock_guard lock(mMutex);
+  mMachine.SetInitialShards(std::move(aShards));
+}
+
+void CellRunner::SetChurn(double aPercentPerMinute)
+{
+  const std::lock_guard lock(mMutex);
+  mChurnPercent = aPercentPerMinute;
+}
+
+void CellRunner::TakeOver()
+{
+  Feed([&](Instant aNow) { mMachine.TakeOver(aNow); });
+}
+
+void CellRunner::HandOver(const DaemonRef& aTo)
+{
+  Feed([&](Instant aNow) { mMachine.HandOver(aNow, aTo); });
+}
+
+void CellRunner::OnHint(Version aVersion, const CellObject& aObject)
+{
+  Feed([&](Instant aNow) { mMachine.OnHint(aNow, aVersion, aObject); });
+}
+
+void CellRunner::OnOtherHint(const std::string& aCell, const CellObject& aObject)
+{
+  Feed([&](Instant aNow) { mMachine.OnOtherHint(aNow, aCell, aObject); });
+}
+
+void CellRunner::OnDaemonGone(const DaemonRef& aDaemon)
+{
+  Feed([&](Instant aNow) { mMachine.OnDaemonGone(aNow, aDaemon); });
+}
+
+void CellRunner::Tick(Instant aNow)
+{
+  Feed([&](Instant) {
+    std::erase_if(mLingering, [&](const Lingering& aItem) {
+      if (aItem.until > aNow) {
+        return false;
+      }
+      mMachine.OrderFinished(aNow, aItem.shard);
+      return true;
+    });
+    mMachine.OnTick(aNow);
+  });
+  Effects effects;
+  {
+    const std::lock_guard lock(mMutex);
+    for (auto& [id, server] : mServers) {
+      for (const TicketId ticket : server.gate->Expire(aNow)) {
+        const auto it = server.waiting.find(ticket);
+        effects.finished.push_back({ it->second, OrderAnswer::NotRun(Refusal::kDeadline) });
+        server.waiting.erase(it);
+      }
+    }
+  }
+  Carry(std::move(effects));
+}
+
+// --- Orders ---------------------------------------------------------------------------------
+
+void CellRunner::Submit(const PendingPtr& aOrder, bool aInline)
+{
+  Effects effects;
+  {
+    const std::lock_guard lock(mMutex);
+    aOrder->arrivedAt = mServices.timers.Now();
+    aOrder->ticket = ++mNextTicket;
+    mRetries.OnRequest();
+    Route(aOrder, effects);
+    Collect(effects);
+  }
+  std::optional<Start> own;
+  if (aInline && effects.starts.size() == 1 && effects.starts.front().order == aOrder) {
+    own = std::move(effects.starts.front());
+    effects.starts.clear();
+  }
+  Carry(std::move(effects));
+  if (own) {
+    RunOrder(*own);
+  }
+}
+
+void CellRunner::Route(const PendingPtr& aOrder, Effects& aEffects)
+{
+  const Instant now = mServices.timers.Now();
+  const auto refuse = [&](const OrderAnswer& aAnswer) {
+    aEffects.finished.push_back({ aOrder, aAnswer });
+  };
+  if (aOrder->order.deadline <= now) {
+    refuse(OrderAnswer::NotRun(Refusal::kDeadline));
+    return;
+  }
+  if (mDomainOutSince && now - *mDomainOutSince >= kOutGrace) {
+    OrderAnswer answer = OrderAnswer::NotRun(Refusal::kDomainOut);
+    const bool here = mMachine.PhaseOf(aOrder->shard).has_value();
+    if (!here) {
+      answer = OrderAnswer::NotRun(Refusal::kNotMine);
+      answer.redirect = mMachine.Base().attached;
+    }
+    refuse(answer);
+    return;
+  }
+  const Admission admission = mMachine.Admit(now, aOrder->shard);
+  if (admission.kind == AdmissionKind::kNotMine) {
+    OrderAnswer answer = OrderAnswer::NotRun(Refusal::kNotMine);
+    answer.redirect = mMachine.Base().attached;
+    refuse(answer);
+    return;
+  }
+  const auto it = mServers.find(admission.server);
+  if (admission.kind == AdmissionKind::kHold || it == mServers.end()) {
+    Hold(aOrder, aEffects);
+    return;
+  }
+  Server& server = it->second;
+  GateOffer offer;
+  offer.ticket = aOrder->ticket;
+  offer.keyFlow = HashOf(aOrder->order.key);
+  offer.callerFlow = HashOf(aOrder->order.caller);
+  offer.deadline = aOrder->order.deadline;
+  switch (server.gate->Offer(now, offer)) {
+    case GateDecision::kRun:
+      mMachine.OrderStarted(aOrder->shard);
+      aEffects.starts.push_back({ aOrder, admission });
+      return;
+    case GateDecision::kQueue:
+      server.waiting.emplace(aOrder->ticket, aOrder);
+      return;
+    case GateDecision::kRefuse:
+      refuse(OrderAnswer::NotRun(Refusal::kOverloaded, server.gate->ExpectedWait()));
+      return;
+  }
+}
+
+void CellRunner::Hold(const PendingPtr& aOrder, Effects& aEffects)
+{
+  if (mHeld.size() >= kMaxHeld) {
+    aEffects.finished.push_back({ aOrder, OrderAnswer::NotRun(Refusal::kNoOwner) });
+    return;
+  }
+  mHeld.push_back(aOrder);
+}
+
+void CellRunner::RouteHeld(Effects& aEffects)
+{
+  if (mHeld.empty()) {
+    return;
+  }
+  const Instant now = mServices.timers.Now();
+  std::deque<PendingPtr> held;
+  held.swap(mHeld);
+  for (const PendingPtr& it : held) {
+    if (it->order.deadline <= now) {
+      aEffects.finished.push_back({ it, OrderAnswer::NotRun(Refusal::kNoOwner) });
+    } else if (it->notBefore > now) {
+      mHeld.push_back(it);
+    } else {
+      Route(it, aEffects);
+    }
+  }
+}
+
+void CellRunner::StartTickets(const std::string& aServer,
+                              std::vector<TicketId> aTickets,
+                              Effects& aEffects)
+{
+  Server& server = mServers.at(aServer);
+  const Instant now = mServices.timers.Now();
+  // A slot given back may start further tickets, so the list grows while it is walked.
+  for (std::size_t n = 0; n < aTickets.size(); ++n) {
+    const auto it = server.waiting.find(aTickets[n]);
+    const PendingPtr order = it->second;
+    server.waiting.erase(it);
+    const Admission admission = mMachine.Admit(now, order->shard);
+    const bool here = admission.kind == AdmissionKind::kServe && admission.server == aServer;
+    if (here && order->order.deadline > now) {
+      mMachine.OrderStarted(order->shard);
+      aEffects.starts.push_back({ order, admission });
+      continue;
+    }
+    const std::vector<TicketId> more = server.gate->GiveBack();
+    aTickets.insert(aTickets.end(), more.begin(), more.end());
+    Hold(order, aEffects);
+  }
+}
+
+void CellRunner::RunOrder(const Start& aStart)
+{
+  const PendingPtr& pending = aStart.order;
+  const Instant now = mServices.timers.Now();
+  const Admission& admission = aStart.admission;
+  SendTerms terms;
+  terms.shard = pending->shard;
+  terms.epoch = admission.epoch;
+  terms.token = admission.token;
+  terms.incarnation = admission.incarnation;
+  terms.deadline = admission.reading + (pending->order.deadline - admission.readAt).count();
+  terms.patience = std::max<Duration>(pending->order.deadline - now, milliseconds(1));
+  terms.span = pending->order.trace.Child();
+  if (now - pending->arrivedAt > milliseconds(1)) {
+    RecordSpan(aStart, "queue", pending->arrivedAt, now, true);
+  }
+  const std::shared_ptr<ServerPort> port = PortOf(admission.server);
+  SendAnswer answer;
+  if (pending->order.deadline > now) {
+    answer = port->Send(pending->order, terms);
+  }
+  const Instant end = mServices.timers.Now();
+  if (pending->order.trace.sampled) {
+    Span span;
+    span.context = terms.span;
+    span.parent = pending->order.trace.span;
+    span.name = "server";
+    span.start = now;
+    span.end = end;
+    span.service = pending->order.service;
+    span.requestId = pending->order.requestId;
+    span.outcome = NameOf(kSendResultNames, answer.result);
+    mServices.spans.Record(span);
+  }
+  if (answer.result == SendResult::kNoAnswer) {
+    mServices.controlWorkers.Post([port, id = pending->order.requestId] { port->Cancel(id); });
+  }
+  FinishOrder(aStart, std::move(answer), now);
+}
+
+void CellRunner::FinishOrder(const Start& aStart, SendAnswer aAnswer, Instant aStartedAt)
+{
+  const PendingPtr& pending = aStart.order;
+  const std::string& id = aStart.admission.server;
+  Effects effects;
+  {
+    const std::lock_guard lock(mMutex);
+    const Instant now = mServices.timers.Now();
+    Server& server = mServers.at(id);
+    const Duration latency = now - aStartedAt;
+    const bool mayStillStart = aAnswer.result == SendResult::kNoAnswer && !server.checked;
+    if (mayStillStart && pending->order.deadline > now) {
+      mLingering.push_back({ pending->order.deadline, pending->shard });
+    } else {
+      mMachine.OrderFinished(now, pending->shard);
+    }
+    if (aAnswer.result == SendResult::kAnswered) {
+      server.busy += latency;
+      ++server.served;
+      mRecentWork[pending->shard] += std::chrono::duration<double>(latency).count();
+    }
+    StartTickets(id, server.gate->Finish(latency, GateResultOf(aAnswer.result)), effects);
+    const bool repeatable = pending->order.repeatable;
+    if (aAnswer.result == SendResult::kAnswered) {
+      OrderAnswer answer;
+      answer.outcome = Outcome::kDone;
+      answer.status = aAnswer.status;
+      answer.headers = std::move(aAnswer.headers);
+      answer.body = std::move(aAnswer.body);
+      answer.server = id;
+      answer.epoch = aStart.admission.epoch;
+      effects.finished.push_back({ pending, std::move(answer) });
+    } else if (aAnswer.result == SendResult::kNoAnswer && !repeatable) {
+      effects.finished.push_back({ pending, OrderAnswer::Unknown(Refusal::kNoAnswer) });
+    } else if (MayRetry(*pending, now, aAnswer.result)) {
+      ++pending->tries;
+      pending->notBefore = now + kRetryPause;
+      Hold(pending, effects);
+    } else {
+      const Refusal refusal = aAnswer.result == SendResult::kShed      ? Refusal::kOverloaded
+                              : aAnswer.result == SendResult::kRefused ? Refusal::kRefused
+                                                                       : Refusal::kUnreachable;
+      OrderAnswer answer = aAnswer.result == SendResult::kNoAnswer
+                             ? OrderAnswer::Unknown(Refusal::kNoAnswer)
+                             : OrderAnswer::NotRun(refusal);
+      effects.finished.push_back({ pending, std::move(answer) });
+    }
+    Collect(effects);
+  }
+  Carry(std::move(effects));
+}
+
+bool CellRunner::MayRetry(const PendingOrder& aOrder, Instant aNow, SendResult aResult)
+{
+  const bool inTime = aNow + kRetryPause < aOrder.order.deadline;
+  // Waiting for an heir is not a retry storm: nothing was sent.
+  if (aResult == SendResult::kUnreachable || aResult == SendResult::kRefused) {
+    return inTime;
+  }
+  return inTime && aOrder.tries < kMaxTries && mRetries.TakeRetry(aNow);
+}
+
+void CellRunner::RecordSpan(const Start& aStart,
+                            const char* aName,
+                            Instant aFrom,
+                            Instant aTo,
+                            bool aServed)
+{
+  const PendingPtr& pending = aStart.order;
+  if (!pending->order.trace.sampled) {
+    return;
+  }
+  Span span;
+  span.context = pending->order.trace.Child();
+  span.parent = pending->order.trace.span;
+  span.name = aName;
+  span.start = aFrom;
+  span.end = aTo;
+  span.service = pending->order.service;
+  span.requestId = pending->order.requestId;
+  span.outcome = aServed ? "started" : "refused";
+  mServices.spans.Record(span);
+}
+
+// --- Effects --------------------------------------------------------------------------------
+
+void CellRunner::Collect(Effects& aEffects)
+{
+  for (CellAction& it : mMachine.TakeActions()) {
+    const auto* note = std::get_if<CellNote>(&it);
+    if (note == nullptr) {
+      aEffects.actions.push_back(std::move(it));
+      continue;
+    }
+    const bool fenced = note->event == CellEvent::kServerFenced;
+    const auto server = mServers.find(note->server);
+    if (note->event == CellEvent::kServerRestarted && server != mServers.end()) {
+      server->second.gate->OnColdStart();
+    }
+    const bool aboutShard = note->event >= CellEvent::kShardMoved;
+    if (aboutShard && !fenced) {
+      std::deque<ShardEvent>& past = mHistory[note->shard];
+      past.push_back(
+        { mServices.timers.Now(), note->event, note->server, note->epoch, mReasons[note->shard] });
+      mReasons.erase(note->shard);
+      if (past.size() > kHistoryLength) {
+        past.pop_front();
+      }
+    }
+    aEffects.actions.push_back(std::move(it));
+  }
+}
+
+void CellRunner::Carry(Effects aEffects)
+{
+  for (const CellAction& it : aEffects.actions) {
+    Perform(it);
+  }
+  for (Start& it : aEffects.starts) {
+    mServices.orderWorkers.Post(
+      [self = shared_from_this(), start = std::move(it)] { self->RunOrder(start); });
+  }
+  for (const Finished& it : aEffects.finished) {
+    it.order->done(it.answer);
+  }
+}
+
+void CellRunner::Perform(const CellAction& aAction)
+{
+  if (const auto* note = std::get_if<CellNote>(&aAction)) {
+    Log(*note);
+    return;
+  }
+  mServices.controlWorkers.Post([self = shared_from_this(), aAction] {
+    if (const auto* write = std::get_if<WriteCell>(&aAction)) {
+      self->PerformWrite(*write);
+    } else if (std::holds_alternative<ReadCell>(aAction)) {
+      self->PerformRead();
+    } else if (const auto* other = std::get_if<ReadOtherCell>(&aAction)) {
+      self->PerformReadOther(*other);
+    } else if (const auto* fence = std::get_if<FenceServer>(&aAction)) {
+      self->PerformFence(*fence);
+    } else if (const auto* grant = std::get_if<GrantServer>(&aAction)) {
+      self->PerformGrant(*grant);
+    }
+  });
+}
+
+void CellRunner::PerformWrite(const WriteCell& aAction)
+{
+  const std::string value = EncodeCell(aAction.object);
+  Version version = 0;
+  const WriteOutcome outcome = leaf::try_handle_all(
+    [&]() -> Result<WriteOutcome> {
+      BOOST_LEAF_ASSIGN(version, mServices.platform.Put(mCell, aAction.expected, value));
+      return WriteOutcome::kWritten;
+    },
+    [](PlatformError aError) { return OutcomeOf(aError); },
+    [] { return WriteOutcome::kUnknown; });
+  mServices.metrics.Count("platform_writes_total");
+  Feed([&](Instant aNow) { mMachine.OnWritten(aNow, outcome, version); });
+  if (outcome == WriteOutcome::kWritten) {
+    mServices.cache.MergeOne({ mCell, version, value });
+  }
+}
+
+void CellRunner::PerformRead()
+{
+  mServices.metrics.Count("platform_reads_total");
+  PlatformObject object;
+  std::optional<CellObject> cell;
+  const bool read = leaf::try_handle_all(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_ASSIGN(object, mServices.platform.Get(mCell));
+      BOOST_LEAF_ASSIGN(cell, DecodeCell(object.value));
+      return true;
+    },
+    [&](PlatformError aError) { return aError == PlatformError::kNotFound; },
+    [] { return false; });
+  Feed([&](Instant aNow) {
+    if (read) {
+      mMachine.OnObject(aNow, object.version, cell);
+    } else {
+      mMachine.OnReadFailed(aNow);
+    }
+  });
+  if (read && object.version != 0) {
+    mServices.cache.MergeOne(object);
+  }
+}
+
+void CellRunner::PerformReadOther(const ReadOtherCell& aAction)
+{
+  mServices.metrics.Count("platform_reads_total");
+  CellObject cell;
+  const bool read = leaf::try_handle_all(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_AUTO(object, mServices.platform.Get(aAction.cell));
+      BOOST_LEAF_ASSIGN(cell, DecodeCell(object.value));
+      return true;
+    },
+    [] { return false; });
+  Feed([&](Instant aNow) {
+    if (read) {
+      mMachine.OnOtherCell(aNow, aAction.cell, aAction.ownVersion, cell);
+    } else {
+      mMachine.OnOtherReadFailed(aAction.cell);
+    }
+  });
+}
+
+void CellRunner::PerformFence(const FenceServer& aAction)
+{
+  const auto port = PortOf(aAction.server);
+  ServerReply reply;
+  reply.number = aAction.number;
+  if (port) {
+    reply = port->Fence(aAction, mSelf);
+  }
+  Feed([&](Instant aNow) {
+    const auto it = mServers.find(aAction.server);
+    const bool accepted = reply.outcome == CallOutcome::kAccepted;
+    if (accepted && it != mServers.end() && it->second.incarnation != reply.incarnation) {
+      it->second.incarnation = reply.incarnation;
+      it->second.gate->OnColdStart();
+    }
+    mMachine.OnFenced(aNow, aAction.server, reply);
+  });
+}
+
+void CellRunner::PerformGrant(const GrantServer& aAction)
+{
+  const auto port = PortOf(aAction.server);
+  ServerReply reply;
+  reply.number = aAction.number;
+  if (port) {
+    reply = port->Grant(aAction);
+  }
+  mServices.metrics.Count("server_renewals_total");
+  Feed([&](Instant aNow) { mMachine.OnGranted(aNow, aAction.server, reply); });
+}
+
+void CellRunner::Log(const CellNote& aNote)
+{
+  const std::string event(NameOf(kCellEventNames, aNote.event));
+  mServices.metrics.Count("cell_events_total{event=\"" + event + "\"}");
+  mServices.log.Write(EventOf(aNote.event),
+                      "cell=" + mCell + " shard=" + std::to_string(aNote.shard) +
+                        " server=" + aNote.server + " epoch=" + std::to_string(aNote.epoch));
+}
+
+std::shared_ptr<ServerPort> CellRunner::PortOf(const std::string& aServer) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mServers.find(aServer);
+  return it == mServers.end() ? nullptr : it->second.port;
+}
+
+// --- Placement ------------------------------------------------------------------------------
+
+std::vector<ServerLoad> CellRunner::MeasureServers()
+{
+  std::vector<double> latencies;
+  for (auto& [id, server] : mServers) {
+    if (server.served >= kFewestSamples) {
+      const double mean =
+        std::chrono::duration<double>(server.busy).count() / static_cast<double>(server.served);
+      server.recentLatency =
+        server.recentLatency == 0.0
+          ? mean
+          : server.recentLatency + (mean - server.recentLatency) * kLatencySmoothing;
+    }
+    server.busy = Duration::zero();
+    server.served = 0;
+    if (server.recentLatency > 0.0 && mMachine.IsUsable(id)) {
+      latencies.push_back(server.recentLatency);
+    }
+  }
+  std::sort(latencies.begin(), latencies.end());
+  const double median = latencies.empty() ? 0.0 : latencies[(latencies.size() - 1) / 2];
+  std::vector<ServerLoad> loads;
+  for (const auto& [id, server] : mServers) {
+    ServerLoad load;
+    load.id = id;
+    load.accepting = mMachine.IsUsable(id) && !server.draining && !mDomainOutSince;
+    load.draining = server.draining;
+    if (median > 0.0 && server.recentLatency > 0.0) {
+      load.slowness = std::max(1.0, server.recentLatency / median);
+    }
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+void CellRunner::Plan(Instant aNow, const std::vector<CellLoad>& aCells)
+{
+  Feed([&](Instant) {
+    if (mMachine.Role() != CellRole::kAttached) {
+      return;
+    }
+    const double elapsed = std::chrono::duration<double>(aNow - mPlannedAt).count();
+    mPlannedAt = aNow;
+    const double perSecond = static_cast<double>(mMachine.Base().shards.size()) * mChurnPercent /
+                             kPercent / kSecondsPerMinute;
+    const double most = std::max(1.0, perSecond * kSecondsPerMinute);
+    mMoveCredit = std::min(most, mMoveCredit + perSecond * std::min(elapsed, kSecondsPerMinute));
+    for (auto& [shard, work] : mWork) {
+      work *= 1.0 - kWorkSmoothing;
+    }
+    for (const auto& [shard, work] : mRecentWork) {
+      mWork[shard] += kWorkSmoothing * work / std::max(elapsed, 0.1);
+    }
+    mRecentWork.clear();
+    BeginMoves(aNow, MeasureServers());
+    BeginTransfers(aNow, aCells);
+  });
+}
+
+void CellRunner::BeginMoves(Instant aNow, const std::vector<ServerLoad>& aServers)
+{
+  std::map<std::string, std::size_t> index;
+  for (std::size_t n = 0; n < aServers.size(); ++n) {
+    index[aServers[n].id] = n;
+    Server& server = mServers.at(aServers[n].id);
+    const bool straggling = aServers[n].slowness >= PlannerRules{}.stragglerFrom;
+    if (straggling != server.straggling) {
+      server.straggling = straggling;
+      mServices.log.Write(straggling ? EventId::kStragglerFound : EventId::kStragglerOver,
+                          "cell=" + mCell + " server=" + aServers[n].id +
+                            " slowness=" + std::to_string(aServers[n].slowness));
+    }
+  }
+  std::vector<ShardLoad> shards;
+  for (const auto& [shard, record] : mMachine.Base().shards) {
+    const auto owner = mMachine.OwnerOf(shard);
+    const auto it = owner ? index.find(owner->owner) : index.end();
+    if (it == index.end() || mMachine.PhaseOf(shard) != ShardPhase::kServing) {
+      continue;
+    }
+    const auto moved = mMovedAt.find(shard);
+    const bool settled = moved == mMovedAt.end() || aNow - moved->second >= kSettleTime;
+    const auto work = mWork.find(shard);
+    shards.push_back({ shard, it->second, work == mWork.end() ? 0.0 : work->second, settled });
+  }
+  const auto budget = static_cast<std::size_t>(mMoveCredit);
+  for (const PlannedMove& it : PlanCell(aServers, shards, budget)) {
+    if (!mMachine.MoveShard(aNow, it.shard, aServers[it.server].id)) {
+      continue;
+    }
+    mMovedAt[it.shard] = aNow;
+    mReasons[it.shard] = NameOf(kMoveReasonNames, it.reason);
+    mMoveCredit -= it.reason == MoveReason::kImbalance ? 1.0 : 0.0;
+    mServices.log.Write(EventId::kMovePlanned,
+                        "cell=" + mCell + " shard=" + std::to_string(it.shard) +
+                          " to=" + aServers[it.server].id + " reason=" + mReasons[it.shard]);
+  }
+}
+
+void CellRunner::BeginTransfers(Instant aNow, const std::vector<CellLoad>& aCells)
+{
+  std::vector<CellTransfer> transfers =
+    PlanTransfers(mCell, aCells, kMaxTransfersPerRound, kTransferTolerance);
+  std::size_t begun = 0;
+  std::vector<ShardId> shards;
+  for (const auto& [shard, record] : mMachine.Base().shards) {
+    shards.push_back(shard);
+  }
+  auto next = shards.begin();
+  for (const CellTransfer& it : transfers) {
+    std::size_t left = it.shards;
+    for (; next != shards.end() && left > 0 && begun < kMaxTransfersPerRound; ++next) {
+      if (mMachine.SendShard(aNow, *next, it.toCell)) {
+        mReasons[*next] = mDomainOutSince ? "domain-out" : "cell-imbalance";
+        --left;
+        ++begun;
+      }
+    }
+  }
+}
+
+// --- Views ----------------------------------------------------------------------------------
+
+CellRole CellRunner::Role() const
+{
+  const std::lock_guard lock(mMutex);
+  return mMachine.Role();
+}
+
+std::vector<DaemonRef> CellRunner::Holders() const
+{
+  const std::lock_guard lock(mMutex);
+  std::vector<DaemonRef> holders;
+  if (mMachine.Role() != CellRole::kAttached) {
+    return holders;
+  }
+  for (const auto& [id, record] : mMachine.Base().servers) {
+    holders.insert(holders.end(), record.holders.begin(), record.holders.end());
+  }
+  std::sort(holders.begin(), holders.end());
+  holders.erase(std::unique(holders.begin(), holders.end()), holders.end());
+  return holders;
+}
+
+CellView CellRunner::View() const
+{
+  const std::lock_guard lock(mMutex);
+  CellView view;
+  view.name = mCell;
+  view.role = mMachine.Role();
+  view.token = mMachine.Token();
+  view.attached = mMachine.Base().attached;
+  view.shards = mMachine.Base().shards.size();
+  view.unserved = mMachine.Unserved();
+  view.held = mHeld.size();
+  for (const auto& [id, server] : mServers) {
+    view.servers.push_back({ id,
+                             mMachine.IsUsable(id),
+                             server.gate->IsCold(),
+                             server.gate->Running(),
+                             server.gate->Waiting(),
+                             server.gate->Allowed(),
+                             server.gate->UsualLatency(),
+                             1.0 });
+  }
+  return view;
+}
+
+std::vector<ShardEvent> CellRunner::History(ShardId aShard) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mHistory.find(aShard);
+  if (it == mHistory.end()) {
+    return {};
+  }
+  return { it->second.begin(), it->second.end() };
+}
+
+std::optional<ShardRecord> CellRunner::OwnerOf(ShardId aShard) const
+{
+  const std::lock_guard lock(mMutex);
+  return mMachine.OwnerOf(aShard);
+}
+
+std::optional<ShardPhase> CellRunner::PhaseOf(ShardId aShard) const
+{
+  const std::lock_guard lock(mMutex);
+  return mMachine.PhaseOf(aShard);
+}
+
+} // namespace hawthornlug
--- /dev/null
+++ b/runtime/services.h
@@ -0,0 +1,39 @@
+/// @file
+/// What the parts of a daemon share.
+///
+/// Lock order, outermost first: Daemon's configuration lock, CellRunner, Daemon's table lock, then
+/// the tables (ObjectCache, RoutingTable, RequestTable, PeerCalls), then Metrics, EventLog and
+/// SpanPort. No lock but the configuration lock is held during a callback, and none during a
+/// blocking call.
+#pragma once
+
+#include "config/object_cache.h"
+#include "core/event_log.h"
+#include "core/metrics.h"
+#include "core/timer_service.h"
+#include "core/worker_pool.h"
+#include "ports/peer_port.h"
+#include "ports/platform_port.h"
+#include "ports/server_port.h"
+#include "ports/span_port.h"
+
+namespace hawthornlug {
+
+/// References to the ports and tables of one daemon; all outlive the parts that use them.
+struct Services
+{
+  PlatformPort& platform;
+  ServerPortFactory& servers;
+  PeerPort& peers;
+  TimerService& timers;
+  /// Carries out orders to servers.
+  WorkerPool& orderWorkers;
+  /// Carries out control calls, which must not wait behind orders.
+  WorkerPool& controlWorkers;
+  EventLog& log;
+  Metrics& metrics;
+  SpanPort& spans;
+  ObjectCache& cache;
+};
+
+} // namespace hawthornlug
