--- a/ownership/cell_actions.h
+++ b/ownership/cell_actions.h
@@ -32,11 +32,14 @@
 /// Write this cell's object if its version is still the expected one; answered by OnWritten().
 struct WriteCell
 {
+  /// Named again in the answer.
+  std::uint64_t id = 0;
   Version expected = 0;
   CellObject object;
 };
 
-/// Present the token to a server, which drops its grants and reports them; answered by OnFenced().
+/// Present the token to a server, which drops its grants and reports epochs; answered by
+/// OnFenced().
 struct FenceServer
 {
   std::string server;
@@ -127,7 +130,8 @@
   Incarnation incarnation = 0;
   /// The server's clock while it answered.
   ServerInstant reading = 0;
-  /// Grants that were live when the token was presented; only in answers to FenceServer.
+  /// The highest epoch of each shard that this run of the server was ever granted, whether the
+  /// grant still lives or not; only in answers to FenceServer.
   std::map<ShardId, Epoch> grants;
 };
 
--- a/ownership/cell_machine.cpp
+++ b/ownership/cell_machine.cpp
@@ -56,14 +56,38 @@
     AttachAfterWrite(aNow);
     return;
   }
+  if (!MayTake()) {
+    return;
+  }
   mRole = CellRole::kTaking;
-  mWriting = mBaseVersion == 0 ? InitialObject() : TakenObject();
-  mActions.emplace_back(WriteCell{ mBaseVersion, *mWriting });
+  StartWrite(mBaseVersion == 0 ? InitialObject() : TakenObject());
+}
+
+std::vector<DaemonRef> CellMachine::WantedEvidence() const
+{
+  std::set<DaemonRef> wanted;
+  if (mRole == CellRole::kIdle && mBaseVersion != 0 && mBase.attached != mSelf) {
+    wanted.insert(mBase.attached);
+  }
+  for (const auto& [id, record] : mBase.servers) {
+    wanted.insert(record.holders.begin(), record.holders.end());
+  }
+  std::erase_if(wanted, [this](const DaemonRef& aRef) { return mGone.count(aRef) != 0; });
+  return { wanted.begin(), wanted.end() };
+}
+
+bool CellMachine::MayTake() const
+{
+  const bool unchecked = std::any_of(mServers.begin(), mServers.end(), [](const auto& aServer) {
+    return !aServer.second.spec.checked;
+  });
+  // Nothing but its absence keeps a daemon from giving orders to a server that does not check them.
+  return !unchecked || mBaseVersion == 0 || WantedEvidence().empty();
 }
 
 void CellMachine::HandOver(Instant aNow, const DaemonRef& aTo)
 {
-  if (mRole != CellRole::kAttached) {
+  if (mRole != CellRole::kAttached || aTo == mSelf) {
     return;
   }
   mRole = CellRole::kLeaving;
@@ -134,8 +158,11 @@
   }
   for (auto& [id, server] : mServers) {
     const CellServerSpec spec = server.spec;
+    // Numbers go on, so that an answer to an earlier attachment's call matches none of this one's.
+    const CallNumber number = server.number;
     server = ServerState{};
     server.spec = spec;
+    server.number = number;
     server.nextCallAt = aNow;
   }
   AddUnlistedServers();
@@ -278,7 +305,8 @@
 void CellMachine::OnObject(Instant aNow, Version aVersion, const std::optional<CellObject>& aObject)
 {
   mReading = false;
-  if (mWriting) {
+  const bool overtaken = mBaseKnown && aVersion < mBaseVersion;
+  if (mWriting || overtaken) {
     return;
   }
   mMustRead = false;
@@ -331,9 +359,18 @@
   }
 }
 
-void CellMachine::OnWritten(Instant aNow, WriteOutcome aOutcome, Version aVersion)
+void CellMachine::StartWrite(CellObject aObject)
+{
+  mWriting = std::move(aObject);
+  mActions.emplace_back(WriteCell{ ++mWriteId, mBaseVersion, *mWriting });
+}
+
+void CellMachine::OnWritten(Instant aNow,
+                            std::uint64_t aId,
+                            WriteOutcome aOutcome,
+                            Version aVersion)
 {
-  if (!mWriting) {
+  if (!mWriting || aId != mWriteId) {
     return;
   }
   const CellObject written = *mWriting;
@@ -1048,8 +1085,7 @@
     mWriteFailingSince.reset();
     return;
   }
-  mWriting = std::move(desired);
-  mActions.emplace_back(WriteCell{ mBaseVersion, *mWriting });
+  StartWrite(std::move(desired));
 }
 
 void CellMachine::PumpLeave(Instant aNow)
@@ -1062,8 +1098,7 @@
       return;
     }
   }
-  mWriting = HandedOverObject();
-  mActions.emplace_back(WriteCell{ mBaseVersion, *mWriting });
+  StartWrite(HandedOverObject());
 }
 
 void CellMachine::PumpCalls(Instant aNow)
--- a/ownership/cell_machine.h
+++ b/ownership/cell_machine.h
@@ -118,7 +118,7 @@
                    const CellObject& aObject);
   /// The other cell could not be read.
   void OnOtherReadFailed(const std::string& aCell);
-  void OnWritten(Instant aNow, WriteOutcome aOutcome, Version aVersion);
+  void OnWritten(Instant aNow, std::uint64_t aId, WriteOutcome aOutcome, Version aVersion);
   void OnFenced(Instant aNow, const std::string& aServer, const ServerReply& aReply);
   void OnGranted(Instant aNow, const std::string& aServer, const ServerReply& aReply);
   /// It is certain that this run of a daemon gives no more orders and grants.
@@ -135,6 +135,8 @@
   const std::string& Name() const { return mCell; }
   CellRole Role() const { return mRole; }
   FencingToken Token() const { return mToken; }
+  /// Runs of daemons of which proof that they are gone would be of use.
+  std::vector<DaemonRef> WantedEvidence() const;
   /// The last known record of the cell.
   const CellObject& Base() const { return mBase; }
   Version BaseVersion() const { return mBaseVersion; }
@@ -199,6 +201,8 @@
     CellEvent cause = CellEvent::kShardServing;
   };
 
+  /// Whether the cell may be taken from a daemon that may still be running.
+  bool MayTake() const;
   void Note(CellEvent aEvent, ShardId aShard, const std::string& aServer, Epoch aEpoch);
   void BecomeIdle();
   void AttachAfterWrite(Instant aNow);
@@ -210,6 +214,7 @@
                  const std::string& aCell);
   void ReceiveShards(const std::string& aCell, const CellObject& aObject);
   void WriteFailed(Instant aNow);
+  void StartWrite(CellObject aObject);
   CellObject TakenObject() const;
   CellObject InitialObject() const;
   CellObject DesiredObject() const;
@@ -271,6 +276,7 @@
   Instant mTakenAt;
 
   std::optional<CellObject> mWriting;
+  std::uint64_t mWriteId = 0;
   bool mMustRead = false;
   bool mReading = false;
   std::set<std::string> mReadingOther;
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -529,7 +529,7 @@
     [](PlatformError aError) { return OutcomeOf(aError); },
     [] { return WriteOutcome::kUnknown; });
   mServices.metrics.Count("platform_writes_total");
-  Feed([&](Instant aNow) { mMachine.OnWritten(aNow, outcome, version); });
+  Feed([&](Instant aNow) { mMachine.OnWritten(aNow, aAction.id, outcome, version); });
   if (outcome == WriteOutcome::kWritten) {
     mServices.cache.MergeOne({ mCell, version, value });
   }
@@ -757,19 +757,10 @@
   return mMachine.Role();
 }
 
-std::vector<DaemonRef> CellRunner::Holders() const
+std::vector<DaemonRef> CellRunner::WantedEvidence() const
 {
   const std::lock_guard lock(mMutex);
-  std::vector<DaemonRef> holders;
-  if (mMachine.Role() != CellRole::kAttached) {
-    return holders;
-  }
-  for (const auto& [id, record] : mMachine.Base().servers) {
-    holders.insert(holders.end(), record.holders.begin(), record.holders.end());
-  }
-  std::sort(holders.begin(), holders.end());
-  holders.erase(std::unique(holders.begin(), holders.end()), holders.end());
-  return holders;
+  return mMachine.WantedEvidence();
 }
 
 CellView CellRunner::View() const
--- a/runtime/cell_runner.h
+++ b/runtime/cell_runner.h
@@ -92,7 +92,7 @@
 
   CellRole Role() const;
   /// Daemons of which proof is wanted that they are gone.
-  std::vector<DaemonRef> Holders() const;
+  std::vector<DaemonRef> WantedEvidence() const;
   CellView View() const;
   std::vector<ShardEvent> History(ShardId aShard) const;
   std::optional<ShardRecord> OwnerOf(ShardId aShard) const;
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -535,7 +535,7 @@
   const auto cells = mCells.load();
   std::set<DaemonRef> proven;
   for (const auto& [name, runner] : *cells) {
-    for (const DaemonRef& it : runner->Holders()) {
+    for (const DaemonRef& it : runner->WantedEvidence()) {
       if (proven.count(it) != 0 || IsProvenGone(it)) {
         proven.insert(it);
         runner->OnDaemonGone(it);
@@ -558,6 +558,9 @@
     if (dropped || aRef.id == mSettings.self.id) {
       return true;
     }
+    if (mMembership.IsLive(aRef)) {
+      return false;
+    }
   }
   if (!member) {
     return false;
--- a/tests/standins/server.cpp
+++ b/tests/standins/server.cpp
@@ -69,6 +69,8 @@
   std::pair<std::uint64_t, std::uint64_t> mLastCall;
   std::int64_t mLeaseUntil = 0;
   std::map<std::uint32_t, std::uint64_t> mGrants;
+  /// The highest epoch of each shard that was ever granted; a later daemon asks for it.
+  std::map<std::uint32_t, std::uint64_t> mHighest;
   std::uint32_t mRunning = 0;
   std::int64_t mColdLeft = 0;
   bool mDraining = false;
@@ -135,10 +137,8 @@
   }
   mLastCall = call;
   json grants = json::array();
-  if (NowMicros() + mClockOffset < mLeaseUntil) {
-    for (const auto& [shard, epoch] : mGrants) {
-      grants.push_back(json::array({ shard, epoch }));
-    }
+  for (const auto& [shard, epoch] : mHighest) {
+    grants.push_back(json::array({ shard, epoch }));
   }
   mGrants.clear();
   mLeaseUntil = 0;
@@ -166,7 +166,10 @@
     mGrants.erase(it.get<std::uint32_t>());
   }
   for (const json& it : aBody["add"]) {
-    mGrants[it[0].get<std::uint32_t>()] = it[1].get<std::uint64_t>();
+    const auto shard = it[0].get<std::uint32_t>();
+    const auto epoch = it[1].get<std::uint64_t>();
+    mGrants[shard] = epoch;
+    mHighest[shard] = std::max(mHighest[shard], epoch);
   }
   aResponse.set_content(Reply().dump(), "application/json");
 }
