--- a/limits/server_gate.cpp
+++ b/limits/server_gate.cpp
@@ -65,7 +65,7 @@
       mAllowed = std::max<std::uint32_t>(1, mAllowed / 2);
       mServedSinceGrowth = 0;
     } else {
-      Grow();
+      Grow(aLatency);
     }
     mLatency =
       mLatency.count() == 0 ? aLatency : mLatency + (aLatency - mLatency) / kLatencySmoothing;
@@ -81,9 +81,11 @@
   return StartWaiting();
 }
 
-void ServerGate::Grow()
+void ServerGate::Grow(Duration aLatency)
 {
-  if (mAllowed >= mLimits.slots) {
+  const bool stillCold =
+    mReference.count() > 0 && aLatency > mReference * mLimits.warmLatencyFactor;
+  if (mAllowed >= mLimits.slots || stillCold) {
     return;
   }
   ++mServedSinceGrowth;
@@ -152,6 +154,11 @@
   mAllowed = std::min(mAllowed, aSlots);
 }
 
+void ServerGate::SetReference(Duration aLatency)
+{
+  mReference = aLatency;
+}
+
 Duration ServerGate::ExpectedWait() const
 {
   if (mLatency.count() == 0) {
--- a/limits/server_gate.h
+++ b/limits/server_gate.h
@@ -49,9 +49,11 @@
   std::uint32_t slots = 1;
   std::size_t queueLimit = 256;
   /// Served orders that a cold server has to answer for each further slot.
-  std::uint32_t warmupPerSlot = 16;
+  std::uint32_t warmupPerSlot = 48;
   /// An answer that takes so many times the usual latency counts as a sign of a cold server.
   std::int64_t coldLatencyFactor = 8;
+  /// A server that takes so many times its warm siblings' latency is not given a further slot.
+  std::int64_t warmLatencyFactor = 2;
 };
 
 /// Decides when orders run at one server. Purely a function of its inputs; the caller serialises.
@@ -74,6 +76,8 @@
   /// The server has been restarted: one order at first, more only by success.
   void OnColdStart();
   void SetSlots(std::uint32_t aSlots);
+  /// Sets what warm siblings take for an order; 0 if none is warm.
+  void SetReference(Duration aLatency);
 
   std::uint32_t Running() const { return mRunning; }
   std::size_t Waiting() const { return mQueue.size(); }
@@ -98,13 +102,14 @@
 
   std::vector<TicketId> StartWaiting();
   std::uint64_t TakeTurn(const GateOffer& aOffer);
-  void Grow();
+  void Grow(Duration aLatency);
 
   GateLimits mLimits;
   std::uint32_t mAllowed;
   std::uint32_t mRunning = 0;
   std::uint32_t mServedSinceGrowth = 0;
   Duration mLatency = Duration::zero();
+  Duration mReference = Duration::zero();
   std::map<Turn, GateOffer> mQueue;
   std::uint64_t mVirtualTime = 0;
   std::map<std::uint64_t, std::uint64_t> mKeyTurns;
--- a/membership/membership.cpp
+++ b/membership/membership.cpp
@@ -115,6 +115,9 @@
 
 std::vector<HeartbeatOut> Membership::OnTick(Instant aNow)
 {
+  if (!mStartedAt) {
+    mStartedAt = aNow;
+  }
   for (const std::string& id : Watched()) {
     Entry& entry = mEntries[id];
     if (!entry.watched) {
@@ -299,7 +302,9 @@
     return false;
   }
   const auto it = mDomainHeardAt.find(aDomain);
-  return it == mDomainHeardAt.end() || aNow - it->second >= mTimings.domainCutAfter;
+  // Before anything was heard, silence counts from this daemon's own start.
+  const Instant since = it == mDomainHeardAt.end() ? mStartedAt.value_or(aNow) : it->second;
+  return aNow - since >= mTimings.domainCutAfter;
 }
 
 std::map<std::string, Version> Membership::ConfigRevisions() const
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -137,6 +137,7 @@
   std::set<std::string> mWantTable;
   Version mObjectsRevision = 0;
   Version mConfigRevision = 0;
+  std::optional<Instant> mStartedAt;
   Instant mNextHeartbeat;
   Instant mSelfChangedAt;
   std::vector<MemberChange> mChanges;
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -647,6 +647,17 @@
       latencies.push_back(server.recentLatency);
     }
   }
+  Duration reference = Duration::zero();
+  for (const auto& [id, server] : mServers) {
+    const Duration usual = server.gate->UsualLatency();
+    const bool warm = !server.gate->IsCold() && usual.count() > 0;
+    if (warm && (reference.count() == 0 || usual < reference)) {
+      reference = usual;
+    }
+  }
+  for (const auto& [id, server] : mServers) {
+    server.gate->SetReference(reference);
+  }
   std::sort(latencies.begin(), latencies.end());
   const double median = latencies.empty() ? 0.0 : latencies[(latencies.size() - 1) / 2];
   std::vector<ServerLoad> loads;
--- /dev/null
+++ b/tests/process/operations_test.cpp
@@ -0,0 +1,247 @@
+/// @file
+/// What operators do, as processes: drains, failure domains out and in, shutdowns, races.
+
+#include "tests/support/fleet.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <future>
+
+using namespace hawthornlug::testing;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// "A few seconds" in which a change must have taken effect.
+constexpr seconds kFewSeconds{ 5 };
+/// An accepted configuration is in force everywhere within this.
+constexpr seconds kInForce{ 8 };
+
+std::uint64_t Served(Fleet& aFleet, const std::string& aServer)
+{
+  return aFleet.Get(aFleet.Server(aServer).url, "/counters").value("served", 0);
+}
+
+std::uint64_t ServedIn(Fleet& aFleet, const std::string& aDomain)
+{
+  std::uint64_t served = 0;
+  for (const Process& it : aFleet.Servers()) {
+    served += it.domain == aDomain ? Served(aFleet, it.id) : 0;
+  }
+  return served;
+}
+
+std::size_t ShardsIn(Fleet& aFleet, const std::string& aDomain)
+{
+  for (const Process& it : aFleet.Daemons()) {
+    if (it.domain != aDomain || it.pid == 0) {
+      continue;
+    }
+    const json status = aFleet.Get(it.url, "/-/status");
+    for (const json& cell : status["cells"]) {
+      if (cell["role"] == "attached") {
+        return cell["shards"];
+      }
+    }
+  }
+  return 0;
+}
+
+const std::vector<std::string> kLightLoad = { "--rate", "200",  "--seconds", "2",
+                                              "--keys", "2000", "--writes",  "0.5" };
+
+} // namespace
+
+TEST_CASE("a draining server gets no new work after a few seconds and nothing is refused",
+          "[process]")
+{
+  Fleet fleet(FleetShape{});
+  const std::string server = fleet.Servers()[0].id;
+  auto load = std::async(std::launch::async, [&] {
+    return fleet.Load({ "--rate",
+                        "200",
+                        "--seconds",
+                        "6",
+                        "--keys",
+                        "2000",
+                        "--writes",
+                        "0.5",
+                        "--log",
+                        fleet.LogPath("drain") });
+  });
+  load.wait_for(seconds(1));
+  REQUIRE(fleet.Apply(fleet.Config({ { server, "draining" } })) == 0);
+  const bool empty = WaitUntil(kFewSeconds, [&] {
+    return fleet.Get(fleet.Server(server).url, "/counters").value("grants", 1) == 0;
+  });
+  CHECK(empty);
+  const json result = load.get();
+  INFO(result.dump());
+  CHECK(result["outcomes"].value("done", 0) == result["requests"]);
+  const std::uint64_t served = Served(fleet, server);
+  fleet.Load(kLightLoad);
+  CHECK(Served(fleet, server) == served);
+  CHECK(fleet.CheckLedger(fleet.LoadLog("drain")) == "");
+}
+
+TEST_CASE("a failure domain that is taken out gets no new work after a few seconds", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  auto load = std::async(std::launch::async, [&] {
+    return fleet.Load({ "--rate",
+                        "200",
+                        "--seconds",
+                        "7",
+                        "--keys",
+                        "2000",
+                        "--writes",
+                        "0.5",
+                        "--log",
+                        fleet.LogPath("out") });
+  });
+  load.wait_for(seconds(1));
+  REQUIRE(fleet.Apply(fleet.Config({ { "south", "out" } })) == 0);
+  CHECK(WaitUntil(kFewSeconds, [&] { return ShardsIn(fleet, "south") == 0; }));
+  const json result = load.get();
+  INFO(result.dump());
+  CHECK(result["outcomes"].value("done", 0) == result["requests"]);
+  const std::uint64_t served = ServedIn(fleet, "south");
+  const json after = fleet.Load(kLightLoad);
+  CHECK(after["outcomes"].value("done", 0) == after["requests"]);
+  CHECK(ServedIn(fleet, "south") == served);
+  // Brought back, it gets its share again and nothing is refused meanwhile.
+  REQUIRE(fleet.Apply(fleet.Config()) == 0);
+  const json back = fleet.Load({ "--rate",
+                                 "200",
+                                 "--seconds",
+                                 "4",
+                                 "--keys",
+                                 "2000",
+                                 "--writes",
+                                 "0.5",
+                                 "--log",
+                                 fleet.LogPath("back") });
+  CHECK(back["outcomes"].value("done", 0) == back["requests"]);
+  CHECK(WaitUntil(seconds(20), [&] { return ShardsIn(fleet, "south") >= 28; }));
+  CHECK(fleet.CheckLedger(fleet.LoadLog("back")) == "");
+  CHECK(fleet.CheckLedger(fleet.LoadLog("out")) == "");
+}
+
+TEST_CASE("a graceful shutdown of a daemon cuts no request", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  const json explained = fleet.Explain("k1");
+  Process& leaving = fleet.Daemon(explained["attached"]["id"]);
+  std::vector<Process> all = fleet.Daemons();
+  // The balancer sends callers to hosts that are ready: all but the one that leaves.
+  std::string targets;
+  for (const Process& it : all) {
+    if (it.id != leaving.id) {
+      targets += (targets.empty() ? "" : ",") + it.url;
+    }
+  }
+  auto load = std::async(std::launch::async, [&] {
+    return fleet.Load({ "--rate",
+                        "300",
+                        "--seconds",
+                        "5",
+                        "--keys",
+                        "500",
+                        "--writes",
+                        "0.7",
+                        "--log",
+                        fleet.LogPath("leave"),
+                        "--targets",
+                        targets });
+  });
+  load.wait_for(seconds(1));
+  fleet.Signal(leaving, SIGTERM);
+  CHECK(fleet.WaitForEnd(leaving) == 0);
+  const json result = load.get();
+  INFO(result.dump());
+  CHECK(result["outcomes"].value("done", 0) == result["requests"]);
+  CHECK(fleet.CheckLedger(fleet.LoadLog("leave")) == "");
+}
+
+TEST_CASE("a cold server gets no more than it bears", "[process]")
+{
+  FleetShape shape;
+  shape.coldOrders = 40;
+  shape.workUs = 4000;
+  Fleet fleet(shape);
+  auto load = std::async(std::launch::async, [&] {
+    return fleet.Load({ "--rate",
+                        "250",
+                        "--seconds",
+                        "8",
+                        "--keys",
+                        "2000",
+                        "--writes",
+                        "0.5",
+                        "--log",
+                        fleet.LogPath("cold"),
+                        "--threads",
+                        "32" });
+  });
+  load.wait_for(seconds(3));
+  // It comes back without warning, and its report says that it is warm.
+  fleet.Restart(fleet.Servers()[0]);
+  const json result = load.get();
+  INFO(result.dump());
+  for (const Process& it : fleet.Servers()) {
+    const json counters = fleet.Get(it.url, "/counters");
+    INFO(it.id << " " << counters.dump());
+    CHECK(counters.value("cold_overloads", 0) == 0);
+    CHECK(counters.value("overloads", 0) == 0);
+  }
+  CHECK(fleet.CheckLedger(fleet.LoadLog("cold")) == "");
+}
+
+TEST_CASE("operators who race get one winner and a clear conflict", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  const std::string one = fleet.Servers()[0].id;
+  const std::string two = fleet.Servers()[1].id;
+  std::vector<std::future<int>> races;
+  for (int n = 0; n < 6; ++n) {
+    races.push_back(std::async(std::launch::async, [&, n] {
+      return fleet.Apply(fleet.Config({ { n % 2 == 0 ? one : two, "draining" } }), false);
+    }));
+  }
+  int won = 0;
+  for (auto& it : races) {
+    const int code = it.get();
+    CHECK((code == 0 || code == 1));
+    won += code == 0 ? 1 : 0;
+  }
+  CHECK(won >= 1);
+  // All daemons agree on what the last winner wrote.
+  CHECK(fleet.Apply(fleet.Config({ { two, "draining" } })) == 0);
+  // An answer that is lost after taking effect is settled by reading back.
+  fleet.Platform({ { "lose_answers", 1 } });
+  CHECK(fleet.Apply(fleet.Config({ { fleet.Servers()[1].id, "draining" } })) == 0);
+}
+
+TEST_CASE("an accepted configuration is in force everywhere and never reverts", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  const auto version = [&](const Process& aDaemon) {
+    return fleet.Get(aDaemon.url, "/-/status").value("config_version", 0);
+  };
+  // One failure domain can't reach the platform: it learns from the others.
+  fleet.Platform({ { "down", true } }, "north");
+  const int before = version(fleet.Daemons()[0]);
+  REQUIRE(fleet.Apply(fleet.Config({ { fleet.Servers()[0].id, "draining" } }), false) == 0);
+  const bool everywhere = WaitUntil(kInForce, [&] {
+    return std::all_of(fleet.Daemons().begin(), fleet.Daemons().end(), [&](const Process& aDaemon) {
+      return version(aDaemon) > before;
+    });
+  });
+  CHECK(everywhere);
+  // A daemon that starts while it can't reach the platform takes the newest from its peers.
+  const int newest = version(fleet.Daemons()[3]);
+  fleet.Restart(fleet.Daemons()[0]);
+  CHECK(WaitUntil(kInForce, [&] { return version(fleet.Daemons()[0]) == newest; }));
+}
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -687,7 +687,8 @@
   for (const auto& [id, daemon] : mDaemons) {
     for (const auto& [cell, machine] : daemon.machines) {
       for (const auto& [shard, record] : machine.Base().shards) {
-        const bool serves = daemon.alive && machine.Admit(mNow, shard).kind == AdmissionKind::kServe;
+        const bool serves =
+          daemon.alive && machine.Admit(mNow, shard).kind == AdmissionKind::kServe;
         if (serves) {
           served.insert(shard);
         }
