--- a/placement/planner.cpp
+++ b/placement/planner.cpp
@@ -43,6 +43,12 @@
 
   double Load(std::size_t aServer) const { return mLoad[aServer]; }
 
+  /// The higher of the two servers' loads after a move.
+  double After(std::size_t aFrom, std::size_t aTo, double aWork) const
+  {
+    return std::max(mLoad[aTo] + Cost(aTo, aWork), mLoad[aFrom] - Cost(aFrom, aWork));
+  }
+
   /// The accepting server that is loaded least, shards counting where loads are equal.
   std::size_t Lightest(std::size_t aExcept) const
   {
@@ -104,6 +110,29 @@
   return order;
 }
 
+/// The movable shard of @p aFrom that levels the two servers best; the number of shards if none.
+std::size_t BestMove(const std::vector<ShardLoad>& aShards,
+                     const std::vector<std::size_t>& aOwners,
+                     const Balance& aBalance,
+                     std::size_t aFrom,
+                     std::size_t aTo)
+{
+  std::size_t best = aShards.size();
+  double bestAfter = aBalance.Load(aFrom);
+  for (std::size_t n = 0; n < aShards.size(); ++n) {
+    const ShardLoad& shard = aShards[n];
+    if (aOwners[n] != aFrom || !shard.movable || shard.work <= 0.0) {
+      continue;
+    }
+    const double after = aBalance.After(aFrom, aTo, shard.work);
+    if (after < bestAfter) {
+      best = n;
+      bestAfter = after;
+    }
+  }
+  return best;
+}
+
 } // namespace
 
 std::vector<PlannedMove> PlanCell(const std::vector<ServerLoad>& aServers,
@@ -159,20 +188,12 @@
     if (to >= aServers.size() || mean <= 0.0 || balanced) {
       break;
     }
-    const auto gains = [&](std::size_t aIndex) {
-      const ShardLoad& shard = aShards[aIndex];
-      if (owner[aIndex] != from || !shard.movable || shard.work <= 0.0) {
-        return false;
-      }
-      const double after = std::max(balance.Load(to) + balance.Cost(to, shard.work),
-                                    balance.Load(from) - balance.Cost(from, shard.work));
-      return balance.Load(from) - after >= mean * aRules.leastGain;
-    };
-    const auto found = std::find_if(order.begin(), order.end(), gains);
-    if (found == order.end()) {
+    const std::size_t best = BestMove(aShards, owner, balance, from, to);
+    if (best >= aShards.size() || balance.Load(from) - balance.After(from, to, aShards[best].work) <
+                                    mean * aRules.leastGain) {
       break;
     }
-    move(*found, to, MoveReason::kImbalance);
+    move(best, to, MoveReason::kImbalance);
   }
   return moves;
 }
--- a/placement/planner.h
+++ b/placement/planner.h
@@ -53,7 +53,7 @@
   /// Slowness from which a server counts as a straggler.
   double stragglerFrom = 3.0;
   /// Least share of the mean load that a move for balance must save at the worst server.
-  double leastGain = 0.01;
+  double leastGain = 0.002;
   std::size_t maxDrainMoves = 64;
   std::size_t maxStragglerMoves = 32;
 };
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -118,6 +118,7 @@
       mDomainOutSince.reset();
     } else if (!mDomainOutSince) {
       mDomainOutSince = aNow;
+      mServices.log.Write(EventId::kDomainOut, "cell=" + mCell);
     }
     std::vector<CellServerSpec> specs;
     for (const ServerConfig& it : aCell.servers) {
@@ -655,8 +656,14 @@
       reference = usual;
     }
   }
-  for (const auto& [id, server] : mServers) {
+  for (auto& [id, server] : mServers) {
     server.gate->SetReference(reference);
+    if (server.gate->IsCold() != server.cold) {
+      server.cold = server.gate->IsCold();
+      mServices.log.Write(server.cold ? EventId::kServerCold : EventId::kServerWarm,
+                          "cell=" + mCell + " server=" + id +
+                            " allowed=" + std::to_string(server.gate->Allowed()));
+    }
   }
   std::sort(latencies.begin(), latencies.end());
   const double median = latencies.empty() ? 0.0 : latencies[(latencies.size() - 1) / 2];
--- a/runtime/cell_runner.h
+++ b/runtime/cell_runner.h
@@ -128,6 +128,7 @@
     bool draining = false;
     bool checked = true;
     bool straggling = false;
+    bool cold = false;
     /// Time spent on orders since the last plan, and their number.
     Duration busy = Duration::zero();
     std::uint64_t served = 0;
--- /dev/null
+++ b/tests/limits/server_gate_test.cpp
@@ -0,0 +1,170 @@
+#include "limits/retry_budget.h"
+#include "limits/server_gate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornlug;
+
+namespace {
+
+const Instant kStart{ seconds(10) };
+
+GateOffer Offer(TicketId aTicket, std::uint64_t aKey = 1, std::uint64_t aCaller = 1)
+{
+  return { aTicket, aKey, aCaller, kStart + seconds(60) };
+}
+
+/// A gate that has warmed up to all its slots.
+ServerGate Warm(GateLimits aLimits)
+{
+  ServerGate gate(aLimits);
+  TicketId ticket = 1000000;
+  while (gate.IsCold()) {
+    gate.Offer(kStart, Offer(++ticket));
+    gate.Finish(milliseconds(2), GateResult::kServed);
+  }
+  return gate;
+}
+
+} // namespace
+
+TEST_CASE("no more orders run than there are slots", "[limits]")
+{
+  const std::uint32_t slots = GENERATE(1u, 3u, 4u);
+  GateLimits limits;
+  limits.slots = slots;
+  ServerGate gate = Warm(limits);
+  for (TicketId n = 0; n < 20; ++n) {
+    const GateDecision decision = gate.Offer(kStart, Offer(n));
+    CHECK(decision == (n < slots ? GateDecision::kRun : GateDecision::kQueue));
+  }
+  CHECK(gate.Running() == slots);
+  for (int n = 0; n < 15; ++n) {
+    CHECK(gate.Finish(milliseconds(2), GateResult::kServed).size() == 1);
+    CHECK(gate.Running() == slots);
+  }
+}
+
+TEST_CASE("a cold server gets one order at first and more only by success", "[limits]")
+{
+  GateLimits limits;
+  limits.slots = 3;
+  ServerGate gate(limits);
+  CHECK(gate.Allowed() == 1);
+  CHECK(gate.Offer(kStart, Offer(1)) == GateDecision::kRun);
+  CHECK(gate.Offer(kStart, Offer(2)) == GateDecision::kQueue);
+
+  SECTION("failures do not warm it up")
+  {
+    for (int n = 0; n < 500; ++n) {
+      gate.Finish(milliseconds(2), GateResult::kFailed);
+      gate.Offer(kStart, Offer(static_cast<TicketId>(10 + n)));
+    }
+    CHECK(gate.Allowed() == 1);
+  }
+  SECTION("answers that take longer than warm siblings' do not warm it up")
+  {
+    gate.SetReference(milliseconds(2));
+    for (int n = 0; n < 500; ++n) {
+      gate.Finish(milliseconds(10), GateResult::kServed);
+      gate.Offer(kStart, Offer(static_cast<TicketId>(10 + n)));
+    }
+    CHECK(gate.Allowed() == 1);
+  }
+  SECTION("a shed answer or a restart makes it cold again")
+  {
+    ServerGate warm = Warm(limits);
+    REQUIRE(warm.Allowed() == 3);
+    SECTION("shed")
+    {
+      warm.Offer(kStart, Offer(1));
+      warm.Finish(milliseconds(1), GateResult::kShed);
+    }
+    SECTION("restart")
+    {
+      warm.OnColdStart();
+    }
+    CHECK(warm.Allowed() == 1);
+  }
+  SECTION("a jump in latency halves it")
+  {
+    ServerGate warm = Warm(limits);
+    warm.Offer(kStart, Offer(1));
+    warm.Finish(milliseconds(200), GateResult::kServed);
+    CHECK(warm.Allowed() == 1);
+  }
+}
+
+TEST_CASE("an order is refused early when its wait can't be met", "[limits]")
+{
+  GateLimits limits;
+  limits.slots = 1;
+  ServerGate gate = Warm(limits);
+  gate.Offer(kStart, Offer(1));
+  gate.Finish(milliseconds(10), GateResult::kServed);
+  for (TicketId n = 2; n < 10; ++n) {
+    gate.Offer(kStart, Offer(n));
+  }
+  GateOffer urgent = Offer(99);
+  urgent.deadline = kStart + milliseconds(5);
+  CHECK(gate.Offer(kStart, urgent) == GateDecision::kRefuse);
+  GateOffer over = Offer(100);
+  over.deadline = kStart;
+  CHECK(gate.Offer(kStart, over) == GateDecision::kRefuse);
+}
+
+TEST_CASE("the queue is bounded and overdue orders leave it", "[limits]")
+{
+  GateLimits limits;
+  limits.slots = 1;
+  limits.queueLimit = 4;
+  ServerGate gate(limits);
+  gate.Offer(kStart, Offer(0));
+  for (TicketId n = 1; n <= 4; ++n) {
+    CHECK(gate.Offer(kStart, Offer(n)) == GateDecision::kQueue);
+  }
+  CHECK(gate.Offer(kStart, Offer(5)) == GateDecision::kRefuse);
+  CHECK(gate.Cancel(2));
+  CHECK_FALSE(gate.Cancel(2));
+  CHECK(gate.Expire(kStart + seconds(61)).size() == 3);
+  CHECK(gate.Waiting() == 0);
+}
+
+TEST_CASE("a hot key or caller does not starve the rest", "[limits]")
+{
+  GateLimits limits;
+  limits.slots = 1;
+  ServerGate gate(limits);
+  gate.Offer(kStart, Offer(0, 1, 1));
+  for (TicketId n = 1; n <= 50; ++n) {
+    gate.Offer(kStart, Offer(n, 1, 1));
+  }
+  struct Row
+  {
+    std::uint64_t key;
+    std::uint64_t caller;
+  };
+  const auto row = GENERATE(Row{ 2, 2 }, Row{ 3, 4 });
+  gate.Offer(kStart, Offer(100, row.key, row.caller));
+  std::size_t before = 0;
+  for (;; ++before) {
+    const auto started = gate.Finish(milliseconds(1), GateResult::kServed);
+    REQUIRE(started.size() == 1);
+    if (started[0] == 100) {
+      break;
+    }
+  }
+  CHECK(before <= 2);
+}
+
+TEST_CASE("retries stay a small share of requests", "[limits]")
+{
+  RetryBudget budget;
+  int retries = 0;
+  for (int n = 0; n < 10000; ++n) {
+    budget.OnRequest();
+    retries += budget.TakeRetry(kStart) ? 1 : 0;
+  }
+  CHECK(retries <= 10000 * 0.2 + 300);
+  CHECK(retries > 0);
+}
--- a/tests/ownership/random_schedules.cpp
+++ b/tests/ownership/random_schedules.cpp
@@ -295,16 +295,13 @@
   }
   WitnessAll(aWorld, aShape);
   aWorld.Run(seconds(8));
-  for (const auto& [cell, servers] : aShape.cells) {
-    std::size_t unserved = 1;
-    for (const std::string& it : aShape.daemons) {
-      if (aWorld.MachineOf(it, cell).Role() == CellRole::kAttached) {
-        unserved = aWorld.MachineOf(it, cell).Unserved();
-      }
-    }
-    if (unserved != 0) {
-      return "not everything is served again in " + cell;
-    }
+  std::size_t shards = 0;
+  for (const auto& [cell, list] : aShape.shards) {
+    shards += list.size();
+  }
+  const std::size_t served = aWorld.ServedShards();
+  if (aWorld.Broken().empty() && served != shards) {
+    return std::to_string(served) + " of " + std::to_string(shards) + " shards are served again";
   }
   return aWorld.Broken();
 }
--- /dev/null
+++ b/tests/runtime/entry_test.cpp
@@ -0,0 +1,244 @@
+/// @file
+/// The request path between two daemons, with the peer port and the timers as mocks.
+
+#include "runtime/entry.h"
+#include "runtime/wire_codec.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace hawthornlug;
+
+namespace {
+
+class MockPeers : public PeerPort
+{
+public:
+  MAKE_MOCK1(SetReceiver, void(Receiver), override);
+  MAKE_MOCK4(Send, void(const std::string&, wire::Envelope, Delivery, Unsent), override);
+  MAKE_MOCK1(IsRefused, bool(const std::string&), override);
+};
+
+class MockDirectory : public Directory
+{
+public:
+  MAKE_CONST_MOCK0(Self, DaemonRef(), override);
+  MAKE_CONST_MOCK0(Config, std::shared_ptr<const Configuration>(), override);
+  MAKE_CONST_MOCK1(FindCell, std::shared_ptr<CellRunner>(const std::string&), override);
+  MAKE_CONST_MOCK1(IsLive, bool(const DaemonRef&), override);
+  MAKE_CONST_MOCK1(EndpointOf, std::optional<std::string>(const std::string&), override);
+  MAKE_CONST_MOCK1(IsCutOff, bool(const std::string&), override);
+};
+
+class MockPlatform : public PlatformPort
+{
+public:
+  MAKE_MOCK1(Get, Result<PlatformObject>(const std::string&), override);
+  MAKE_MOCK3(Put, Result<Version>(const std::string&, Version, const std::string&), override);
+  MAKE_MOCK2(Watch, Result<ObjectChanges>(Version, Duration), override);
+  MAKE_MOCK0(Hosts, Result<std::vector<ListedHost>>(), override);
+};
+
+class NoServers : public ServerPortFactory
+{
+public:
+  std::unique_ptr<ServerPort> Make(const ServerAddress&) override { return nullptr; }
+};
+
+class InlineWorkers : public WorkerPool
+{
+public:
+  void Post(std::function<void()> aTask) override { aTask(); }
+};
+
+class NoSpans : public SpanPort
+{
+public:
+  void Record(const Span&) override {}
+};
+
+/// Time passes by a step at each look, so that waits come to an end without waiting.
+class SteppingTimers : public TimerService
+{
+public:
+  Instant Now() const override { return mNow += milliseconds(5); }
+  std::unique_ptr<TimerSubscription> Every(Duration, std::function<void(Instant)>) override
+  {
+    return nullptr;
+  }
+
+private:
+  mutable Instant mNow{ seconds(1) };
+};
+
+/// An entry daemon that knows one other daemon, which is attached to the only cell.
+struct Fixture
+{
+  Fixture()
+  {
+    ServiceConfig service;
+    service.name = "s";
+    service.shards = 1;
+    service.deadline = milliseconds(200);
+    auto made = std::make_shared<Configuration>();
+    made->services.push_back(service);
+    config = made;
+    CellObject cell;
+    cell.attached = { "d2", 7 };
+    cell.shards[0] = { "a", 1, "" };
+    routes.Learn("cells/s/y/0", 1, cell);
+  }
+
+  OrderAnswer Handle(const std::string& aMethod)
+  {
+    using trompeloeil::_;
+    ALLOW_CALL(directory, Self()).RETURN(DaemonRef{ "d1", 1 });
+    ALLOW_CALL(directory, Config()).LR_RETURN(config);
+    ALLOW_CALL(directory, IsCutOff(_)).LR_RETURN(cutOff);
+    ALLOW_CALL(directory, IsLive(_)).LR_RETURN(live);
+    ALLOW_CALL(directory, EndpointOf(_)).RETURN(std::optional<std::string>("tcp://d2"));
+    ALLOW_CALL(directory, FindCell(_)).RETURN(nullptr);
+    Order order;
+    order.requestId = "r";
+    order.service = "s";
+    order.key = "k";
+    order.method = aMethod;
+    return entry.Handle(order);
+  }
+
+  MockPeers peers;
+  MockDirectory directory;
+  MockPlatform platform;
+  NoServers servers;
+  InlineWorkers workers;
+  NoSpans spans;
+  SteppingTimers timers;
+  EventLog log{ "error" };
+  hawthornlug::Metrics metrics;
+  ObjectCache cache;
+  Services services{
+    platform, servers, peers, timers, workers, workers, log, metrics, spans, cache
+  };
+  RoutingTable routes;
+  PeerCalls calls;
+  Attached attached{ services, directory, routes };
+  Entry entry{ services, directory, routes, attached, calls, 0.0 };
+  std::shared_ptr<const Configuration> config;
+  bool cutOff = false;
+  bool live = true;
+};
+
+} // namespace
+
+TEST_CASE("an order names the run of the daemon that it is meant for", "[runtime]")
+{
+  using trompeloeil::_;
+  Fixture fixture;
+  wire::Envelope sent;
+  REQUIRE_CALL(fixture.peers, Send("tcp://d2", _, Delivery::kNowOrNever, _))
+    .LR_SIDE_EFFECT(sent = _2)
+    .LR_SIDE_EFFECT({
+      OrderAnswer answer;
+      answer.outcome = Outcome::kDone;
+      answer.status = 201;
+      fixture.calls.OnAnswer(_2.order().call(), answer);
+    });
+  const OrderAnswer answer = fixture.Handle("POST");
+  CHECK(answer.outcome == Outcome::kDone);
+  CHECK(answer.status == 201);
+  CHECK(sent.to_incarnation() == 7);
+  CHECK(sent.order().request_id() == "r");
+}
+
+TEST_CASE("a non-repeatable order is sent once and then asked about", "[runtime]")
+{
+  using trompeloeil::_;
+  Fixture fixture;
+  struct Row
+  {
+    OrderAnswer settled;
+    Outcome outcome;
+  };
+  const auto row = GENERATE(values<Row>({
+    { OrderAnswer::NotRun(Refusal::kTombstone), Outcome::kNotRun },
+    { OrderAnswer::Unknown(Refusal::kInProgress), Outcome::kUnknown },
+  }));
+  trompeloeil::sequence sequence;
+  REQUIRE_CALL(fixture.peers, Send(_, _, Delivery::kNowOrNever, _))
+    .WITH(_2.has_order())
+    .IN_SEQUENCE(sequence);
+  REQUIRE_CALL(fixture.peers, Send(_, _, Delivery::kSoon, _))
+    .WITH(_2.has_question())
+    .IN_SEQUENCE(sequence)
+    .LR_SIDE_EFFECT(fixture.calls.OnAnswer(_2.question().call(), row.settled));
+  CHECK(fixture.Handle("POST").outcome == row.outcome);
+}
+
+TEST_CASE("an order that was certainly not sent is not run", "[runtime]")
+{
+  using trompeloeil::_;
+  Fixture fixture;
+  ALLOW_CALL(fixture.peers, Send(_, _, _, _)).SIDE_EFFECT(_4());
+  const std::string method = GENERATE("GET", "POST");
+  const OrderAnswer answer = fixture.Handle(method);
+  CHECK(answer.outcome == Outcome::kNotRun);
+  CHECK(answer.refusal == Refusal::kUnreachable);
+}
+
+TEST_CASE("a key of a failure domain that is cut off is refused at once", "[runtime]")
+{
+  Fixture fixture;
+  fixture.cutOff = true;
+  const OrderAnswer answer = fixture.Handle("POST");
+  CHECK(answer.outcome == Outcome::kNotRun);
+  CHECK(answer.refusal == Refusal::kDomainCutOff);
+}
+
+TEST_CASE("nothing is sent to a daemon that is believed gone", "[runtime]")
+{
+  Fixture fixture;
+  fixture.live = false;
+  CHECK(fixture.Handle("POST").refusal == Refusal::kNoRoute);
+}
+
+TEST_CASE("an answer that comes after its call has ended is dropped", "[runtime]")
+{
+  PeerCalls calls;
+  const auto [first, one] = calls.Begin();
+  calls.End(first);
+  const auto [second, two] = calls.Begin();
+  OrderAnswer answer;
+  answer.status = 1;
+  calls.OnAnswer(first, answer);
+  CHECK(two->Wait(Duration::zero()) == CallState::kWaiting);
+  calls.OnAnswer(second, answer);
+  CHECK(two->Wait(Duration::zero()) == CallState::kAnswered);
+}
+
+TEST_CASE("an order survives its way over the wire", "[runtime]")
+{
+  Order order;
+  order.requestId = "r";
+  order.service = "s";
+  order.key = "k";
+  order.method = "PATCH";
+  order.target = "/s/k/x?y=1";
+  order.headers = { { "A", "1" }, { "B", "2" } };
+  order.body = std::string("\0\xff", 2);
+  order.caller = "c";
+  order.repeatable = true;
+  order.trace = TraceContext::Make(true);
+  const Instant sent{ seconds(5) };
+  order.deadline = sent + milliseconds(300);
+  wire::Order message;
+  EncodeOrder(order, sent, message);
+  // The receiver's clock has nothing to do with the sender's.
+  const Instant received{ seconds(900) };
+  const Order read = DecodeOrder(message, received);
+  CHECK(read.deadline == received + milliseconds(300));
+  CHECK(read.body == order.body);
+  CHECK(read.target == order.target);
+  CHECK(read.headers.size() == 2);
+  CHECK(read.trace.Header() == order.trace.Header());
+  CHECK(read.repeatable);
+}
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -636,8 +636,9 @@
 {
   // Each delivery may cause further messages; a limit keeps a faulty loop from going on for ever.
   for (int round = 0; round < 1000; ++round) {
+    // What its sender has given up is late and arrives only when the test says so.
     const auto it = std::find_if(mMessages.begin(), mMessages.end(), [&](const Message& aMessage) {
-      return IsWorkable(aMessage);
+      return IsWorkable(aMessage) && !aMessage.abandoned;
     });
     if (it == mMessages.end()) {
       return;
