--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -13,16 +13,9 @@
 constexpr Duration kRetryPause = milliseconds(20);
 /// How long a failure domain that was taken out may still serve what could not be moved.
 constexpr Duration kOutGrace = seconds(2);
-/// A shard that was moved for balance stays where it is for so long.
-constexpr Duration kSettleTime = seconds(60);
 constexpr std::size_t kHistoryLength = 4;
 constexpr std::size_t kMaxTransfersPerRound = 64;
 constexpr double kTransferTolerance = 1.10;
-constexpr double kWorkSmoothing = 0.3;
-constexpr double kLatencySmoothing = 0.5;
-constexpr double kSecondsPerMinute = 60.0;
-constexpr double kPercent = 100.0;
-constexpr std::uint64_t kFewestSamples = 5;
 
 EventId EventOf(CellEvent aEvent)
 {
@@ -630,24 +623,8 @@
 
 // --- Placement ------------------------------------------------------------------------------
 
-std::vector<ServerLoad> CellRunner::MeasureServers()
+void CellRunner::SetReferences()
 {
-  std::vector<double> latencies;
-  for (auto& [id, server] : mServers) {
-    if (server.served >= kFewestSamples) {
-      const double mean =
-        std::chrono::duration<double>(server.busy).count() / static_cast<double>(server.served);
-      server.recentLatency =
-        server.recentLatency == 0.0
-          ? mean
-          : server.recentLatency + (mean - server.recentLatency) * kLatencySmoothing;
-    }
-    server.busy = Duration::zero();
-    server.served = 0;
-    if (server.recentLatency > 0.0 && mMachine.IsUsable(id)) {
-      latencies.push_back(server.recentLatency);
-    }
-  }
   Duration reference = Duration::zero();
   for (const auto& [id, server] : mServers) {
     const Duration usual = server.gate->UsualLatency();
@@ -665,20 +642,46 @@
                             " allowed=" + std::to_string(server.gate->Allowed()));
     }
   }
-  std::sort(latencies.begin(), latencies.end());
-  const double median = latencies.empty() ? 0.0 : latencies[(latencies.size() - 1) / 2];
-  std::vector<ServerLoad> loads;
-  for (const auto& [id, server] : mServers) {
-    ServerLoad load;
-    load.id = id;
-    load.accepting = mMachine.IsUsable(id) && !server.draining && !mDomainOutSince;
-    load.draining = server.draining;
-    if (median > 0.0 && server.recentLatency > 0.0) {
-      load.slowness = std::max(1.0, server.recentLatency / median);
+}
+
+std::vector<ServerSample> CellRunner::TakeServerSamples()
+{
+  std::vector<ServerSample> samples;
+  for (auto& [id, server] : mServers) {
+    ServerSample sample;
+    sample.id = id;
+    sample.accepting = mMachine.IsUsable(id) && !server.draining && !mDomainOutSince;
+    sample.draining = server.draining;
+    sample.orders = server.served;
+    if (server.served > 0) {
+      sample.latency =
+        std::chrono::duration<double>(server.busy).count() / static_cast<double>(server.served);
+    }
+    server.busy = Duration::zero();
+    server.served = 0;
+    samples.push_back(std::move(sample));
+  }
+  return samples;
+}
+
+std::vector<ShardSample> CellRunner::TakeShardSamples(const std::vector<ServerSample>& aServers)
+{
+  std::map<std::string, std::size_t> index;
+  for (std::size_t n = 0; n < aServers.size(); ++n) {
+    index[aServers[n].id] = n;
+  }
+  std::vector<ShardSample> samples;
+  for (const auto& [shard, record] : mMachine.Base().shards) {
+    const auto owner = mMachine.OwnerOf(shard);
+    const auto it = owner ? index.find(owner->owner) : index.end();
+    if (it == index.end() || mMachine.PhaseOf(shard) != ShardPhase::kServing) {
+      continue;
     }
-    loads.push_back(std::move(load));
+    const auto busy = mRecentWork.find(shard);
+    samples.push_back({ shard, it->second, busy == mRecentWork.end() ? 0.0 : busy->second });
   }
-  return loads;
+  mRecentWork.clear();
+  return samples;
 }
 
 void CellRunner::Plan(Instant aNow, const std::vector<CellLoad>& aCells)
@@ -687,61 +690,38 @@
     if (mMachine.Role() != CellRole::kAttached) {
       return;
     }
-    const double elapsed = std::chrono::duration<double>(aNow - mPlannedAt).count();
-    mPlannedAt = aNow;
-    const double perSecond = static_cast<double>(mMachine.Base().shards.size()) * mChurnPercent /
-                             kPercent / kSecondsPerMinute;
-    const double most = std::max(1.0, perSecond * kSecondsPerMinute);
-    mMoveCredit = std::min(most, mMoveCredit + perSecond * std::min(elapsed, kSecondsPerMinute));
-    for (auto& [shard, work] : mWork) {
-      work *= 1.0 - kWorkSmoothing;
-    }
-    for (const auto& [shard, work] : mRecentWork) {
-      mWork[shard] += kWorkSmoothing * work / std::max(elapsed, 0.1);
-    }
-    mRecentWork.clear();
-    BeginMoves(aNow, MeasureServers());
+    SetReferences();
+    BeginMoves(aNow);
     BeginTransfers(aNow, aCells);
   });
 }
 
-void CellRunner::BeginMoves(Instant aNow, const std::vector<ServerLoad>& aServers)
+void CellRunner::BeginMoves(Instant aNow)
 {
-  std::map<std::string, std::size_t> index;
-  for (std::size_t n = 0; n < aServers.size(); ++n) {
-    index[aServers[n].id] = n;
-    Server& server = mServers.at(aServers[n].id);
-    const bool straggling = aServers[n].slowness >= PlannerRules{}.stragglerFrom;
+  const std::vector<ServerSample> servers = TakeServerSamples();
+  const std::vector<ShardSample> shards = TakeShardSamples(servers);
+  mPlanner.SetBudget({ mChurnPercent, shards.size() });
+  const std::vector<PlannedMove> moves = mPlanner.Plan(aNow, servers, shards);
+  for (auto& [id, server] : mServers) {
+    const double slowness = mPlanner.SlownessOf(id);
+    const bool straggling = slowness >= PlannerRules{}.stragglerFrom;
     if (straggling != server.straggling) {
       server.straggling = straggling;
       mServices.log.Write(straggling ? EventId::kStragglerFound : EventId::kStragglerOver,
-                          "cell=" + mCell + " server=" + aServers[n].id +
-                            " slowness=" + std::to_string(aServers[n].slowness));
+                          "cell=" + mCell + " server=" + id +
+                            " slowness=" + std::to_string(slowness));
     }
   }
-  std::vector<ShardLoad> shards;
-  for (const auto& [shard, record] : mMachine.Base().shards) {
-    const auto owner = mMachine.OwnerOf(shard);
-    const auto it = owner ? index.find(owner->owner) : index.end();
-    if (it == index.end() || mMachine.PhaseOf(shard) != ShardPhase::kServing) {
-      continue;
-    }
-    const auto moved = mMovedAt.find(shard);
-    const bool settled = moved == mMovedAt.end() || aNow - moved->second >= kSettleTime;
-    const auto work = mWork.find(shard);
-    shards.push_back({ shard, it->second, work == mWork.end() ? 0.0 : work->second, settled });
-  }
-  const auto budget = static_cast<std::size_t>(mMoveCredit);
-  for (const PlannedMove& it : PlanCell(aServers, shards, budget)) {
-    if (!mMachine.MoveShard(aNow, it.shard, aServers[it.server].id)) {
+  for (const PlannedMove& it : moves) {
+    const std::string& server = servers[it.server].id;
+    if (!mMachine.MoveShard(aNow, it.shard, server)) {
       continue;
     }
-    mMovedAt[it.shard] = aNow;
+    mPlanner.OnMoved(aNow, it);
     mReasons[it.shard] = NameOf(kMoveReasonNames, it.reason);
-    mMoveCredit -= it.reason == MoveReason::kImbalance ? 1.0 : 0.0;
     mServices.log.Write(EventId::kMovePlanned,
-                        "cell=" + mCell + " shard=" + std::to_string(it.shard) +
-                          " to=" + aServers[it.server].id + " reason=" + mReasons[it.shard]);
+                        "cell=" + mCell + " shard=" + std::to_string(it.shard) + " to=" + server +
+                          " reason=" + mReasons[it.shard]);
   }
 }
 
@@ -800,7 +780,7 @@
                              server.gate->Waiting(),
                              server.gate->Allowed(),
                              server.gate->UsualLatency(),
-                             1.0 });
+                             mPlanner.SlownessOf(id) });
   }
   return view;
 }
--- a/runtime/cell_runner.h
+++ b/runtime/cell_runner.h
@@ -6,7 +6,7 @@
 #include "limits/retry_budget.h"
 #include "limits/server_gate.h"
 #include "ownership/cell_machine.h"
-#include "placement/planner.h"
+#include "placement/cell_planner.h"
 #include "runtime/services.h"
 
 #include <deque>
@@ -132,7 +132,6 @@
     /// Time spent on orders since the last plan, and their number.
     Duration busy = Duration::zero();
     std::uint64_t served = 0;
-    double recentLatency = 0.0;
   };
 
   /// An order without an answer to a server that may still start it until its deadline.
@@ -162,8 +161,10 @@
   bool MayRetry(const PendingOrder& aOrder, Instant aNow, SendResult aResult);
   void RecordSpan(const Start& aStart, const char* aName, Instant aFrom, Instant aTo, bool aServed);
   std::shared_ptr<ServerPort> PortOf(const std::string& aServer) const;
-  std::vector<ServerLoad> MeasureServers();
-  void BeginMoves(Instant aNow, const std::vector<ServerLoad>& aServers);
+  void SetReferences();
+  std::vector<ServerSample> TakeServerSamples();
+  std::vector<ShardSample> TakeShardSamples(const std::vector<ServerSample>& aServers);
+  void BeginMoves(Instant aNow);
   void BeginTransfers(Instant aNow, const std::vector<CellLoad>& aCells);
 
   const std::string mCell;
@@ -181,11 +182,8 @@
   std::optional<Instant> mDomainOutSince;
   std::map<ShardId, std::deque<ShardEvent>> mHistory;
   std::map<ShardId, std::string> mReasons;
-  std::map<ShardId, Instant> mMovedAt;
   std::map<ShardId, double> mRecentWork;
-  std::map<ShardId, double> mWork;
-  double mMoveCredit = 0.0;
-  Instant mPlannedAt;
+  CellPlanner mPlanner;
   double mChurnPercent = 1.0;
 };
 
