Stragglers shed without regard to settling, and a dozen moves may be made at once

Cause of the straggler tail: a shard that had been moved for balance within the last minute was not movable, so a hot one stayed on a server ten times slower (p99 up to 134 s). Shedding ignores that now. What is left is the cells' own imbalance (cells are balanced by count, not by work) and the backlog of the second before a straggler is found.

--- a/placement/cell_planner.cpp
+++ b/placement/cell_planner.cpp
@@ -10,6 +10,8 @@
 constexpr double kPercent = 100.0;
 constexpr double kLatencySmoothing = 0.6;
 constexpr double kWorkSmoothing = 0.1;
+/// Moves that may be made at once after a quiet time, so that new hot shards are followed quickly.
+constexpr double kMostCredit = 12.0;
 constexpr double kShortestRound = 0.1;
 constexpr std::uint64_t kFewestOrders = 5;
 /// A shard that was moved for balance stays where it is for so long.
@@ -19,6 +21,7 @@
 
 CellPlanner::CellPlanner(PlannerBudget aBudget)
   : mBudget(aBudget)
+  , mCredit(kMostCredit)
 {
 }
 
@@ -36,7 +39,7 @@
   mPlannedAt = aNow;
   const double perMinute =
     static_cast<double>(mBudget.shards) * mBudget.percentPerMinute / kPercent;
-  mCredit = std::min(std::max(1.0, perMinute), mCredit + perMinute * elapsed / kSecondsPerMinute);
+  mCredit = std::min(kMostCredit, mCredit + perMinute * elapsed / kSecondsPerMinute);
   MeasureSlowness(aServers);
   MeasureWork(std::max(elapsed, kShortestRound), aServers, aShards);
   std::vector<ServerLoad> servers;
--- a/placement/cell_planner.h
+++ b/placement/cell_planner.h
@@ -61,7 +61,7 @@
                    const std::vector<ShardSample>& aShards);
 
   PlannerBudget mBudget;
-  double mCredit = 0.0;
+  double mCredit;
   std::optional<Instant> mPlannedAt;
   std::map<std::string, double> mLatency;
   std::map<std::string, double> mSlowness;
--- a/placement/planner.cpp
+++ b/placement/planner.cpp
@@ -168,7 +168,7 @@
   for (const std::size_t it : order) {
     const std::size_t from = owner[it];
     const bool straggling = aServers[from].slowness >= aRules.stragglerFrom;
-    if (!straggling || !aShards[it].movable || shed >= aRules.maxStragglerMoves) {
+    if (!straggling || shed >= aRules.maxStragglerMoves) {
       continue;
     }
     const std::size_t to = balance.Lightest(from);
--- a/placement/planner.h
+++ b/placement/planner.h
@@ -55,7 +55,7 @@
   /// Least share of the mean load that a move for balance must save at the worst server.
   double leastGain = 0.002;
   std::size_t maxDrainMoves = 64;
-  std::size_t maxStragglerMoves = 32;
+  std::size_t maxStragglerMoves = 96;
 };
 
 struct PlannedMove
