--- a/membership/membership.cpp
+++ b/membership/membership.cpp
@@ -137,6 +137,7 @@
     return due;
   }
   mNextHeartbeat = aNow + mTimings.heartbeatInterval;
+  ++mHeartbeats;
   for (const std::string& id : Links()) {
     const bool whole = mWantTable.erase(id) != 0;
     due.push_back({ mEntries[id].member, MakeHeartbeat(aNow, whole) });
@@ -193,8 +194,14 @@
       links.push_back(id);
     }
   }
+  for (const std::string& id : mWantTable) {
+    if (std::find(links.begin(), links.end(), id) == links.end()) {
+      links.push_back(id);
+    }
+  }
   const auto first = FirstRanked(mSelf.domain, "links");
-  if (!first || first->id != mSelf.id) {
+  const bool far = mHeartbeats % mTimings.farEvery == 1;
+  if (!far || !first || first->id != mSelf.id) {
     return links;
   }
   std::set<std::string> domains;
@@ -209,11 +216,6 @@
       links.push_back(peer->id);
     }
   }
-  for (const std::string& id : mWantTable) {
-    if (std::find(links.begin(), links.end(), id) == links.end()) {
-      links.push_back(id);
-    }
-  }
   return links;
 }
 
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -63,6 +63,8 @@
 struct MembershipTimings
 {
   Duration heartbeatInterval = milliseconds(100);
+  /// Heartbeats between failure domains are sent with one in so many.
+  std::uint64_t farEvery = 5;
   Duration suspectAfter = milliseconds(400);
   Duration goneAfter = milliseconds(550);
   /// How long a change is repeated in heartbeats.
@@ -127,6 +129,7 @@
   std::vector<std::string> RingFromSelf() const;
   std::vector<std::string> Successors() const;
   std::set<std::string> Watched() const;
+  /// Those that get the present heartbeat.
   std::vector<std::string> Links() const;
   HeartbeatInfo MakeHeartbeat(Instant aNow, bool aWhole) const;
 
@@ -139,6 +142,7 @@
   Version mConfigRevision = 0;
   std::optional<Instant> mStartedAt;
   Instant mNextHeartbeat;
+  std::uint64_t mHeartbeats = 0;
   Instant mSelfChangedAt;
   std::vector<MemberChange> mChanges;
 };
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -11,9 +11,9 @@
 
 using nlohmann::json;
 
-constexpr Duration kCellTick = milliseconds(20);
+constexpr Duration kCellTick = milliseconds(40);
 constexpr Duration kMemberTick = milliseconds(50);
-constexpr Duration kAttachmentTick = milliseconds(50);
+constexpr Duration kAttachmentTick = milliseconds(100);
 constexpr Duration kEvidenceTick = milliseconds(200);
 constexpr Duration kPlanTick = seconds(1);
 constexpr Duration kHostsTick = seconds(5);
