--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -135,6 +135,36 @@
 }
 BENCHMARK(CellSecond)->Arg(64)->Arg(256)->Arg(1024)->Unit(benchmark::kMicrosecond);
 
+/// Reading a whole configuration, as each daemon does at each change.
+void ConfigRead(benchmark::State& aState)
+{
+  Configuration config;
+  config.domains.push_back({ "north", DomainState::kIn });
+  ServiceConfig service;
+  service.name = "bookings";
+  for (std::int64_t n = 0; n < aState.range(0); ++n) {
+    ServerConfig server;
+    server.id = "bookings-" + std::to_string(n);
+    server.domain = "north";
+    server.url = "http://10.100.200.1:" + std::to_string(9000 + n);
+    server.cell = static_cast<std::size_t>(n / 4);
+    service.servers.push_back(std::move(server));
+  }
+  config.services.push_back(std::move(service));
+  const std::string text = EncodeStoredConfig(config, "id");
+  for (auto it : aState) {
+    leaf::try_handle_all(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(stored, DecodeStoredConfig(text));
+        benchmark::DoNotOptimize(stored);
+        return {};
+      },
+      [] {});
+  }
+  aState.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(ConfigRead)->Arg(30)->Arg(250)->Arg(1000)->Unit(benchmark::kMillisecond);
+
 Member MakeMember(std::size_t aNumber, std::size_t aDomains)
 {
   Member member;
--- a/tests/ownership/cell_machine_test.cpp
+++ b/tests/ownership/cell_machine_test.cpp
@@ -397,6 +397,43 @@
         Order(aWorld, "d3", 0);
       },
       3 },
+    { "cut-off-domain-and-frozen-server",
+      Shape,
+      [](World& aWorld) {
+        aWorld.CutPlatform("d1", true);
+        const std::string owner = OwnerIn(aWorld, "d1", 0);
+        aWorld.SetFrozen(owner, true);
+        aWorld.Order("d1", kCell, 0);
+        aWorld.Run(milliseconds(1500));
+        Order(aWorld, "d1", 0);
+        aWorld.SetFrozen(owner, false);
+        for (const Message& it : std::vector<Message>(aWorld.Messages())) {
+          aWorld.Deliver(it.number);
+        }
+        aWorld.Run(milliseconds(600));
+        Order(aWorld, "d1", 0);
+        aWorld.CutPlatform("d1", false);
+        aWorld.Run(milliseconds(600));
+      },
+      3 },
+    { "platform-down-and-daemon-restarted",
+      Shape,
+      [](World& aWorld) {
+        aWorld.SetPlatformUp(false);
+        aWorld.RestartDaemon("d1");
+        aWorld.TakeOver("d1", kCell);
+        aWorld.Run(milliseconds(2000));
+        aWorld.Say("-- what was attached to d1 waits for the platform");
+        Order(aWorld, "d1", 0);
+        aWorld.SetPlatformUp(true);
+        aWorld.Run(milliseconds(200));
+        aWorld.TakeOver("d1", kCell);
+        aWorld.Run(milliseconds(300));
+        aWorld.TakeOver("d1", kCell);
+        aWorld.Run(milliseconds(600));
+        Order(aWorld, "d1", 0);
+      },
+      3 },
     { "late-answers-of-an-earlier-attachment",
       Shape,
       [](World& aWorld) {
--- a/tests/process/loss_test.cpp
+++ b/tests/process/loss_test.cpp
@@ -190,3 +190,31 @@
   CHECK(ServedWithin(fleet, 0, "k7", kServedAgain));
   CHECK(fleet.CheckLedger(fleet.LoadLog("cut")).empty());
 }
+
+TEST_CASE("a daemon that is restarted while the platform is down costs its cells only", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  const CallerAnswer before = fleet.Call(0, "POST", "k1", "first");
+  REQUIRE(before.outcome == "done");
+  const std::string lost = fleet.Explain("k1")["attached"]["id"];
+  const std::size_t entry = OtherEntry(fleet, "k1");
+  fleet.Platform({ { "down", true } });
+  fleet.Restart(fleet.Daemon(lost));
+  const auto load = fleet.Load({ "--rate",
+                                 "50",
+                                 "--seconds",
+                                 "3",
+                                 "--writes",
+                                 "1",
+                                 "--threads",
+                                 "64",
+                                 "--log",
+                                 fleet.LogPath("restart") });
+  INFO(load.dump());
+  // The other failure domain serves on, and what is refused or unknown is said truly.
+  CHECK(load["outcomes"].value("done", 0) > 0);
+  CHECK_THAT(fleet.CheckLedger(fleet.LoadLog("restart")), Catch::Equals(std::string()));
+  fleet.Platform({ { "down", false } });
+  CHECK(ServedWithin(fleet, entry, "k1", seconds(8)));
+  CHECK_THAT(fleet.CheckLedger({ { "first", "done" } }), Catch::Equals(std::string()));
+}
