The cells of a failure domain that is declared lost are emptied by the others

Cause seen by a process test written first: after 'state: lost' the keys stayed refused for good, since no daemon of another failure domain took the cells and nothing could leave a cell without servers. Daemons of all other failure domains now rank for these cells; a shard whose owner and heir are both proven gone, in a cell without a usable server, may leave (one epoch is skipped for an heir that was never seen).

--- a/ownership/cell_machine.cpp
+++ b/ownership/cell_machine.cpp
@@ -231,15 +231,38 @@
   if (mRole != CellRole::kAttached || it == mShards.end() || aCell == mCell) {
     return false;
   }
+  ShardState& state = it->second;
   const bool stillListedAtSource = mArrived.count(aShard) != 0 || mOuts.count(aShard) != 0;
   const bool platformDoubtful = mWriteFailingSince || mMustRead;
-  if (it->second.phase != ShardPhase::kServing || stillListedAtSource || platformDoubtful) {
+  if (stillListedAtSource || platformDoubtful) {
+    return false;
+  }
+  if (state.phase == ShardPhase::kServing) {
+    BeginMove(aNow, state, {}, aCell);
+    return true;
+  }
+  if (state.phase != ShardPhase::kBlocked || !IsStranded(state)) {
     return false;
   }
-  BeginMove(aNow, it->second, {}, aCell);
+  // Nobody is left to release it. An heir that was never seen may have used the next epoch.
+  state.record.epoch += state.known ? 0 : kUnseenHeirStep - 1;
+  state.toCell = aCell;
+  state.phase = ShardPhase::kSending;
+  mSettled = false;
+  Pump(aNow);
   return true;
 }
 
+bool CellMachine::IsStranded(const ShardState& aState) const
+{
+  const bool gone = Resolve(aState.record.owner) == Resolution::kGone &&
+                    Resolve(aState.record.heir) == Resolution::kGone;
+  const bool usable = std::any_of(mServers.begin(), mServers.end(), [this](const auto& aServer) {
+    return IsUsable(aServer.first);
+  });
+  return gone && !usable;
+}
+
 void CellMachine::BeginMove(Instant aNow,
                             ShardState& aState,
                             const std::string& aServer,
--- a/ownership/cell_machine.h
+++ b/ownership/cell_machine.h
@@ -237,6 +237,8 @@
   std::optional<Instant> LapseByEvidence(const std::string& aId, const ServerState& aServer) const;
   Duration LapseBound(bool aChecked) const;
   Resolution Resolve(const std::string& aServer) const;
+  /// Whether all who may have had a grant are gone and no server of the cell is left.
+  bool IsStranded(const ShardState& aState) const;
   void Unblock(ShardId aShard, ShardState& aState);
   void AdoptReported(ShardState& aState, ShardId aShard);
   bool InheritFromMemory(ShardId aShard, ShardState& aState);
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -255,8 +255,11 @@
   const auto current = mCells.load();
   CellMap cells = *current;
   std::vector<CellConfig> own = CellsOf(aConfig);
-  std::erase_if(own,
-                [this](const CellConfig& aCell) { return aCell.domain != mSettings.self.domain; });
+  std::erase_if(own, [&](const CellConfig& aCell) {
+    const bool mayBeMine = aCell.domain == mSettings.self.domain || IsLost(aConfig, aCell.domain);
+    // What was taken from a lost failure domain is handed back when that is in again.
+    return !mayBeMine && cells.count(aCell.name) == 0;
+  });
   for (const CellConfig& it : own) {
     std::shared_ptr<CellRunner>& runner = cells[it.name];
     if (!runner) {
@@ -396,14 +399,32 @@
   }
 }
 
-std::optional<Member> Daemon::Candidate(const std::string& aCell, const std::string& aExcept) const
+std::vector<Member> Daemon::MayAttach(const Configuration& aConfig,
+                                      const std::string& aDomain) const
+{
+  if (!IsLost(aConfig, aDomain)) {
+    return mMembership.LiveIn(aDomain);
+  }
+  // The cells of a lost failure domain are looked after by all others.
+  std::vector<Member> members;
+  for (const DomainConfig& it : aConfig.domains) {
+    if (it.state == DomainState::kLost) {
+      continue;
+    }
+    const std::vector<Member> live = mMembership.LiveIn(it.name);
+    members.insert(members.end(), live.begin(), live.end());
+  }
+  return members;
+}
+
+std::optional<Member> Daemon::Candidate(const std::string& aCell, const std::string& aDomain) const
 {
   const auto config = mConfig.load();
   std::optional<Member> best;
   std::uint64_t bestWeight = 0;
-  for (const Member& it : mMembership.LiveIn(mSettings.self.domain)) {
+  for (const Member& it : MayAttach(*config, aDomain)) {
     const bool leaving = it.id == mSettings.self.id && mLeaving;
-    if (it.id == aExcept || leaving || config->IsDraining(it.id)) {
+    if (leaving || config->IsDraining(it.id)) {
       continue;
     }
     const std::uint64_t weight = RendezvousWeight(aCell, it.id);
@@ -436,11 +457,11 @@
   bool settled = false;
   {
     const std::lock_guard lock(mMutex);
-    candidate = Candidate(aCell.name, {});
+    candidate = Candidate(aCell.name, aCell.domain);
     const auto known = mKnownCells.find(aCell.name);
     if (known != mKnownCells.end()) {
       attached = known->second.object->attached;
-      attachedLive = mMembership.IsLive(*attached);
+      attachedLive = mMembership.IsLive(*attached) && !IsOfLostDomain(attached->id);
     }
     const auto member = attached ? mMembership.Find(attached->id) : std::nullopt;
     const bool knownLost =
@@ -521,7 +542,7 @@
       std::optional<Member> candidate;
       {
         const std::lock_guard lock(mMutex);
-        candidate = Candidate(cell, {});
+        candidate = Candidate(cell, address->domain);
       }
       if (candidate && candidate->id == mSettings.self.id && runner->Role() == CellRole::kIdle) {
         runner->TakeOver();
@@ -547,6 +568,18 @@
   mSeekingEvidence = false;
 }
 
+bool Daemon::IsLost(const Configuration& aConfig, const std::string& aDomain)
+{
+  const DomainConfig* domain = aConfig.FindDomain(aDomain);
+  return domain != nullptr && domain->state == DomainState::kLost;
+}
+
+bool Daemon::IsOfLostDomain(const std::string& aDaemon) const
+{
+  const auto member = mMembership.Find(aDaemon);
+  return member && IsLost(*mConfig.load(), member->domain);
+}
+
 bool Daemon::IsProvenGone(const DaemonRef& aRef)
 {
   if (aRef == Self()) {
@@ -560,6 +593,9 @@
     if (dropped || aRef.id == mSettings.self.id) {
       return true;
     }
+    if (IsOfLostDomain(aRef.id)) {
+      return true;
+    }
     if (mMembership.IsLive(aRef)) {
       return false;
     }
@@ -567,10 +603,7 @@
   if (!member) {
     return false;
   }
-  const DomainConfig* domain = mConfig.load()->FindDomain(member->domain);
-  const bool declared = domain != nullptr && domain->state == DomainState::kLost;
-  return member->incarnation > aRef.incarnation || declared ||
-         mServices.peers.IsRefused(member->peerEndpoint);
+  return member->incarnation > aRef.incarnation || mServices.peers.IsRefused(member->peerEndpoint);
 }
 
 std::vector<CellLoad> Daemon::LoadsOf(const Configuration& aConfig,
--- a/runtime/daemon.h
+++ b/runtime/daemon.h
@@ -77,7 +77,12 @@
   void TickAttachments(Instant aNow);
   void ConsiderCell(Instant aNow, const CellConfig& aCell, CellRunner& aRunner);
   void PrepareLayout(const std::string& aService);
-  std::optional<Member> Candidate(const std::string& aCell, const std::string& aExcept) const;
+  /// Live daemons that may be attached to cells of a failure domain.
+  std::vector<Member> MayAttach(const Configuration& aConfig, const std::string& aDomain) const;
+  std::optional<Member> Candidate(const std::string& aCell, const std::string& aDomain) const;
+  static bool IsLost(const Configuration& aConfig, const std::string& aDomain);
+  /// Whether operators have declared the daemon's failure domain lost.
+  bool IsOfLostDomain(const std::string& aDaemon) const;
   void SeekEvidence();
   bool IsProvenGone(const DaemonRef& aRef);
   void TickPlans(Instant aNow);
--- a/tests/ownership/cell_machine_test.cpp
+++ b/tests/ownership/cell_machine_test.cpp
@@ -434,6 +434,29 @@
         Order(aWorld, "d1", 0);
       },
       3 },
+    { "domain-declared-lost",
+      TwoCells,
+      [](World& aWorld) {
+        // All of the first cell is gone; a daemon of the other failure domain empties it.
+        for (const std::string server : { "a", "b", "c" }) {
+          aWorld.KillServer(server);
+        }
+        aWorld.KillDaemon("d1");
+        aWorld.ShowObjects("d2");
+        aWorld.TakeOver("d2", kCell);
+        aWorld.Run(milliseconds(1500));
+        aWorld.Send("d2", kCell, 0, kOther);
+        aWorld.Say("-- nothing may leave before d1 is declared gone");
+        aWorld.Witness("d2", { "d1", 1 });
+        aWorld.Run(milliseconds(1500));
+        for (const ShardId shard : { 0, 1, 2 }) {
+          aWorld.Send("d2", kCell, shard, kOther);
+          aWorld.Run(milliseconds(300));
+        }
+        aWorld.Order("d3", kOther, 0);
+        aWorld.Settle();
+      },
+      4 },
     { "late-answers-of-an-earlier-attachment",
       Shape,
       [](World& aWorld) {
--- a/tests/process/operations_test.cpp
+++ b/tests/process/operations_test.cpp
@@ -246,3 +246,37 @@
   fleet.Restart(fleet.Daemons()[0]);
   CHECK(WaitUntil(kInForce, [&] { return version(fleet.Daemons()[0]) == newest; }));
 }
+
+TEST_CASE("the keys of a failure domain that is declared lost are served by the others",
+          "[process]")
+{
+  Fleet fleet(FleetShape{});
+  std::string key;
+  for (int n = 0; key.empty(); ++n) {
+    const std::string candidate = "k" + std::to_string(n);
+    if (fleet.Explain(candidate)["domain"] == "south") {
+      key = candidate;
+    }
+  }
+  const CallerAnswer before = fleet.Call(0, "POST", key, "first");
+  REQUIRE(before.outcome == "done");
+  for (Process& it : fleet.Daemons()) {
+    if (it.domain == "south") {
+      fleet.Kill(it);
+    }
+  }
+  for (Process& it : fleet.Servers()) {
+    if (it.domain == "south") {
+      fleet.Kill(it);
+    }
+  }
+  REQUIRE(fleet.Apply(fleet.Config({ { "south", "lost" } }), false) == 0);
+  CallerAnswer after;
+  const bool served = WaitUntil(seconds(10), [&] {
+    after = fleet.Call(0, "POST", key);
+    return after.outcome == "done";
+  });
+  CHECK(served);
+  CHECK(after.epoch > before.epoch);
+  CHECK_THAT(fleet.CheckLedger({ { "first", "done" } }), Catch::Equals(std::string()));
+}
