Unchecked servers are waited for as long as their service's orders may take

Cause, found by reading: the wait for an unchecked server went by a constant 2 s, while a service's deadline may be 60 s, so an order could start after its shard had been given away. The machine now takes the service's deadline and never lowers it.

--- a/ownership/cell_machine.cpp
+++ b/ownership/cell_machine.cpp
@@ -36,6 +36,11 @@
   Pump(aNow);
 }
 
+void CellMachine::SetLongestOrder(Duration aLongest)
+{
+  mTimings.longestOrder = std::max(mTimings.longestOrder, aLongest);
+}
+
 void CellMachine::SetInitialShards(std::vector<ShardId> aShards)
 {
   mInitialShards = std::move(aShards);
@@ -312,11 +317,6 @@
   }
 }
 
-void CellMachine::RemoveShard(ShardId aShard)
-{
-  mShards.erase(aShard);
-}
-
 // --- The platform's answers -----------------------------------------------------------------
 
 void CellMachine::AdoptBase(Version aVersion, const CellObject& aObject)
@@ -799,42 +799,15 @@
 
 void CellMachine::PumpShard(ShardId aShard, ShardState& aState)
 {
-  const std::string& owner = aState.record.owner;
-  const bool usable = IsUsable(owner);
   switch (aState.phase) {
     case ShardPhase::kServing:
+      PumpServing(aShard, aState);
+      break;
     case ShardPhase::kGranting:
-      if (!usable) {
-        aState.phase = ShardPhase::kBlocked;
-        break;
-      }
-      if (aState.phase == ShardPhase::kGranting) {
-        const ServerState& server = mServers[owner];
-        const auto it = server.granted.find(aShard);
-        if (it != server.granted.end() && it->second == aState.record.epoch) {
-          aState.phase = ShardPhase::kServing;
-          Note(CellEvent::kShardServing, aShard, owner, aState.record.epoch);
-        }
-        break;
-      }
-      // An abandoned move turned out to have been written after all: it is carried out.
-      if (const auto it = mBase.shards.find(aShard);
-          it != mBase.shards.end() && it->second.epoch > aState.record.epoch &&
-          it->second.owner != owner && IsUsable(it->second.owner)) {
-        aState.phase = ShardPhase::kStopping;
-        aState.moveTo = it->second.owner;
-        aState.toCell.clear();
-      }
+      PumpGranting(aShard, aState);
       break;
     case ShardPhase::kStopping:
-      if (aState.inFlight == 0 && usable) {
-        ServerState& server = mServers[owner];
-        server.toAdd.erase(aShard);
-        server.toRemove.insert(aShard);
-        aState.phase = ShardPhase::kReleasing;
-      } else if (!usable && Resolve(owner) == Resolution::kGone) {
-        FinishMove(aShard, aState);
-      }
+      PumpStopping(aShard, aState);
       break;
     case ShardPhase::kReleasing:
       if (IsReleased(aShard, aState)) {
@@ -842,22 +815,11 @@
       }
       break;
     case ShardPhase::kWriting:
-      if (HasWritten(aShard, aState)) {
-        aState.before.reset();
-        aState.known = true;
-        Note(aState.cause, aShard, owner, aState.record.epoch);
-        aState.phase = ShardPhase::kBlocked;
-      }
+      PumpWriting(aShard, aState);
       break;
     case ShardPhase::kSending:
-      if (HasSent(aShard)) {
-        const OutRecord out = mBase.outs.at(aShard);
-        mOuts.emplace(aShard, out);
-        Note(CellEvent::kShardSent, aShard, out.toCell, out.epoch);
-        RemoveShard(aShard);
-        return;
-      }
-      break;
+      PumpSending(aShard);
+      return;
     case ShardPhase::kBlocked:
       break;
   }
@@ -866,6 +828,78 @@
   }
 }
 
+void CellMachine::PumpServing(ShardId aShard, ShardState& aState)
+{
+  if (!IsUsable(aState.record.owner)) {
+    aState.phase = ShardPhase::kBlocked;
+    return;
+  }
+  // An abandoned move turned out to have been written after all: it is carried out.
+  const auto it = mBase.shards.find(aShard);
+  const bool written = it != mBase.shards.end() && it->second.epoch > aState.record.epoch &&
+                       it->second.owner != aState.record.owner;
+  if (written && IsUsable(it->second.owner)) {
+    aState.phase = ShardPhase::kStopping;
+    aState.moveTo = it->second.owner;
+    aState.toCell.clear();
+  }
+}
+
+void CellMachine::PumpGranting(ShardId aShard, ShardState& aState)
+{
+  const std::string& owner = aState.record.owner;
+  if (!IsUsable(owner)) {
+    aState.phase = ShardPhase::kBlocked;
+    return;
+  }
+  const ServerState& server = mServers[owner];
+  const auto it = server.granted.find(aShard);
+  if (it != server.granted.end() && it->second == aState.record.epoch) {
+    aState.phase = ShardPhase::kServing;
+    Note(CellEvent::kShardServing, aShard, owner, aState.record.epoch);
+  }
+}
+
+void CellMachine::PumpStopping(ShardId aShard, ShardState& aState)
+{
+  const std::string& owner = aState.record.owner;
+  if (!IsUsable(owner)) {
+    if (Resolve(owner) == Resolution::kGone) {
+      FinishMove(aShard, aState);
+    }
+    return;
+  }
+  if (aState.inFlight != 0) {
+    return;
+  }
+  ServerState& server = mServers[owner];
+  server.toAdd.erase(aShard);
+  server.toRemove.insert(aShard);
+  aState.phase = ShardPhase::kReleasing;
+}
+
+void CellMachine::PumpWriting(ShardId aShard, ShardState& aState)
+{
+  if (!HasWritten(aShard, aState)) {
+    return;
+  }
+  aState.before.reset();
+  aState.known = true;
+  Note(aState.cause, aShard, aState.record.owner, aState.record.epoch);
+  aState.phase = ShardPhase::kBlocked;
+}
+
+void CellMachine::PumpSending(ShardId aShard)
+{
+  if (!HasSent(aShard)) {
+    return;
+  }
+  const OutRecord out = mBase.outs.at(aShard);
+  mOuts.emplace(aShard, out);
+  Note(CellEvent::kShardSent, aShard, out.toCell, out.epoch);
+  mShards.erase(aShard);
+}
+
 CellMachine::Resolution CellMachine::Resolve(const std::string& aServer) const
 {
   const auto it = mServers.find(aServer);
--- a/ownership/cell_machine.h
+++ b/ownership/cell_machine.h
@@ -90,6 +90,9 @@
 
   /// Sets the servers in force; a server that is left out accepts nothing more.
   void SetServers(Instant aNow, const std::vector<CellServerSpec>& aServers);
+  /// Raises the longest time that an order may stay unanswered; it is never lowered, since
+  /// orders that were sent before may still be under way.
+  void SetLongestOrder(Duration aLongest);
   /// Sets the shards that the cell starts with when it has no object yet.
   void SetInitialShards(std::vector<ShardId> aShards);
 
@@ -227,6 +230,11 @@
   void PumpServers(Instant aNow);
   void PumpShards();
   void PumpShard(ShardId aShard, ShardState& aState);
+  void PumpServing(ShardId aShard, ShardState& aState);
+  void PumpGranting(ShardId aShard, ShardState& aState);
+  void PumpStopping(ShardId aShard, ShardState& aState);
+  void PumpWriting(ShardId aShard, ShardState& aState);
+  void PumpSending(ShardId aShard);
   void PumpHeirs();
   void PumpReceives();
   void PumpWrites(Instant aNow);
@@ -252,7 +260,6 @@
   bool HasSent(ShardId aShard) const;
   /// The heir that every record of the shard which may stand names; empty if they differ.
   std::string RecordedHeir(ShardId aShard, const ShardRecord& aRecord) const;
-  void RemoveShard(ShardId aShard);
   bool IsReleased(ShardId aShard, const ShardState& aState) const;
   std::string PickServer(ShardId aShard, const std::string& aExcept) const;
   void SendCall(const std::string& aId, ServerState& aServer);
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -128,6 +128,7 @@
       server.checked = checked;
       specs.push_back({ it.id, checked, !server.draining && !aDomainOut });
     }
+    mMachine.SetLongestOrder(aService.deadline);
     mMachine.SetServers(aNow, specs);
   });
 }
--- a/tests/ownership/cell_machine_test.cpp
+++ b/tests/ownership/cell_machine_test.cpp
@@ -540,3 +540,25 @@
   }
   CHECK(world.Now() - begunAt < milliseconds(100));
 }
+
+TEST_CASE("an unchecked server is waited for as long as its service's orders may take",
+          "[ownership]")
+{
+  const Duration longest = GENERATE(Duration(seconds(2)), Duration(seconds(10)));
+  const WorldShape shape = Unchecked();
+  World world(shape);
+  world.MachineOf("d1", kCell).SetLongestOrder(longest);
+  // A shorter one does not shorten the wait: orders may be under way.
+  world.MachineOf("d1", kCell).SetLongestOrder(milliseconds(1));
+  Begin(world, shape);
+  world.KillServer(OwnerIn(world, "d1", 0));
+  const Instant lostAt = world.Now();
+  // It serves until the loss is noticed, and again once the server has been waited for.
+  for (const bool whole : { false, true }) {
+    while ((world.ServedShards() == 3) != whole) {
+      world.Run(milliseconds(100));
+      REQUIRE(world.Now() - lostAt < seconds(30));
+    }
+  }
+  CHECK(world.Now() - lostAt >= longest);
+}
