--- a/membership/membership.cpp
+++ b/membership/membership.cpp
@@ -138,6 +138,9 @@
   }
   mNextHeartbeat = aNow + mTimings.heartbeatInterval;
   ++mHeartbeats;
+  mNews = std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
+    return aNow - aEntry.second.changedAt < mTimings.newsFor;
+  });
   for (const std::string& id : Links()) {
     const bool whole = mWantTable.erase(id) != 0;
     due.push_back({ mEntries[id].member, MakeHeartbeat(aNow, whole) });
@@ -200,7 +203,7 @@
     }
   }
   const auto first = FirstRanked(mSelf.domain, "links");
-  const bool far = mHeartbeats % mTimings.farEvery == 1;
+  const bool far = mNews || mHeartbeats % mTimings.farEvery == 1;
   if (!far || !first || first->id != mSelf.id) {
     return links;
   }
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -65,6 +65,8 @@
   Duration heartbeatInterval = milliseconds(100);
   /// Heartbeats between failure domains are sent with one in so many.
   std::uint64_t farEvery = 5;
+  /// While a change is so fresh, each heartbeat goes to the other failure domains too.
+  Duration newsFor = milliseconds(500);
   Duration suspectAfter = milliseconds(400);
   Duration goneAfter = milliseconds(550);
   /// How long a change is repeated in heartbeats.
@@ -143,6 +145,7 @@
   std::optional<Instant> mStartedAt;
   Instant mNextHeartbeat;
   std::uint64_t mHeartbeats = 0;
+  bool mNews = false;
   Instant mSelfChangedAt;
   std::vector<MemberChange> mChanges;
 };
