--- a/tests/ownership/cell_machine_test.cpp
+++ b/tests/ownership/cell_machine_test.cpp
@@ -232,6 +232,9 @@
       [](World& aWorld) {
         // d1 goes on renewing a, which neither of the later daemons can reach.
         aWorld.CutPlatform("d1", true);
+        // Nor does it hear from the others that it has been superseded.
+        aWorld.Cut("d1", "b", true);
+        aWorld.Cut("d1", "c", true);
         aWorld.Cut("d2", "a", true);
         aWorld.Cut("d3", "a", true);
         aWorld.TakeOver("d2", kCell);
