--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -199,7 +199,8 @@
       ++n;
       hosts.push_back(
         { { "id", it.id }, { "domain", domain }, { "http", it.url }, { "peer", peer } });
-      seeds += (seeds.empty() ? "" : ",") + it.id + "=" + domain + "=" + peer;
+      seeds += seeds.empty() ? "" : ",";
+      seeds.append(it.id).append("=").append(domain).append("=").append(peer);
       it.words = { Binary("hawthornlug"),
                    "serve",
                    "--id",
@@ -483,7 +484,7 @@
 {
   const std::string path = "/-/explain?service=bookings&key=" + aKey;
   for (const Process& it : mDaemons) {
-    const json doc = it.pid == 0 ? json::object() : Get(it.url, path);
+    json doc = it.pid == 0 ? json::object() : Get(it.url, path);
     if (doc.value("source", "") == "attached daemon") {
       return doc;
     }
