--- a/limits/server_gate.cpp
+++ b/limits/server_gate.cpp
@@ -140,16 +140,6 @@
   return expired;
 }
 
-std::vector<TicketId> ServerGate::Drain()
-{
-  std::vector<TicketId> waiting;
-  for (const auto& [turn, offer] : mQueue) {
-    waiting.push_back(turn.ticket);
-  }
-  mQueue.clear();
-  return waiting;
-}
-
 bool ServerGate::Cancel(TicketId aTicket)
 {
   return std::erase_if(mQueue,
--- a/limits/server_gate.h
+++ b/limits/server_gate.h
@@ -75,8 +75,6 @@
   std::vector<TicketId> GiveBack();
   /// Takes overdue tickets out of the queue and returns them.
   std::vector<TicketId> Expire(Instant aNow);
-  /// Takes all waiting tickets out of the queue and returns them.
-  std::vector<TicketId> Drain();
   /// Takes one waiting ticket out; false if it isn't waiting.
   bool Cancel(TicketId aTicket);
   /// The server has been restarted: one order at first, more only by success.
--- a/membership/membership.cpp
+++ b/membership/membership.cpp
@@ -40,7 +40,6 @@
   Merge(aNow, aFrom);
   Entry& entry = mEntries[aFrom.id];
   entry.heardAt = aNow;
-  entry.configRevision = std::max(entry.configRevision, aHeartbeat.configRevision);
   mDomainHeardAt[aFrom.domain] = aNow;
   for (const auto& [domain, age] : aHeartbeat.domainAges) {
     const Instant at = aNow - age;
@@ -312,16 +311,4 @@
   return aNow - since >= mTimings.domainCutAfter;
 }
 
-std::map<std::string, Version> Membership::ConfigRevisions() const
-{
-  std::map<std::string, Version> revisions;
-  revisions[mSelf.id] = mConfigRevision;
-  for (const auto& [id, entry] : mEntries) {
-    if (entry.member.IsLive()) {
-      revisions[id] = entry.configRevision;
-    }
-  }
-  return revisions;
-}
-
 } // namespace hawthornlug
--- a/membership/membership.h
+++ b/membership/membership.h
@@ -111,8 +111,6 @@
   std::optional<Member> FirstRanked(const std::string& aDomain, const std::string& aItem) const;
   /// Whether nothing has been heard of a failure domain for long.
   bool IsCutOff(Instant aNow, const std::string& aDomain) const;
-  /// The configuration revision that a daemon reported last.
-  std::map<std::string, Version> ConfigRevisions() const;
 
 private:
   struct Entry
@@ -120,7 +118,6 @@
     Member member;
     Instant heardAt;
     Instant changedAt;
-    Version configRevision = 0;
     bool watched = false;
   };
 
--- a/routing/routing_table.cpp
+++ b/routing/routing_table.cpp
@@ -65,10 +65,4 @@
   return Route{ cell.name, cell.domain, cell.attached };
 }
 
-std::size_t RoutingTable::CellCount() const
-{
-  const std::shared_lock lock(mMutex);
-  return mCells.size();
-}
-
 } // namespace hawthornlug
--- a/routing/routing_table.h
+++ b/routing/routing_table.h
@@ -27,7 +27,6 @@
   /// Takes in a cell's object; older versions are ignored.
   void Learn(const std::string& aCell, Version aVersion, const CellObject& aObject);
   std::optional<Route> Find(const std::string& aService, ShardId aShard) const;
-  std::size_t CellCount() const;
 
 private:
   struct Place
