The caller stand-in starts its threads after all its workers stand

Cause: the caller stand-in died of SIGSEGV (wait status 11, seen once in 10 runs of this test after Fleet::Load was made to tell the wait status). Its main thread went on appending to the list of workers while the threads already started read from it; the list moved under them.

Ruled out: SIGPIPE (status 11, not 13), an answer without a string in it (that would be an abort), and two loads writing one file (each run has a file of its own; the counter behind the names is atomic now all the same).

Fleet::Load throws when the caller ends abnormally or prints no JSON, so that such a death can't be taken for an outcome.

--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -171,10 +171,13 @@
   std::vector<std::unique_ptr<Worker>> workers;
   std::vector<std::thread> running;
   std::atomic<std::int64_t> next{ 0 };
-  const auto start = Clock::now();
+  // All workers stand before the first runs: a list that grows moves what the others read.
   for (std::size_t n = 0; n < threads; ++n) {
     workers.push_back(std::make_unique<Worker>(plan, n));
-    running.emplace_back([&, n] { workers[n]->Run(next, start); });
+  }
+  const auto start = Clock::now();
+  for (const auto& it : workers) {
+    running.emplace_back([&next, start, worker = it.get()] { worker->Run(next, start); });
   }
   for (std::thread& it : running) {
     it.join();
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -402,8 +402,9 @@
 
 json Fleet::Load(const std::vector<std::string>& aFlags)
 {
-  static int runs = 0;
-  const std::string output = mFolder + "/load-" + std::to_string(runs++) + ".json";
+  static std::atomic<int> runs{ 0 };
+  const int run = ++runs;
+  const std::string output = mFolder + "/load-" + std::to_string(run) + ".json";
   std::string targets;
   for (const Process& it : mDaemons) {
     targets += (targets.empty() ? "" : ",") + it.url;
@@ -415,14 +416,18 @@
                                      "--service",
                                      "bookings",
                                      "--seed",
-                                     std::to_string(runs) };
+                                     std::to_string(run) };
   words.insert(words.end(), aFlags.begin(), aFlags.end());
   Process caller;
   caller.pid = Spawn(words, output);
   int status = 0;
   ::waitpid(caller.pid, &status, 0);
+  if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
+    throw std::runtime_error("the caller stand-in ended with wait status " +
+                             std::to_string(status) + "; see " + output);
+  }
   std::ifstream file(output);
-  return json::parse(file, nullptr, false);
+  return json::parse(file);
 }
 
 std::string Fleet::LogPath(const std::string& aName) const
