A host that the platform's list does not show yet is not taken for gone

Cause, found by reading: any host missing from the platform's list counted as proof that its daemons were gone, before their own heartbeats were even looked at. The list lags, so a host that has just come is missing too. A daemon that runs there and holds a cell could then be judged gone while it serves, and its grants at a server that the successor can't reach would be counted as lapsed too early: two owners.

Event H403 names the proof.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -9,23 +9,24 @@
 
 namespace {
 
-constexpr std::array<EventInfo, 32> kCatalogue = { {
+constexpr std::array<EventInfo, 33> kCatalogue = { {
   { 100, 'i', "started" },          { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },          { 103, 'e', "listen-failed" },
   { 200, 'i', "config-in-force" },  { 201, 'w', "config-refused" },
   { 300, 'w', "platform-lost" },    { 301, 'i', "platform-back" },
   { 400, 'w', "member-suspect" },   { 401, 'w', "member-gone" },
-  { 402, 'i', "member-alive" },     { 500, 'i', "cell-taken" },
-  { 501, 'w', "cell-superseded" },  { 502, 'i', "cell-handed-over" },
-  { 510, 'i', "server-fenced" },    { 511, 'w', "server-lapsed" },
-  { 512, 'w', "server-restarted" }, { 520, 'd', "shard-serving" },
-  { 521, 'i', "shard-moved" },      { 522, 'w', "shard-inherited" },
-  { 523, 'w', "shard-recovered" },  { 524, 'i', "shard-sent" },
-  { 525, 'i', "shard-received" },   { 526, 'w', "move-abandoned" },
-  { 600, 'i', "server-cold" },      { 601, 'i', "server-warm" },
-  { 610, 'w', "straggler-found" },  { 611, 'i', "straggler-over" },
-  { 620, 'i', "move-planned" },     { 630, 'i', "domain-out" },
-  { 700, 'w', "message-refused" },  { 710, 'w', "span-lost" },
+  { 402, 'i', "member-alive" },     { 403, 'i', "daemon-proven-gone" },
+  { 500, 'i', "cell-taken" },       { 501, 'w', "cell-superseded" },
+  { 502, 'i', "cell-handed-over" }, { 510, 'i', "server-fenced" },
+  { 511, 'w', "server-lapsed" },    { 512, 'w', "server-restarted" },
+  { 520, 'd', "shard-serving" },    { 521, 'i', "shard-moved" },
+  { 522, 'w', "shard-inherited" },  { 523, 'w', "shard-recovered" },
+  { 524, 'i', "shard-sent" },       { 525, 'i', "shard-received" },
+  { 526, 'w', "move-abandoned" },   { 600, 'i', "server-cold" },
+  { 601, 'i', "server-warm" },      { 610, 'w', "straggler-found" },
+  { 611, 'i', "straggler-over" },   { 620, 'i', "move-planned" },
+  { 630, 'i', "domain-out" },       { 700, 'w', "message-refused" },
+  { 710, 'w', "span-lost" },
 } };
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -27,6 +27,7 @@
   kMemberSuspect,
   kMemberGone,
   kMemberAlive,
+  kDaemonProvenGone,
   kCellTaken,
   kCellSuperseded,
   kCellHandedOver,
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -194,6 +194,7 @@
   check(aSettings.callerLimits.maxKeyLength > 0, "max-key-length", "must be above 0");
   check(aSettings.callerLimits.maxBodyBytes > 0, "max-body-bytes", "must be above 0");
   check(aSettings.drainWait >= Duration::zero(), "drain-wait-ms", "must be a number from 0");
+  check(aSettings.daemon.hostListLag > Duration::zero(), "host-list-lag-ms", "must be above 0");
   for (const Member& it : aSettings.daemon.seeds) {
     check(IsName(it.id) && IsName(it.domain) && IsEndpoint(it.peerEndpoint),
           "seeds",
@@ -222,6 +223,10 @@
   const auto maxBody = flags.Add("max-body-bytes", "Largest request body, in bytes", "1048576");
   const auto drainWait =
     flags.Add("drain-wait-ms", "How long to serve after the stop signal, in milliseconds", "1000");
+  const auto listLag = flags.Add("host-list-lag-ms",
+                                 "Longest time by which the platform's list of hosts may lag, in "
+                                 "milliseconds",
+                                 "30000");
   const ParseResult parsed = Parse(line, aArgs);
   if (parsed != ParseResult::kRun) {
     return parsed;
@@ -245,12 +250,15 @@
   aSettings.logLevel = level->getValue();
   aSettings.spanFile = spans->getValue();
   std::int64_t drainMs = 0;
+  std::int64_t listLagMs = 0;
   number(*sample, aSettings.daemon.traceSample);
   number(*callers, aSettings.callerThreads);
   number(*orders, aSettings.orderThreads);
   number(*maxKey, aSettings.callerLimits.maxKeyLength);
   number(*maxBody, aSettings.callerLimits.maxBodyBytes);
   number(*drainWait, drainMs);
+  number(*listLag, listLagMs);
+  aSettings.daemon.hostListLag = milliseconds(listLagMs);
   aSettings.drainWait = milliseconds(drainMs);
   if (errors.empty()) {
     errors = CheckServe(aSettings);
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -35,6 +35,7 @@
   , mAttached(aServices, *this, mRoutes)
   , mEntry(aServices, *this, mRoutes, mAttached, mCalls, mSettings.traceSample)
   , mMembership(mSettings.self, MembershipTimings{})
+  , mEvidence(mSettings.hostListLag)
 {
   mConfig = std::make_shared<const Configuration>();
   mCells = std::make_shared<const CellMap>();
@@ -556,13 +557,21 @@
 void Daemon::SeekEvidence()
 {
   const auto cells = mCells.load();
-  std::set<DaemonRef> proven;
+  std::map<DaemonRef, GoneProof> proofs;
   for (const auto& [name, runner] : *cells) {
     for (const DaemonRef& it : runner->WantedEvidence()) {
-      if (proven.count(it) != 0 || IsProvenGone(it)) {
-        proven.insert(it);
-        runner->OnDaemonGone(it);
+      const auto [proof, fresh] = proofs.try_emplace(it, GoneProof::kNone);
+      if (fresh) {
+        proof->second = ProofOf(it);
       }
+      if (proof->second == GoneProof::kNone) {
+        continue;
+      }
+      mServices.log.Write(EventId::kDaemonProvenGone,
+                          "cell=" + name + " id=" + it.id +
+                            " incarnation=" + std::to_string(it.incarnation) +
+                            " proof=" + std::string(NameOf(kGoneProofNames, proof->second)));
+      runner->OnDaemonGone(it);
     }
   }
   mSeekingEvidence = false;
@@ -580,30 +589,23 @@
   return member && IsLost(*mConfig.load(), member->domain);
 }
 
-bool Daemon::IsProvenGone(const DaemonRef& aRef)
+GoneProof Daemon::ProofOf(const DaemonRef& aRef)
 {
-  if (aRef == Self()) {
-    return false;
-  }
-  std::optional<Member> member;
+  std::string endpoint;
   {
     const std::lock_guard lock(mMutex);
-    member = mMembership.Find(aRef.id);
-    const bool dropped = mHostsKnown && mListedHosts.count(aRef.id) == 0;
-    if (dropped || aRef.id == mSettings.self.id) {
-      return true;
+    const GoneProof proof =
+      mEvidence.Judge(mServices.timers.Now(), aRef, mMembership, IsOfLostDomain(aRef.id));
+    if (proof != GoneProof::kNone) {
+      return proof;
     }
-    if (IsOfLostDomain(aRef.id)) {
-      return true;
-    }
-    if (mMembership.IsLive(aRef)) {
-      return false;
+    const auto member = mMembership.Find(aRef.id);
+    if (!member || aRef == Self() || mMembership.IsLive(aRef)) {
+      return GoneProof::kNone;
     }
+    endpoint = member->peerEndpoint;
   }
-  if (!member) {
-    return false;
-  }
-  return member->incarnation > aRef.incarnation || mServices.peers.IsRefused(member->peerEndpoint);
+  return mServices.peers.IsRefused(endpoint) ? GoneProof::kPortRefused : GoneProof::kNone;
 }
 
 std::vector<CellLoad> Daemon::LoadsOf(const Configuration& aConfig,
@@ -690,10 +692,9 @@
   }
   const Instant now = mServices.timers.Now();
   const std::lock_guard lock(mMutex);
-  mHostsKnown = true;
-  mListedHosts.clear();
+  std::set<std::string> listed;
   for (const ListedHost& it : hosts) {
-    mListedHosts.insert(it.id);
+    listed.insert(it.id);
     Member member;
     member.id = it.id;
     member.domain = it.domain;
@@ -701,6 +702,7 @@
     member.peerEndpoint = it.peerEndpoint;
     mMembership.Learn(now, member);
   }
+  mEvidence.OnHosts(now, std::move(listed));
 }
 
 // --- Directory ------------------------------------------------------------------------------
--- a/runtime/daemon.h
+++ b/runtime/daemon.h
@@ -2,7 +2,7 @@
 /// One daemon: membership, configuration, and the cells of its failure domain.
 #pragma once
 
-#include "membership/membership.h"
+#include "membership/evidence.h"
 #include "ports/caller_port.h"
 #include "runtime/entry.h"
 
@@ -19,6 +19,8 @@
   /// Daemons to begin with, besides those that the platform lists.
   std::vector<Member> seeds;
   double traceSample = 0.0;
+  /// Longest time by which the platform's list of hosts may lag.
+  Duration hostListLag = seconds(30);
 };
 
 /// Ties the parts together. Start() begins, Stop() leaves in order.
@@ -84,7 +86,8 @@
   /// Whether operators have declared the daemon's failure domain lost.
   bool IsOfLostDomain(const std::string& aDaemon) const;
   void SeekEvidence();
-  bool IsProvenGone(const DaemonRef& aRef);
+  /// What proves a run of a daemon gone; may ask its host, so it blocks.
+  GoneProof ProofOf(const DaemonRef& aRef);
   void TickPlans(Instant aNow);
   void RefreshHosts();
   void WatchLoop();
@@ -104,8 +107,7 @@
   mutable std::mutex mMutex;
   Membership mMembership;
   std::map<std::string, KnownCell> mKnownCells;
-  std::set<std::string> mListedHosts;
-  bool mHostsKnown = false;
+  Evidence mEvidence;
   std::map<std::string, Instant> mPreferredSince;
   std::set<std::string> mPreparing;
   Instant mStartedAt;
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -55,6 +55,7 @@
     { "trace-sample", [](ServeSettings& s) { s.daemon.traceSample = 2.0; } },
     { "caller-threads", [](ServeSettings& s) { s.callerThreads = 0; } },
     { "order-threads", [](ServeSettings& s) { s.orderThreads = 5000; } },
+    { "host-list-lag-ms", [](ServeSettings& s) { s.daemon.hostListLag = Duration::zero(); } },
     { "seeds", [](ServeSettings& s) { s.daemon.seeds.emplace_back(); } },
   }));
   ServeSettings settings = Good();
@@ -96,6 +97,7 @@
   const std::string file = GENERATE("ownership/cell_machine.cpp",
                                     "ownership/cell_object.cpp",
                                     "placement/planner.cpp",
+                                    "membership/evidence.cpp",
                                     "membership/membership.cpp",
                                     "limits/server_gate.cpp",
                                     "limits/retry_budget.cpp");
