A server that says it is draining gets no more shards and loses its own

Cause: a leaving server was known only by the operators' files. A server that was told to stop went on being given work until it was gone, and whatever was in its sockets then was 'unknown'.

The stand-in announces it at SIGTERM, serves on until it has no shards, and ends.

Seen red: 'a graceful shutdown of a server cuts no request' with the hearing taken out: the grants are not released within 5 s and the server does not end. Ruled out as the reason of a second red: the router. The stand-in's listener waited for idle connections; the stand-in now ends once its answers are written.

--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -98,6 +98,7 @@
   reply.incarnation = doc.value("incarnation", Incarnation{ 0 });
   reply.reading = doc.value("clock_us", ServerInstant{ 0 });
   reply.outcome = result->status == kOk ? CallOutcome::kAccepted : CallOutcome::kRestarted;
+  reply.draining = doc.value("draining", false);
   for (const json& it : doc.value("grants", json::array())) {
     reply.grants[it.at(0).get<ShardId>()] = it.at(1).get<Epoch>();
   }
--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<EventInfo, 33> kCatalogue = { {
+constexpr std::array<EventInfo, 34> kCatalogue = { {
   { 100, 'i', "started" },          { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },          { 103, 'e', "listen-failed" },
   { 200, 'i', "config-in-force" },  { 201, 'w', "config-refused" },
@@ -23,10 +23,10 @@
   { 522, 'w', "shard-inherited" },  { 523, 'w', "shard-recovered" },
   { 524, 'i', "shard-sent" },       { 525, 'i', "shard-received" },
   { 526, 'w', "move-abandoned" },   { 600, 'i', "server-cold" },
-  { 601, 'i', "server-warm" },      { 610, 'w', "straggler-found" },
-  { 611, 'i', "straggler-over" },   { 620, 'i', "move-planned" },
-  { 630, 'i', "domain-out" },       { 700, 'w', "message-refused" },
-  { 710, 'w', "span-lost" },
+  { 601, 'i', "server-warm" },      { 602, 'i', "server-leaving" },
+  { 610, 'w', "straggler-found" },  { 611, 'i', "straggler-over" },
+  { 620, 'i', "move-planned" },     { 630, 'i', "domain-out" },
+  { 700, 'w', "message-refused" },  { 710, 'w', "span-lost" },
 } };
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -43,6 +43,7 @@
   kMoveAbandoned,
   kServerCold,
   kServerWarm,
+  kServerLeaving,
   kStragglerFound,
   kStragglerOver,
   kMovePlanned,
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -51,9 +51,9 @@
   AsioTimers heartbeatTimers;
   AsioWorkers orderWorkers(aSettings.orderThreads);
   AsioWorkers controlWorkers(kControlThreads);
-  Services services{ platform,     servers,        *peers, timers,  heartbeatTimers,
-                     orderWorkers, controlWorkers, log,    metrics, spans,
-                     cache };
+  Services services{ platform,        servers,      *peers,         timers,
+                     heartbeatTimers, orderWorkers, controlWorkers, log,
+                     metrics,         spans,        cache };
   Daemon daemon(aSettings.daemon, services);
   HttpCallers callers(daemon.Requests(), daemon, aSettings.callerLimits, aSettings.callerThreads);
   daemon.Start();
--- a/ownership/cell_actions.h
+++ b/ownership/cell_actions.h
@@ -133,6 +133,8 @@
   /// The highest epoch of each shard that this run of the server was ever granted, whether the
   /// grant still lives or not; only in answers to FenceServer.
   std::map<ShardId, Epoch> grants;
+  /// The server says that it is about to leave and wants no shards.
+  bool draining = false;
 };
 
 } // namespace hawthornlug
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -113,7 +113,7 @@
       mDomainOutSince = aNow;
       mServices.log.Write(EventId::kDomainOut, "cell=" + mCell);
     }
-    std::vector<CellServerSpec> specs;
+    mSpecs.clear();
     for (const ServerConfig& it : aCell.servers) {
       const bool checked = it.fencing == Fencing::kChecked;
       Server& server = mServers[it.id];
@@ -126,13 +126,36 @@
       server.gate->SetSlots(aService.slots);
       server.draining = it.state == UnitState::kDraining;
       server.checked = checked;
-      specs.push_back({ it.id, checked, !server.draining && !aDomainOut });
+      mSpecs.push_back({ it.id, checked, !server.draining && !aDomainOut });
     }
     mMachine.SetLongestOrder(aService.deadline);
-    mMachine.SetServers(aNow, specs);
+    PutServersInForce(aNow);
   });
 }
 
+void CellRunner::PutServersInForce(Instant aNow)
+{
+  std::vector<CellServerSpec> specs = mSpecs;
+  for (CellServerSpec& it : specs) {
+    it.accepting = it.accepting && !mServers.at(it.id).leaving;
+  }
+  mMachine.SetServers(aNow, specs);
+}
+
+void CellRunner::HearServer(Instant aNow, const std::string& aServer, const ServerReply& aReply)
+{
+  const auto it = mServers.find(aServer);
+  const bool heard = aReply.outcome == CallOutcome::kAccepted;
+  if (!heard || it == mServers.end() || it->second.leaving == aReply.draining) {
+    return;
+  }
+  it->second.leaving = aReply.draining;
+  if (aReply.draining) {
+    mServices.log.Write(EventId::kServerLeaving, "cell=" + mCell + " server=" + aServer);
+  }
+  PutServersInForce(aNow);
+}
+
 void CellRunner::SetInitialShards(std::vector<ShardId> aShards)
 {
   const std::lock_guard lock(mMutex);
@@ -591,6 +614,7 @@
       it->second.gate->OnColdStart();
     }
     mMachine.OnFenced(aNow, aAction.server, reply);
+    HearServer(aNow, aAction.server, reply);
   });
 }
 
@@ -603,7 +627,10 @@
     reply = port->Grant(aAction);
   }
   mServices.metrics.Count("server_renewals_total");
-  Feed([&](Instant aNow) { mMachine.OnGranted(aNow, aAction.server, reply); });
+  Feed([&](Instant aNow) {
+    mMachine.OnGranted(aNow, aAction.server, reply);
+    HearServer(aNow, aAction.server, reply);
+  });
 }
 
 void CellRunner::Log(const CellNote& aNote)
@@ -651,8 +678,8 @@
   for (auto& [id, server] : mServers) {
     ServerSample sample;
     sample.id = id;
-    sample.accepting = mMachine.IsUsable(id) && !server.draining && !mDomainOutSince;
-    sample.draining = server.draining;
+    sample.draining = server.draining || server.leaving;
+    sample.accepting = mMachine.IsUsable(id) && !sample.draining && !mDomainOutSince;
     sample.orders = server.served;
     if (server.served > 0) {
       sample.latency =
--- a/runtime/cell_runner.h
+++ b/runtime/cell_runner.h
@@ -125,7 +125,10 @@
     std::unique_ptr<ServerGate> gate;
     std::unordered_map<TicketId, PendingPtr> waiting;
     Incarnation incarnation = 0;
+    /// Operators drain it.
     bool draining = false;
+    /// It says itself that it is about to leave.
+    bool leaving = false;
     bool checked = true;
     bool straggling = false;
     bool cold = false;
@@ -161,6 +164,10 @@
   bool MayRetry(const PendingOrder& aOrder, Instant aNow, SendResult aResult);
   void RecordSpan(const Start& aStart, const char* aName, Instant aFrom, Instant aTo, bool aServed);
   std::shared_ptr<ServerPort> PortOf(const std::string& aServer) const;
+  /// Tells the machine which servers there are and which of them may be given shards.
+  void PutServersInForce(Instant aNow);
+  /// Takes in what a server said of itself in a control reply.
+  void HearServer(Instant aNow, const std::string& aServer, const ServerReply& aReply);
   void SetReferences();
   std::vector<ServerSample> TakeServerSamples();
   std::vector<ShardSample> TakeShardSamples(const std::vector<ServerSample>& aServers);
@@ -174,6 +181,8 @@
   mutable std::mutex mMutex;
   CellMachine mMachine;
   ServiceConfig mService;
+  /// The servers as the configuration has them.
+  std::vector<CellServerSpec> mSpecs;
   std::map<std::string, Server> mServers;
   std::deque<PendingPtr> mHeld;
   std::vector<Lingering> mLingering;
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -58,8 +58,8 @@
     [this](wire::Envelope aEnvelope) { OnMessage(std::move(aEnvelope)); });
   TimerService& timers = mServices.timers;
   WorkerPool& workers = mServices.controlWorkers;
-  mTimers.push_back(mServices.heartbeatTimers.Every(
-    kMemberTick, [this](Instant aNow) { TickMembers(aNow); }));
+  mTimers.push_back(
+    mServices.heartbeatTimers.Every(kMemberTick, [this](Instant aNow) { TickMembers(aNow); }));
   mTimers.push_back(timers.Every(kCellTick, [this](Instant aNow) { TickCells(aNow); }));
   mTimers.push_back(timers.Every(kAttachmentTick, [this](Instant aNow) { TickAttachments(aNow); }));
   mTimers.push_back(timers.Every(kPlanTick, [this](Instant aNow) { TickPlans(aNow); }));
--- a/tests/process/operations_test.cpp
+++ b/tests/process/operations_test.cpp
@@ -165,6 +165,35 @@
   CHECK_THAT(fleet.CheckLedger(fleet.LoadLog("leave")), Catch::Equals(std::string()));
 }
 
+TEST_CASE("a graceful shutdown of a server cuts no request", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  Process& leaving = fleet.Servers()[0];
+  auto load = std::async(std::launch::async, [&] {
+    return fleet.Load({ "--rate",
+                        "300",
+                        "--seconds",
+                        "6",
+                        "--keys",
+                        "500",
+                        "--writes",
+                        "0.7",
+                        "--log",
+                        fleet.LogPath("server-leaves") });
+  });
+  load.wait_for(seconds(1));
+  // Nobody drains it: that it leaves is learned from the server alone.
+  fleet.Signal(leaving, SIGTERM);
+  const bool released = WaitUntil(
+    kFewSeconds, [&] { return fleet.Get(leaving.url, "/counters").value("grants", 0) == 0; });
+  CHECK(released);
+  CHECK(fleet.WaitForEnd(leaving) == 0);
+  const json result = load.get();
+  INFO(result.dump());
+  CHECK(result["outcomes"].value("done", 0) == result["requests"]);
+  CHECK_THAT(fleet.CheckLedger(fleet.LoadLog("server-leaves")), Catch::Equals(std::string()));
+}
+
 TEST_CASE("a cold server gets no more than it bears", "[process]")
 {
   FleetShape shape;
--- a/tests/runtime/entry_test.cpp
+++ b/tests/runtime/entry_test.cpp
@@ -116,9 +116,8 @@
   EventLog log{ "error" };
   hawthornlug::Metrics metrics;
   ObjectCache cache;
-  Services services{
-    platform, servers, peers, timers, timers, workers, workers, log, metrics, spans, cache
-  };
+  Services services{ platform, servers, peers,   timers, timers, workers,
+                     workers,  log,     metrics, spans,  cache };
   RoutingTable routes;
   PeerCalls calls;
   Attached attached{ services, directory, routes };
--- a/tests/standins/http_listener.h
+++ b/tests/standins/http_listener.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <csignal>
+#include <functional>
 #include <httplib.h>
 #include <memory>
 #include <string>
@@ -24,7 +25,10 @@
 
 /// Runs servers until SIGTERM or SIGINT. Signals must have been blocked by BlockSignals() before
 /// any thread was started.
-inline int RunUntilSignal(const std::vector<std::pair<httplib::Server*, int>>& aServers)
+/// @p aLeave is called between the signal and the end.
+inline int RunUntilSignal(
+  const std::vector<std::pair<httplib::Server*, int>>& aServers,
+  const std::function<void()>& aLeave = [] {})
 {
   std::vector<std::thread> threads;
   for (const auto& [server, port] : aServers) {
@@ -39,6 +43,7 @@
   sigaddset(&signals, SIGINT);
   int signal = 0;
   sigwait(&signals, &signal);
+  aLeave();
   for (const auto& [server, port] : aServers) {
     server->stop();
   }
--- a/tests/standins/server.cpp
+++ b/tests/standins/server.cpp
@@ -9,6 +9,7 @@
 #include "tests/standins/flags.h"
 #include "tests/standins/http_listener.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <deque>
@@ -22,6 +23,9 @@
 
 using nlohmann::json;
 
+/// How long a server that leaves waits for its shards to be moved off.
+constexpr std::chrono::seconds kLongestLeave{ 10 };
+
 std::int64_t NowMicros()
 {
   std::timespec now{};
@@ -41,6 +45,8 @@
   explicit BackendServer(const standins::Flags& aFlags);
 
   void Attach(httplib::Server& aServer);
+  /// Says that it leaves and serves on until it has no shards, or until it has waited too long.
+  void Leave();
 
 private:
   void Fence(const json& aBody, httplib::Response& aResponse);
@@ -74,6 +80,9 @@
   std::uint32_t mRunning = 0;
   std::int64_t mColdLeft = 0;
   bool mDraining = false;
+  bool mLeaving = false;
+  /// Requests whose answers are not written yet.
+  std::atomic<int> mUnwritten{ 0 };
   std::int64_t mFaultLatencyMs = 0;
   bool mFaultShed = false;
   std::set<std::string> mCancelled;
@@ -105,7 +114,9 @@
 
 json BackendServer::Reply() const
 {
-  return { { "incarnation", mIncarnation }, { "clock_us", NowMicros() + mClockOffset } };
+  return { { "incarnation", mIncarnation },
+           { "clock_us", NowMicros() + mClockOffset },
+           { "draining", mLeaving || mDraining } };
 }
 
 void BackendServer::Refuse(const char* aWhy, httplib::Response& aResponse)
@@ -279,8 +290,26 @@
   aResponse.set_content(answer.dump() + "\n", "application/json");
 }
 
+void BackendServer::Leave()
+{
+  const auto isDone = [this] {
+    const std::lock_guard lock(mMutex);
+    mLeaving = true;
+    return mGrants.empty() && mUnwritten == 0;
+  };
+  const auto end = std::chrono::steady_clock::now() + kLongestLeave;
+  while (!isDone() && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
 void BackendServer::Attach(httplib::Server& aServer)
 {
+  aServer.set_pre_routing_handler([this](const httplib::Request&, httplib::Response&) {
+    ++mUnwritten;
+    return httplib::Server::HandlerResponse::Unhandled;
+  });
+  aServer.set_logger([this](const httplib::Request&, const httplib::Response&) { --mUnwritten; });
   const auto control = [this](void (BackendServer::*aCall)(const json&, httplib::Response&)) {
     return [this, aCall](const httplib::Request& aRequest, httplib::Response& aResponse) {
       GreetConnection(aRequest.remote_port);
@@ -355,5 +384,10 @@
   httplib::Server server;
   standins::Prepare(server, static_cast<std::size_t>(flags.Number("threads", 32)));
   backend.Attach(server);
-  return standins::RunUntilSignal({ { &server, static_cast<int>(flags.Number("port", 9000)) } });
+  return standins::RunUntilSignal({ { &server, static_cast<int>(flags.Number("port", 9000)) } },
+                                  [&] {
+                                    backend.Leave();
+                                    // The listener would wait for connections that are idle.
+                                    std::_Exit(0);
+                                  });
 }
