--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -38,9 +38,9 @@
   }
   std::unique_ptr<ZmqPeers> peers;
   try {
-    peers = std::make_unique<ZmqPeers>(aSettings.daemon.self.peerEndpoint);
+    peers = std::make_unique<ZmqPeers>(aSettings.peerListen);
   } catch (const zmq::error_t&) {
-    log.Write(EventId::kListenFailed, "address=" + aSettings.daemon.self.peerEndpoint);
+    log.Write(EventId::kListenFailed, "address=" + aSettings.peerListen);
     return kExitRefused;
   }
   hawthornlug::Metrics metrics;
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -179,6 +179,7 @@
   check(IsName(self.domain), "domain", "must be a name of letters, digits, '-', '_' and '.'");
   check(IsAddress(aSettings.httpHost, aSettings.httpPort), "http", "must be IP:PORT");
   check(IsEndpoint(self.peerEndpoint), "peer", "must be tcp://IP:PORT");
+  check(IsEndpoint(aSettings.peerListen), "peer-listen", "must be tcp://IP:PORT");
   check(IsHttpUrl(aSettings.platformUrl), "platform", "must be http://IP:PORT");
   const std::set<std::string> levels = { "debug", "info", "warning", "error" };
   check(
@@ -211,6 +212,8 @@
   const auto domain = flags.Add("domain", "Failure domain of this entry host", "");
   const auto http = flags.Add("http", "Address for callers and operators", "127.0.0.1:8080");
   const auto peer = flags.Add("peer", "Address for the other daemons", "tcp://127.0.0.1:8081");
+  const auto peerListen =
+    flags.Add("peer-listen", "Where to listen for them, if not at that address", "");
   const auto platform = flags.Add("platform", "The platform's object API", kDefaultPlatform);
   const auto seeds =
     flags.Add("seeds", "Other daemons to begin with, as ID=DOMAIN=tcp://IP:PORT,...", "");
@@ -243,6 +246,8 @@
   self.domain = domain->getValue();
   self.incarnation = MakeIncarnation();
   self.peerEndpoint = peer->getValue();
+  aSettings.peerListen =
+    peerListen->getValue().empty() ? self.peerEndpoint : peerListen->getValue();
   SplitAddress(http->getValue(), aSettings.httpHost, aSettings.httpPort);
   self.httpUrl = "http://" + http->getValue();
   aSettings.platformUrl = platform->getValue();
--- a/main/settings.h
+++ b/main/settings.h
@@ -23,6 +23,8 @@
 struct ServeSettings
 {
   DaemonSettings daemon;
+  /// Where to listen for the other daemons, if not at the address that they use.
+  std::string peerListen;
   std::string httpHost;
   int httpPort = 0;
   std::string platformUrl;
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -17,6 +17,7 @@
   settings.daemon.self.id = "d1";
   settings.daemon.self.domain = "north";
   settings.daemon.self.peerEndpoint = "tcp://127.0.0.1:8081";
+  settings.peerListen = "tcp://0.0.0.0:8081";
   settings.httpHost = "127.0.0.1";
   settings.httpPort = 8080;
   settings.platformUrl = "http://127.0.0.1:7070";
@@ -50,6 +51,7 @@
     { "http", [](ServeSettings& s) { s.httpPort = 70000; } },
     { "http", [](ServeSettings& s) { s.httpHost = "localhost"; } },
     { "peer", [](ServeSettings& s) { s.daemon.self.peerEndpoint = "127.0.0.1:1"; } },
+    { "peer-listen", [](ServeSettings& s) { s.peerListen = "127.0.0.1:1"; } },
     { "platform", [](ServeSettings& s) { s.platformUrl = "127.0.0.1:1"; } },
     { "log-level", [](ServeSettings& s) { s.logLevel = "loud"; } },
     { "trace-sample", [](ServeSettings& s) { s.daemon.traceSample = 2.0; } },
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -37,6 +37,7 @@
 constexpr int kDaemonPort = 10;
 constexpr int kPeerPort = 30;
 constexpr int kServerPort = 50;
+constexpr int kRelayPort = 80;
 
 /// Whether nobody listens on any port of a range.
 bool IsFree(int aBasePort)
@@ -188,6 +189,7 @@
   }
   json hosts = json::array();
   std::string seeds;
+  std::string links;
   n = 0;
   for (const std::string& domain : mShape.domains) {
     for (std::size_t k = 1; k <= mShape.daemonsPerDomain; ++k) {
@@ -195,7 +197,15 @@
       it.id = domain + "-" + std::to_string(k);
       it.domain = domain;
       it.url = Url(mBasePort + kDaemonPort + n);
-      const std::string peer = "tcp://127.0.0.1:" + std::to_string(mBasePort + kPeerPort + n);
+      const int listen = mBasePort + kPeerPort + n;
+      const int seen = mShape.relayed ? mBasePort + kRelayPort + 1 + n : listen;
+      const std::string peer = "tcp://127.0.0.1:" + std::to_string(seen);
+      links += links.empty() ? "" : ",";
+      links.append(it.id)
+        .append("=")
+        .append(std::to_string(seen))
+        .append(":")
+        .append(std::to_string(listen));
       ++n;
       hosts.push_back(
         { { "id", it.id }, { "domain", domain }, { "http", it.url }, { "peer", peer } });
@@ -211,6 +221,8 @@
                    it.url.substr(std::string("http://").size()),
                    "--peer",
                    peer,
+                   "--peer-listen",
+                   "tcp://127.0.0.1:" + std::to_string(listen),
                    "--platform",
                    PlatformUrl(domain),
                    "--trace-file",
@@ -222,6 +234,16 @@
       mDaemons.push_back(it);
     }
   }
+  if (mShape.relayed) {
+    mRelay.id = "relay";
+    mRelay.url = Url(mBasePort + kRelayPort);
+    mRelay.words = { Binary("tests/standin_relay"),
+                     "--port",
+                     std::to_string(mBasePort + kRelayPort),
+                     "--links",
+                     links };
+    Start(mRelay);
+  }
   const bool platformUp = WaitUntil(kReadyLimit, [&] {
     httplib::Client client(mPlatform.url);
     return static_cast<bool>(client.Post("/hosts", hosts.dump(), "application/json"));
@@ -248,7 +270,7 @@
 
 Fleet::~Fleet()
 {
-  std::vector<Process*> all = { &mPlatform };
+  std::vector<Process*> all = { &mPlatform, &mRelay };
   for (Process& it : mServers) {
     all.push_back(&it);
   }
@@ -326,6 +348,26 @@
   Post(mPlatform.url, "/control", body);
 }
 
+void Fleet::Cut(const std::vector<std::pair<std::string, std::string>>& aCuts)
+{
+  Post(mRelay.url, "/cuts", aCuts);
+}
+
+std::vector<std::pair<std::string, std::string>> Fleet::Between(const std::string& aDomain,
+                                                                const std::string& aOther) const
+{
+  std::vector<std::pair<std::string, std::string>> pairs;
+  for (const Process& from : mDaemons) {
+    for (const Process& to : mDaemons) {
+      if (from.domain == aDomain && to.domain == aOther) {
+        pairs.emplace_back(from.id, to.id);
+        pairs.emplace_back(to.id, from.id);
+      }
+    }
+  }
+  return pairs;
+}
+
 int Fleet::Tool(const std::vector<std::string>& aWords)
 {
   std::vector<std::string> words = { Binary("hawthornlug") };
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -24,6 +24,8 @@
   std::int64_t workUs = 1000;
   std::int64_t coldOrders = 0;
   double traceSample = 0.0;
+  /// Whether a relay that can be cut stands between the daemons.
+  bool relayed = false;
 };
 
 /// A process that the fleet has started.
@@ -71,6 +73,11 @@
   void Restart(Process& aProcess);
   /// Sets faults at the platform stand-in, for all ports or one failure domain's.
   void Platform(const nlohmann::json& aFaults, const std::string& aDomain = {});
+  /// Cuts what each first daemon sends to the second; nothing else stays cut.
+  void Cut(const std::vector<std::pair<std::string, std::string>>& aCuts);
+  /// All pairs of daemons of two failure domains, both ways.
+  std::vector<std::pair<std::string, std::string>> Between(const std::string& aDomain,
+                                                           const std::string& aOther) const;
   /// Runs an operators' command; returns its exit code.
   int Tool(const std::vector<std::string>& aWords);
   int Apply(const std::string& aYaml, bool aWait = true);
@@ -106,6 +113,7 @@
   const std::string mFolder;
   const int mBasePort;
   Process mPlatform;
+  Process mRelay;
   std::vector<Process> mDaemons;
   std::vector<Process> mServers;
 };
