A departure is not taken back while a write may still carry it, nor once it is written

Found by two new whole sessions, each with two live grants of one shard before the change ('shard 0 has two live grants: a and e'):

- departure-whose-answer-is-lost: the departure is written, its answer is lost, and the sender is cut off from the platform.
When it reads back at last, the reading clears the writes in doubt, and giving up moves after 0.4 s without the platform then took the departure back although the reading itself showed it.
- departure-whose-second-write-is-slow: the first write is refused, the second is under way when the 0.4 s are over; the departure was taken back and the write took effect.

Cause: AbandonMoves() looked at the writes in doubt alone, neither at the one under way nor at what the last reading says. Neither the random schedules nor the explorer had reached these orders of events: they need a delay of one message that is longer than everything else, which World::Hold() now makes.

Two more sessions hold a message back for long: late-reading-of-another-cell and late-answer-to-an-earlier-attachments-write.

--- a/ownership/cell_machine.cpp
+++ b/ownership/cell_machine.cpp
@@ -302,8 +302,9 @@
 {
   for (auto& [shard, state] : mShards) {
     const bool unwrittenMove = state.phase == ShardPhase::kWriting && state.before;
-    // A departure that may still take effect is the commit; it is never taken back.
-    const bool unsent = state.phase == ShardPhase::kSending && mUnknownWrites.empty();
+    // A departure that is written, or that a write may still write, is never taken back.
+    const bool maySend = mWriting || !mUnknownWrites.empty() || HasSent(shard);
+    const bool unsent = state.phase == ShardPhase::kSending && !maySend;
     if (!unwrittenMove && !unsent) {
       continue;
     }
--- a/tests/ownership/cell_machine_test.cpp
+++ b/tests/ownership/cell_machine_test.cpp
@@ -76,16 +76,32 @@
   aWorld.Settle();
 }
 
-/// The last message that is a write to the platform.
-std::uint64_t LastWrite(const World& aWorld)
+/// The last message of a kind to the platform; 0 if there is none.
+template<typename Action>
+std::uint64_t Last(const World& aWorld)
 {
   std::uint64_t number = 0;
   for (const Message& it : aWorld.Messages()) {
-    number = std::holds_alternative<WriteCell>(it.action) && !it.order ? it.number : number;
+    number = std::holds_alternative<Action>(it.action) && !it.order ? it.number : number;
   }
   return number;
 }
 
+/// The last message that is a write to the platform.
+std::uint64_t LastWrite(const World& aWorld)
+{
+  return Last<WriteCell>(aWorld);
+}
+
+/// Delivers messages until a write is on its way to the platform; returns its number.
+std::uint64_t DeliverUntilWrite(World& aWorld)
+{
+  while (LastWrite(aWorld) == 0) {
+    aWorld.Deliver(aWorld.Messages().front().number);
+  }
+  return LastWrite(aWorld);
+}
+
 const std::vector<Session>& Sessions()
 {
   static const std::vector<Session> kSessions = {
@@ -352,10 +368,7 @@
       TwoCells,
       [](World& aWorld) {
         aWorld.Send("d1", kCell, 0, kOther);
-        while (LastWrite(aWorld) == 0) {
-          aWorld.Deliver(aWorld.Messages().front().number);
-        }
-        const std::uint64_t write = LastWrite(aWorld);
+        const std::uint64_t write = DeliverUntilWrite(aWorld);
         aWorld.GiveUp(write, false);
         aWorld.Run(milliseconds(800));
         aWorld.Say("-- whether it left is not known, so it is served nowhere");
@@ -363,6 +376,82 @@
         aWorld.Run(milliseconds(1500));
       },
       4 },
+    { "departure-whose-answer-is-lost",
+      TwoCells,
+      [](World& aWorld) {
+        aWorld.Send("d1", kCell, 0, kOther);
+        const std::uint64_t write = DeliverUntilWrite(aWorld);
+        aWorld.Deliver(write);
+        aWorld.CutPlatform("d1", true);
+        aWorld.GiveUp(write, false);
+        aWorld.Run(milliseconds(1500));
+        aWorld.Say("-- the other cell serves it, though d1 could not know that it left");
+        aWorld.CutPlatform("d1", false);
+        aWorld.Run(milliseconds(1000));
+      },
+      4 },
+    { "departure-whose-second-write-is-slow",
+      TwoCells,
+      [](World& aWorld) {
+        aWorld.SetPlatformUp(false);
+        aWorld.Send("d1", kCell, 0, kOther);
+        aWorld.GiveUp(DeliverUntilWrite(aWorld), true);
+        aWorld.Advance(milliseconds(120));
+        const std::uint64_t second = LastWrite(aWorld);
+        aWorld.Hold(second);
+        aWorld.SetPlatformUp(true);
+        aWorld.Run(milliseconds(600));
+        aWorld.Release(second);
+        aWorld.Say("-- it is written, and the answer is slow as well");
+        aWorld.Hold(second);
+        aWorld.Run(milliseconds(500));
+        aWorld.Release(second);
+        aWorld.Run(milliseconds(500));
+      },
+      4 },
+    { "late-answer-to-an-earlier-attachments-write",
+      Shape,
+      [](World& aWorld) {
+        aWorld.Move("d1", kCell, 0, "c");
+        const std::uint64_t early = DeliverUntilWrite(aWorld);
+        aWorld.Deliver(early);
+        aWorld.Hold(early);
+        aWorld.ShowObjects("d2");
+        aWorld.TakeOver("d2", kCell);
+        aWorld.Run(milliseconds(500));
+        aWorld.Move("d2", kCell, 0, "b");
+        aWorld.Run(milliseconds(500));
+        aWorld.TakeOver("d1", kCell);
+        const std::uint64_t taking = LastWrite(aWorld);
+        aWorld.Hold(taking);
+        aWorld.Move("d2", kCell, 0, "a");
+        aWorld.Run(milliseconds(500));
+        aWorld.Release(early);
+        aWorld.Run(milliseconds(500));
+        aWorld.Release(taking);
+        aWorld.Run(milliseconds(500));
+      },
+      3 },
+    { "late-reading-of-another-cell",
+      TwoCells,
+      [](World& aWorld) {
+        aWorld.Send("d3", kOther, 3, kCell);
+        aWorld.Settle();
+        aWorld.ShowObjects("d1");
+        const std::uint64_t reading = Last<ReadOtherCell>(aWorld);
+        aWorld.Deliver(reading);
+        aWorld.Hold(reading);
+        aWorld.ShowObjects("d2");
+        aWorld.TakeOver("d2", kCell);
+        aWorld.Run(milliseconds(500));
+        aWorld.Send("d2", kCell, 3, kOther);
+        aWorld.Run(milliseconds(800));
+        aWorld.TakeOver("d1", kCell);
+        aWorld.Run(milliseconds(500));
+        aWorld.Release(reading);
+        aWorld.Run(milliseconds(500));
+      },
+      4 },
     { "receiver-lost-while-a-shard-is-on-its-way",
       TwoCells,
       [](World& aWorld) {
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -212,6 +212,9 @@
 
 bool World::IsWorkable(const Message& aMessage) const
 {
+  if (mHeld.count(aMessage.number) != 0) {
+    return false;
+  }
   if (aMessage.answering) {
     const FakeDaemon& daemon = mDaemons.at(aMessage.daemon);
     return daemon.alive && !daemon.paused;
@@ -249,6 +252,13 @@
   BringAnswer(message);
 }
 
+void World::Release(std::uint64_t aNumber)
+{
+  Say("* what was held arrives");
+  mHeld.erase(aNumber);
+  Deliver(aNumber);
+}
+
 void World::WorkAtPlatform(Message& aMessage)
 {
   const std::string name = std::holds_alternative<ReadOtherCell>(aMessage.action)
@@ -656,7 +666,8 @@
     std::vector<std::uint64_t> late;
     for (const Message& it : mMessages) {
       const Duration patience = it.order ? kOrderTime : kCallTimeout;
-      if (!it.abandoned && mNow - it.sentAt >= patience) {
+      const bool held = mHeld.count(it.number) != 0;
+      if (!it.abandoned && !held && mNow - it.sentAt >= patience) {
         late.push_back(it.number);
       }
     }
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -142,6 +142,10 @@
   void Deliver(std::uint64_t aNumber);
   /// The sender hears nothing; the message may still arrive unless @p aLost.
   void GiveUp(std::uint64_t aNumber, bool aLost);
+  /// Keeps a message, or the answer to it, on its way until Release().
+  void Hold(std::uint64_t aNumber) { mHeld.insert(aNumber); }
+  /// Delivers a message that was held.
+  void Release(std::uint64_t aNumber);
   /// Offers an order to a daemon; returns its id if it was sent.
   std::optional<std::uint64_t> Order(const std::string& aDaemon,
                                      const std::string& aCell,
@@ -211,6 +215,7 @@
   std::set<std::pair<std::string, std::string>> mCuts;
   std::set<std::string> mPlatformCuts;
   std::vector<Message> mMessages;
+  std::set<std::uint64_t> mHeld;
   std::uint64_t mNextMessage = 0;
   std::uint64_t mNextOrder = 0;
   std::map<std::uint64_t, FakeOrder> mOrders;
