--- a/runtime/entry.cpp
+++ b/runtime/entry.cpp
@@ -175,7 +175,7 @@
                        std::move(envelope),
                        Delivery::kNowOrNever,
                        [this, number = number] { mCalls.OnUnsent(number); });
-  const OrderAnswer answer = Await(aOrder, aTo, *endpoint, *call);
+  OrderAnswer answer = Await(aOrder, aTo, *endpoint, *call);
   mCalls.End(number);
   RecordSpan(aOrder, order.trace, aOrder.trace.span, "forward", start, answer);
   return answer;
--- a/tests/ownership/random_schedules.cpp
+++ b/tests/ownership/random_schedules.cpp
@@ -1,9 +1,10 @@
 /// @file
 /// Random schedules of faults over the real decision code.
 ///
-/// usage: random_schedules [--seeds N] [--first N] [--steps N] [--show SEED]
+/// usage: random_schedules [--seeds N] [--first N] [--steps N] [--held 0|1] [--show SEED]
 /// Runs short schedules, each from one seed; prints the seed of the first that breaks an invariant
-/// and exits with 1. --show prints a schedule's transcript.
+/// and exits with 1. --held 1 also holds single messages back, some for longer than all else
+/// takes. --show prints a schedule's transcript.
 
 #include "tests/standins/flags.h"
 #include "tests/support/world.h"
@@ -37,16 +38,20 @@
 class Schedule
 {
 public:
-  Schedule(World& aWorld, const WorldShape& aShape, std::uint64_t aSeed)
+  Schedule(World& aWorld, const WorldShape& aShape, std::uint64_t aSeed, bool aHolds)
     : mWorld(aWorld)
     , mShape(aShape)
     , mProfile((aSeed / 3) % kProfiles)
+    , mHolds(aHolds)
     , mRandom(aSeed)
   {
   }
 
   void Step()
   {
+    if (mHolds) {
+      HoldOrRelease();
+    }
     std::uint64_t draw = Draw(100);
     for (std::size_t n = 0; n < kActions; ++n) {
       if (draw < kWeights[mProfile][n]) {
@@ -121,6 +126,19 @@
     return aItems[Draw(aItems.size())];
   }
 
+  /// A message is held about as often as a held one is released, so that a few are late at a time.
+  void HoldOrRelease()
+  {
+    const std::uint64_t draw = Draw(100);
+    if (draw < 6 && !mWorld.Messages().empty()) {
+      mWorld.Hold(Pick(mWorld.Messages()).number);
+    } else if (draw < 10 && !mWorld.Held().empty()) {
+      auto it = mWorld.Held().begin();
+      std::advance(it, static_cast<std::ptrdiff_t>(Draw(mWorld.Held().size())));
+      mWorld.Release(*it);
+    }
+  }
+
   std::string Daemon() { return Pick(mShape.daemons); }
 
   std::string Cell()
@@ -244,6 +262,7 @@
   World& mWorld;
   const WorldShape& mShape;
   const std::size_t mProfile;
+  const bool mHolds;
   std::mt19937_64 mRandom;
 };
 
@@ -260,6 +279,9 @@
 std::string Heal(World& aWorld, const WorldShape& aShape)
 {
   aWorld.SetPlatformUp(true);
+  while (!aWorld.Held().empty()) {
+    aWorld.Release(*aWorld.Held().begin());
+  }
   for (const auto& [cell, servers] : aShape.cells) {
     for (const std::string& it : servers) {
       aWorld.SetFrozen(it, false);
@@ -306,7 +328,7 @@
   return aWorld.Broken();
 }
 
-std::string RunOne(std::uint64_t aSeed, std::int64_t aSteps, bool aShow)
+std::string RunOne(std::uint64_t aSeed, std::int64_t aSteps, bool aHolds, bool aShow)
 {
   const WorldShape shape = ShapeOf(aSeed);
   World world(shape);
@@ -317,7 +339,7 @@
     world.TakeOver("d1", cell);
   }
   world.Run(milliseconds(400));
-  Schedule schedule(world, shape, aSeed);
+  Schedule schedule(world, shape, aSeed, aHolds);
   for (std::int64_t n = 0; n < aSteps && world.Broken().empty(); ++n) {
     schedule.Step();
   }
@@ -340,16 +362,17 @@
 {
   const standins::Flags flags(aCount, aWords);
   const std::int64_t steps = flags.Number("steps", 200);
+  const bool holds = flags.Number("held", 0) != 0;
   const std::int64_t show = flags.Number("show", -1);
   if (show >= 0) {
-    std::cout << "seed " << show << ": " << RunOne(static_cast<std::uint64_t>(show), steps, true)
-              << '\n';
+    std::cout << "seed " << show << ": "
+              << RunOne(static_cast<std::uint64_t>(show), steps, holds, true) << '\n';
     return 0;
   }
   const auto first = static_cast<std::uint64_t>(flags.Number("first", 0));
   const auto seeds = static_cast<std::uint64_t>(flags.Number("seeds", 10000));
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-    const std::string broken = RunOne(seed, steps, false);
+    const std::string broken = RunOne(seed, steps, holds, false);
     if (!broken.empty()) {
       std::cout << "seed " << seed << " steps " << steps << ": " << broken << '\n';
       return 1;
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -175,6 +175,7 @@
   for (std::size_t n = 0; n < threads; ++n) {
     workers.push_back(std::make_unique<Worker>(plan, n));
   }
+  running.reserve(threads);
   const auto start = Clock::now();
   for (const auto& it : workers) {
     running.emplace_back([&next, start, worker = it.get()] { worker->Run(next, start); });
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -144,6 +144,7 @@
   void GiveUp(std::uint64_t aNumber, bool aLost);
   /// Keeps a message, or the answer to it, on its way until Release().
   void Hold(std::uint64_t aNumber) { mHeld.insert(aNumber); }
+  const std::set<std::uint64_t>& Held() const { return mHeld; }
   /// Delivers a message that was held.
   void Release(std::uint64_t aNumber);
   /// Offers an order to a daemon; returns its id if it was sent.
