--- a/tests/process/cut_test.cpp
+++ b/tests/process/cut_test.cpp
@@ -55,20 +55,8 @@
   Fleet fleet(shape);
   const std::string northern = KeyIn(fleet, "north");
   const std::string southern = KeyIn(fleet, "south");
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "100",
-                        "--seconds",
-                        "8",
-                        "--keys",
-                        "500",
-                        "--writes",
-                        "0.7",
-                        "--threads",
-                        "64",
-                        "--log",
-                        fleet.LogPath("cut") });
-  });
+  auto load = fleet.StartLoad(
+    { .rate = 100, .seconds = 8, .keys = 500, .writes = 0.7, .threads = 64, .log = "cut" });
   load.wait_for(seconds(1));
   // The south loses the north and the platform at once.
   fleet.Cut(fleet.Between("north", "south"));
@@ -109,20 +97,8 @@
   Fleet fleet(shape);
   const std::string key = KeyIn(fleet, "north");
   const std::string attached = fleet.Explain(key)["attached"]["id"];
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "150",
-                        "--seconds",
-                        "6",
-                        "--keys",
-                        "500",
-                        "--writes",
-                        "0.7",
-                        "--threads",
-                        "64",
-                        "--log",
-                        fleet.LogPath("unheard") });
-  });
+  auto load = fleet.StartLoad(
+    { .rate = 150, .seconds = 6, .keys = 500, .writes = 0.7, .threads = 64, .log = "unheard" });
   load.wait_for(seconds(1));
   // It hears all others and reaches the platform and the servers; they don't hear it.
   std::vector<std::pair<std::string, std::string>> cuts;
--- a/tests/process/loss_test.cpp
+++ b/tests/process/loss_test.cpp
@@ -127,8 +127,7 @@
 {
   Fleet fleet(FleetShape{});
   fleet.Platform({ { "down", true } });
-  const auto result = fleet.Load(
-    { "--rate", "100", "--seconds", "3", "--writes", "0.5", "--log", fleet.LogPath("outage") });
+  const auto result = fleet.Load({ .rate = 100, .seconds = 3, .writes = 0.5, .log = "outage" });
   CHECK(result["outcomes"].value("done", 0) == result["requests"]);
   CHECK(fleet.CheckLedger(fleet.LoadLog("outage")).empty());
 }
@@ -139,20 +138,8 @@
   FleetShape shape;
   shape.fencing = fencing;
   Fleet fleet(shape);
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "300",
-                        "--seconds",
-                        "8",
-                        "--writes",
-                        "0.7",
-                        "--keys",
-                        "200",
-                        "--threads",
-                        "32",
-                        "--log",
-                        fleet.LogPath("kills") });
-  });
+  auto load = fleet.StartLoad(
+    { .rate = 300, .seconds = 8, .keys = 200, .writes = 0.7, .threads = 32, .log = "kills" });
   const auto pause = [&](milliseconds aTime) { load.wait_for(aTime); };
   pause(milliseconds(800));
   fleet.Kill(fleet.Servers()[0]);
@@ -180,8 +167,7 @@
 {
   Fleet fleet(FleetShape{});
   fleet.Platform({ { "down", true } }, "north");
-  const auto result = fleet.Load(
-    { "--rate", "100", "--seconds", "2", "--writes", "0.5", "--log", fleet.LogPath("cut") });
+  const auto result = fleet.Load({ .rate = 100, .seconds = 2, .writes = 0.5, .log = "cut" });
   CHECK(result["outcomes"].value("done", 0) == result["requests"]);
   // A server lost now is replaced from memory.
   const CallerAnswer before = fleet.Call(0, "POST", "k7");
@@ -200,16 +186,8 @@
   const std::size_t entry = OtherEntry(fleet, "k1");
   fleet.Platform({ { "down", true } });
   fleet.Restart(fleet.Daemon(lost));
-  const auto load = fleet.Load({ "--rate",
-                                 "50",
-                                 "--seconds",
-                                 "3",
-                                 "--writes",
-                                 "1",
-                                 "--threads",
-                                 "64",
-                                 "--log",
-                                 fleet.LogPath("restart") });
+  const auto load =
+    fleet.Load({ .rate = 50, .seconds = 3, .writes = 1, .threads = 64, .log = "restart" });
   INFO(load.dump());
   // The other failure domain serves on, and what is refused or unknown is said truly.
   CHECK(load["outcomes"].value("done", 0) > 0);
--- a/tests/process/operations_test.cpp
+++ b/tests/process/operations_test.cpp
@@ -49,8 +49,7 @@
   return 0;
 }
 
-const std::vector<std::string> kLightLoad = { "--rate", "200",  "--seconds", "2",
-                                              "--keys", "2000", "--writes",  "0.5" };
+const LoadShape kLightLoad = { .rate = 200, .seconds = 2, .keys = 2000, .writes = 0.5 };
 
 } // namespace
 
@@ -59,18 +58,8 @@
 {
   Fleet fleet(FleetShape{});
   const std::string server = fleet.Servers()[0].id;
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "200",
-                        "--seconds",
-                        "6",
-                        "--keys",
-                        "2000",
-                        "--writes",
-                        "0.5",
-                        "--log",
-                        fleet.LogPath("drain") });
-  });
+  auto load =
+    fleet.StartLoad({ .rate = 200, .seconds = 6, .keys = 2000, .writes = 0.5, .log = "drain" });
   load.wait_for(seconds(1));
   REQUIRE(fleet.Apply(fleet.Config({ { server, "draining" } })) == 0);
   const bool empty = WaitUntil(kFewSeconds, [&] {
@@ -89,18 +78,8 @@
 TEST_CASE("a failure domain that is taken out gets no new work after a few seconds", "[process]")
 {
   Fleet fleet(FleetShape{});
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "200",
-                        "--seconds",
-                        "7",
-                        "--keys",
-                        "2000",
-                        "--writes",
-                        "0.5",
-                        "--log",
-                        fleet.LogPath("out") });
-  });
+  auto load =
+    fleet.StartLoad({ .rate = 200, .seconds = 7, .keys = 2000, .writes = 0.5, .log = "out" });
   load.wait_for(seconds(1));
   REQUIRE(fleet.Apply(fleet.Config({ { "south", "out" } })) == 0);
   CHECK(WaitUntil(kFewSeconds, [&] { return ShardsIn(fleet, "south") == 0; }));
@@ -113,16 +92,8 @@
   CHECK(ServedIn(fleet, "south") == served);
   // Brought back, it gets its share again and nothing is refused meanwhile.
   REQUIRE(fleet.Apply(fleet.Config()) == 0);
-  const json back = fleet.Load({ "--rate",
-                                 "200",
-                                 "--seconds",
-                                 "4",
-                                 "--keys",
-                                 "2000",
-                                 "--writes",
-                                 "0.5",
-                                 "--log",
-                                 fleet.LogPath("back") });
+  const json back =
+    fleet.Load({ .rate = 200, .seconds = 4, .keys = 2000, .writes = 0.5, .log = "back" });
   CHECK(back["outcomes"].value("done", 0) == back["requests"]);
   CHECK(WaitUntil(seconds(20), [&] { return ShardsIn(fleet, "south") >= 28; }));
   CHECK_THAT(fleet.CheckLedger(fleet.LoadLog("back")), Catch::Equals(std::string()));
@@ -136,26 +107,14 @@
   Process& leaving = fleet.Daemon(explained["attached"]["id"]);
   std::vector<Process> all = fleet.Daemons();
   // The balancer sends callers to hosts that are ready: all but the one that leaves.
-  std::string targets;
+  std::vector<std::string> targets;
   for (const Process& it : all) {
     if (it.id != leaving.id) {
-      targets += (targets.empty() ? "" : ",") + it.url;
+      targets.push_back(it.url);
     }
   }
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "300",
-                        "--seconds",
-                        "5",
-                        "--keys",
-                        "500",
-                        "--writes",
-                        "0.7",
-                        "--log",
-                        fleet.LogPath("leave"),
-                        "--targets",
-                        targets });
-  });
+  auto load = fleet.StartLoad(
+    { .rate = 300, .seconds = 5, .keys = 500, .writes = 0.7, .log = "leave", .targets = targets });
   load.wait_for(seconds(1));
   fleet.Signal(leaving, SIGTERM);
   CHECK(fleet.WaitForEnd(leaving) == 0);
@@ -169,18 +128,8 @@
 {
   Fleet fleet(FleetShape{});
   Process& leaving = fleet.Servers()[0];
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "300",
-                        "--seconds",
-                        "6",
-                        "--keys",
-                        "500",
-                        "--writes",
-                        "0.7",
-                        "--log",
-                        fleet.LogPath("server-leaves") });
-  });
+  auto load = fleet.StartLoad(
+    { .rate = 300, .seconds = 6, .keys = 500, .writes = 0.7, .log = "server-leaves" });
   load.wait_for(seconds(1));
   // Nobody drains it: that it leaves is learned from the server alone.
   fleet.Signal(leaving, SIGTERM);
@@ -200,20 +149,8 @@
   shape.coldOrders = 40;
   shape.workUs = 4000;
   Fleet fleet(shape);
-  auto load = std::async(std::launch::async, [&] {
-    return fleet.Load({ "--rate",
-                        "250",
-                        "--seconds",
-                        "8",
-                        "--keys",
-                        "2000",
-                        "--writes",
-                        "0.5",
-                        "--log",
-                        fleet.LogPath("cold"),
-                        "--threads",
-                        "32" });
-  });
+  auto load = fleet.StartLoad(
+    { .rate = 250, .seconds = 8, .keys = 2000, .writes = 0.5, .threads = 32, .log = "cold" });
   load.wait_for(seconds(3));
   // It comes back without warning, and its report says that it is warm.
   fleet.Restart(fleet.Servers()[0]);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -442,14 +442,18 @@
   return answer;
 }
 
-json Fleet::Load(const std::vector<std::string>& aFlags)
+json Fleet::Load(const LoadShape& aLoad)
 {
   static std::atomic<int> runs{ 0 };
   const int run = ++runs;
   const std::string output = mFolder + "/load-" + std::to_string(run) + ".json";
   std::string targets;
   for (const Process& it : mDaemons) {
-    targets += (targets.empty() ? "" : ",") + it.url;
+    const bool meant =
+      aLoad.targets.empty() || std::count(aLoad.targets.begin(), aLoad.targets.end(), it.url) != 0;
+    if (meant) {
+      targets += (targets.empty() ? "" : ",") + it.url;
+    }
   }
   // Each run has request ids of its own.
   std::vector<std::string> words = { Binary("tests/standin_caller"),
@@ -458,8 +462,20 @@
                                      "--service",
                                      "bookings",
                                      "--seed",
-                                     std::to_string(run) };
-  words.insert(words.end(), aFlags.begin(), aFlags.end());
+                                     std::to_string(run),
+                                     "--rate",
+                                     std::to_string(aLoad.rate),
+                                     "--seconds",
+                                     std::to_string(aLoad.seconds),
+                                     "--keys",
+                                     std::to_string(aLoad.keys),
+                                     "--writes",
+                                     std::to_string(aLoad.writes),
+                                     "--threads",
+                                     std::to_string(aLoad.threads) };
+  if (!aLoad.log.empty()) {
+    words.insert(words.end(), { "--log", LogPath(aLoad.log) });
+  }
   Process caller;
   caller.pid = Spawn(words, output);
   int status = 0;
@@ -472,6 +488,11 @@
   return json::parse(file);
 }
 
+std::future<json> Fleet::StartLoad(const LoadShape& aLoad)
+{
+  return std::async(std::launch::async, [this, aLoad] { return Load(aLoad); });
+}
+
 std::string Fleet::LogPath(const std::string& aName) const
 {
   return mFolder + "/" + aName + ".outcomes";
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <functional>
+#include <future>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -28,6 +29,21 @@
   bool relayed = false;
 };
 
+/// What the caller stand-in is to send.
+struct LoadShape
+{
+  int rate = 200;
+  int seconds = 2;
+  int keys = 1000;
+  /// Share of requests that are writes.
+  double writes = 0.5;
+  int threads = 16;
+  /// Names the log of what the writes came to; empty for none.
+  std::string log = {};
+  /// Daemons to be called, by URL; empty for all.
+  std::vector<std::string> targets = {};
+};
+
 /// A process that the fleet has started.
 struct Process
 {
@@ -84,10 +100,11 @@
   /// The configuration, with a state for each failure domain and each server that is not "in".
   std::string Config(const std::map<std::string, std::string>& aStates = {}) const;
   /// Runs the caller stand-in against all daemons and returns what it printed.
-  nlohmann::json Load(const std::vector<std::string>& aFlags);
+  nlohmann::json Load(const LoadShape& aLoad);
+  /// The same beside what the test does meanwhile.
+  std::future<nlohmann::json> StartLoad(const LoadShape& aLoad);
   /// What the writes of the last Load() with this log came to, by request id.
   std::map<std::string, std::string> LoadLog(const std::string& aName) const;
-  std::string LogPath(const std::string& aName) const;
 
   Process& Server(const std::string& aId);
   Process& Daemon(const std::string& aId);
@@ -106,6 +123,7 @@
   std::vector<nlohmann::json> Spans() const;
 
 private:
+  std::string LogPath(const std::string& aName) const;
   void Start(Process& aProcess);
   std::string PlatformUrl(const std::string& aDomain) const;
 
