One function answers another daemon's calls

Read once more: the five lines that make and address an answer stood twice in Daemon, for orders and for questions about them. SendAnswer() serves both. Behaviour is as it was: unit tests (53 cases), 'a booking made at any entry host' and 'outcomes are true under kills at each hop' pass, formatter and linter are clean.

--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -134,6 +134,15 @@
   }
 }
 
+void Daemon::SendAnswer(const wire::Ref& aTo, std::uint64_t aCall, const OrderAnswer& aAnswer)
+{
+  wire::Envelope reply = MakeEnvelope();
+  reply.set_to_incarnation(aTo.incarnation());
+  EncodeAnswer(aAnswer, *reply.mutable_answer());
+  reply.mutable_answer()->set_call(aCall);
+  SendTo(aTo.id(), std::move(reply));
+}
+
 void Daemon::OnMessage(wire::Envelope aEnvelope)
 {
   const bool otherRun =
@@ -150,11 +159,8 @@
       mCalls.OnAnswer(aEnvelope.answer().call(), DecodeAnswer(aEnvelope.answer()));
       break;
     case wire::Envelope::kQuestion: {
-      wire::Envelope reply = MakeEnvelope();
-      EncodeAnswer(mAttached.Ask(aEnvelope.question().request_id()), *reply.mutable_answer());
-      reply.mutable_answer()->set_call(aEnvelope.question().call());
-      reply.set_to_incarnation(aEnvelope.from().incarnation());
-      SendTo(aEnvelope.from().id(), std::move(reply));
+      const wire::OutcomeQuestion& question = aEnvelope.question();
+      SendAnswer(aEnvelope.from(), question.call(), mAttached.Ask(question.request_id()));
       break;
     }
     case wire::Envelope::kHeartbeat:
@@ -180,16 +186,8 @@
 
 void Daemon::OnOrder(wire::Envelope aEnvelope)
 {
-  const auto answer = [this,
-                       call = aEnvelope.order().call(),
-                       from = aEnvelope.from().id(),
-                       incarnation = aEnvelope.from().incarnation()](const OrderAnswer& aAnswer) {
-    wire::Envelope reply = MakeEnvelope();
-    reply.set_to_incarnation(incarnation);
-    EncodeAnswer(aAnswer, *reply.mutable_answer());
-    reply.mutable_answer()->set_call(call);
-    SendTo(from, std::move(reply));
-  };
+  const auto answer = [this, call = aEnvelope.order().call(), from = aEnvelope.from()](
+                        const OrderAnswer& aAnswer) { SendAnswer(from, call, aAnswer); };
   // Accepted in the order of arrival: a question that comes after an order finds it.
   const auto seen =
     mAttached.Accept(aEnvelope.order().request_id(), aEnvelope.order().repeatable());
--- a/runtime/daemon.h
+++ b/runtime/daemon.h
@@ -67,6 +67,8 @@
   void OnOrder(wire::Envelope aEnvelope);
   void OnHeartbeat(const wire::Envelope& aEnvelope);
   void SendTo(const std::string& aDaemon, wire::Envelope aEnvelope);
+  /// Answers a call of the run @p aTo of a daemon.
+  void SendAnswer(const wire::Ref& aTo, std::uint64_t aCall, const OrderAnswer& aAnswer);
   wire::Envelope MakeEnvelope() const;
 
   void OnObject(const PlatformObject& aObject);
