A call that is given up resets its connection; a stopping daemon takes no late requests

Ruled out: tokens that fall (the store's revisions rise; 106 < 150 was an old order). Now calls that fail, time out or are cancelled close with a reset, and requests that come more than 2.6 s after SIGTERM are rejected.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -84,7 +84,7 @@
   void Cancel() override
   {
     mDone = nullptr;
-    Close();
+    Abort();
   }
 
   bool IsUsable(SteadyPoint aNow, Duration aMaxIdle) const
@@ -110,6 +110,16 @@
   }
 
 private:
+  /// Closes with a reset: what has not reached the server yet is not delivered later.
+  void Abort()
+  {
+    if (!mClosed) {
+      asio::error_code ec;
+      mSocket.set_option(asio::socket_base::linger(true, 0), ec);
+    }
+    Close();
+  }
+
   void Connect()
   {
     const std::optional<Tcp::endpoint> endpoint = ParseEndpoint(mAddress);
@@ -302,7 +312,7 @@
   {
     const Completion done = std::move(mDone);
     mDone = nullptr;
-    Close();
+    Abort();
     if (done) {
       CallOutcome outcome;
       outcome.result = aResult;
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kReloadInterval = seconds(1);
 /// The balancer needs so long to see that this daemon is not ready any more.
 constexpr Duration kSeenLeaving = milliseconds(3000);
+/// Requests that come later could not be sure to be answered before the process ends.
+constexpr Duration kServeOn = milliseconds(2600);
 /// This long before the platform ends the process it ends by itself.
 constexpr Duration kStopMargin = milliseconds(400);
 constexpr Duration kStopPoll = milliseconds(50);
@@ -269,7 +271,7 @@
       return;
     }
     mLog.Write(EventId::kStopping, { { "unanswered", mCallers->Unanswered() } });
-    mDaemon->Leave();
+    mDaemon->Leave(kServeOn);
     mCallers->Drain();
     mStopAt = mTimers.Now();
     mStopTimer = mTimers.Every(kStopPoll, [this](Instant aNow) {
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kNotOwnerPause = milliseconds(150);
 constexpr unsigned kMaxNotOwner = 4;
 constexpr int kFirstFailureStatus = 500;
+/// Callers that a stopping daemon rejects find another one at once.
+constexpr Duration kRetryElsewhere = milliseconds(20);
 /// Spreads rejected callers evenly: the fractional part of n times the golden ratio.
 constexpr double kGoldenRatio = 0.6180339887498949;
 
@@ -108,6 +110,10 @@
     Answer(aFlow, 503, milliseconds(500), EventId::kRequestRefused, "no-configuration");
     return false;
   }
+  if (flow.receivedAt >= mRefuseFrom) {
+    Answer(aFlow, 503, kRetryElsewhere, EventId::kRequestRefused, "stopping");
+    return false;
+  }
   const RouteRule* const route =
     mServices.routes.Find(request.headers.Get("Host"), request.Path());
   if (route == nullptr) {
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -55,6 +55,8 @@
   void OnBadRequest(int aStatus, http::ReadState aState) override;
   /// Looks for servers for the requests that wait.
   void Dispatch();
+  /// From @p aFrom on, new requests are rejected: the process ends soon.
+  void RefuseFrom(Instant aFrom) { mRefuseFrom = aFrom; }
   void SetDaemons(unsigned aDaemons) { mDaemons = aDaemons; }
   std::size_t Waiting() const { return mWaiting.size(); }
 
@@ -86,6 +88,7 @@
   unsigned mDaemons = 1;
   std::uint64_t mRequests = 0;
   bool mDispatching = false;
+  Instant mRefuseFrom = Instant::max();
 };
 
 } // namespace hawthornlug
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -245,9 +245,10 @@
   return mRoutes.Config().bounds;
 }
 
-void RouterDaemon::Leave()
+void RouterDaemon::Leave(Duration aServeOn)
 {
   mLeaving = true;
+  mForwarder.RefuseFrom(mServices.timers.Now() + aServeOn);
   mMesh.BeatNow();
 }
 
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -57,8 +57,9 @@
 
   /// Whether callers may be sent here.
   bool IsReady() const { return !mLeaving && !mRoutes.IsEmpty(); }
-  /// Leaves: others are to take over what this daemon does.
-  void Leave();
+  /// Leaves: others are to take over what this daemon does. New requests are taken for
+  /// @p aServeOn.
+  void Leave(Duration aServeOn);
   /// Whether nothing depends on this daemon any more, callers left aside.
   bool IsRelieved() const;
   /// Bounds on callers, as the configuration has them; nothing before there is one.
