--- a/config/object_mirror.h
+++ b/config/object_mirror.h
@@ -2,7 +2,7 @@
 /// A daemon's copy of the objects in the store.
 #pragma once
 
-#include "ports/object_store.h"
+#include "config/stored_object.h"
 
 #include <array>
 #include <map>
--- a/http/client.h
+++ b/http/client.h
@@ -4,6 +4,7 @@
 
 #include "core/enum_names.h"
 #include "core/instant.h"
+#include "http/call.h"
 #include "http/message_reader.h"
 
 #include <asio.hpp>
@@ -52,15 +53,6 @@
   std::string echoValue;
 };
 
-/// A call that is under way.
-class Call
-{
-public:
-  virtual ~Call() = default;
-  /// Drops the call: its connection is closed and its completion never called.
-  virtual void Cancel() = 0;
-};
-
 /// Makes calls to any number of addresses on the thread of the given context.
 class Client
 {
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -2,12 +2,10 @@
 /// Decides who holds which keys of a service: grants, renewals, moves and takeover.
 #pragma once
 
-#include "core/enum_names.h"
+#include "config/stored_object.h"
 #include "core/instant.h"
-#include "ownership/key_range.h"
+#include "ownership/grant_orders.h"
 #include "ownership/range_directory.h"
-#include "ports/backend_port.h"
-#include "ports/object_store.h"
 
 #include <map>
 #include <optional>
--- a/ports/caller_headers.h
+++ b/ports/caller_headers.h
@@ -4,7 +4,7 @@
 
 #include "core/instant.h"
 #include "http/message.h"
-#include "ports/backend_port.h"
+#include "ownership/key_range.h"
 
 #include <optional>
 #include <string>
--- a/routing/server_board.h
+++ b/routing/server_board.h
@@ -2,7 +2,8 @@
 /// What a daemon knows of the backend servers, and the choice of one for a request.
 #pragma once
 
-#include "ports/backend_port.h"
+#include "core/instant.h"
+#include "routing/forward_result.h"
 #include "routing/route_config.h"
 #include "routing/server_entry.h"
 
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -8,6 +8,8 @@
 #include "ownership/range_granter.h"
 #include "placement/key_load.h"
 #include "placement/range_planner.h"
+#include "ports/backend_port.h"
+#include "ports/object_store.h"
 #include "routing/server_board.h"
 #include "runtime/mesh.h"
 
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "limits/shared_retry_budget.h"
+#include "ports/object_store.h"
 #include "runtime/forwarder.h"
 #include "runtime/mesh.h"
 #include "runtime/range_runner.h"
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -5,6 +5,7 @@
 #include "config/object_mirror.h"
 #include "core/decision_log.h"
 #include "core/timer_service.h"
+#include "ports/object_store.h"
 
 #include <array>
 #include <functional>
--- /dev/null
+++ b/tests/http/message_reader_test.cpp
@@ -0,0 +1,143 @@
+/// @file
+/// What the HTTP engine reads, and what it refuses.
+
+#include "http/message_reader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornlug::http;
+using hawthornlug::NameOf;
+
+namespace {
+
+ReadLimits Limits()
+{
+  return { 1024, 64 };
+}
+
+/// Feeds @p aBytes in pieces of @p aStep bytes and returns the first state that is not "more".
+ReadState Feed(MessageReader& aReader, const std::string& aBytes, std::size_t aStep)
+{
+  ReadState state = ReadState::kNeedsMore;
+  for (std::size_t n = 0; n < aBytes.size() && state == ReadState::kNeedsMore; n += aStep) {
+    aReader.Append(std::string_view(aBytes).substr(n, aStep));
+    state = aReader.Advance();
+  }
+  return state;
+}
+
+struct Refusal
+{
+  std::string name;
+  std::string bytes;
+  ReadState state;
+};
+
+} // namespace
+
+TEST_CASE("a request is read whole, whatever pieces it comes in", "[http]")
+{
+  const std::size_t step = GENERATE(1u, 2u, 7u, 1000u);
+  const std::string body = GENERATE("Content-Length: 5\r\n\r\nhello",
+                                    "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n");
+  MessageReader reader(MessageReader::Mode::kRequests, Limits());
+  REQUIRE(Feed(reader, "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nX-One:  1 \r\n" + body, step) ==
+          ReadState::kComplete);
+  const Request request = reader.TakeRequest();
+  CHECK(request.method == "POST");
+  CHECK(request.target == "/a/b?c=d");
+  CHECK(request.Path() == "/a/b");
+  CHECK(request.headers.Get("x-one") == "1");
+  CHECK(request.body == "hello");
+  CHECK(request.keepAlive);
+  CHECK_FALSE(reader.IsInMessage());
+}
+
+TEST_CASE("pipelined requests are read one after the other", "[http]")
+{
+  const std::string chunked =
+    "POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n";
+  const std::string plain = "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::string sized = "POST /3 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nbc";
+  MessageReader reader(MessageReader::Mode::kRequests, Limits());
+  reader.Append(chunked + plain + sized + plain);
+  for (const char* const it : { "/1", "/2", "/3", "/2" }) {
+    REQUIRE(reader.Advance() == ReadState::kComplete);
+    CHECK(reader.TakeRequest().target == it);
+  }
+  CHECK(reader.Advance() == ReadState::kNeedsMore);
+  CHECK_FALSE(reader.IsInMessage());
+}
+
+TEST_CASE("what could be understood in two ways is refused", "[http]")
+{
+  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const auto row = GENERATE_COPY(values<Refusal>({
+    { "two lengths", head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", ReadState::kMalformed },
+    { "the same length twice",
+      head + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na",
+      ReadState::kMalformed },
+    { "length and chunks",
+      head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      ReadState::kMalformed },
+    { "length list", head + "Content-Length: 1, 1\r\n\r\na", ReadState::kMalformed },
+    { "signed length", head + "Content-Length: +1\r\n\r\na", ReadState::kMalformed },
+    { "unknown coding", head + "Transfer-Encoding: gzip, chunked\r\n\r\n", ReadState::kMalformed },
+    { "disguised coding", head + "Transfer-Encoding: xchunked\r\n\r\n", ReadState::kMalformed },
+    { "folded line", head + "X-One: 1\r\n 2\r\n\r\n", ReadState::kMalformed },
+    { "bare line feed", "POST / HTTP/1.1\nHost: x\r\n\r\n", ReadState::kMalformed },
+    { "bare carriage return", head + "X-One: 1\rX-Two: 2\r\n\r\n", ReadState::kMalformed },
+    { "space before the colon", head + "X-One : 1\r\n\r\n", ReadState::kMalformed },
+    { "no request line", "hello\r\n\r\n", ReadState::kMalformed },
+    { "bad chunk size",
+      head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+      ReadState::kMalformed },
+    { "large header", head + "X-One: " + std::string(2000, 'a') + "\r\n\r\n", ReadState::kHeaderTooLarge },
+    { "endless header", head + "X-One: " + std::string(2000, 'a'), ReadState::kHeaderTooLarge },
+    { "large body", head + "Content-Length: 65\r\n\r\n", ReadState::kBodyTooLarge },
+    { "large chunk",
+      head + "Transfer-Encoding: chunked\r\n\r\n41\r\n" + std::string(65, 'a'),
+      ReadState::kBodyTooLarge },
+  }));
+  INFO(row.name);
+  const std::size_t step = GENERATE(1u, 100000u);
+  MessageReader reader(MessageReader::Mode::kRequests, Limits());
+  const ReadState state = Feed(reader, row.bytes, step);
+  CHECK(NameOf(kReadStateNames, state) == NameOf(kReadStateNames, row.state));
+}
+
+TEST_CASE("an answer without a length ends with its connection, in order", "[http]")
+{
+  MessageReader reader(MessageReader::Mode::kResponses, Limits());
+  reader.Append("HTTP/1.1 200 OK\r\n\r\nhel");
+  CHECK(reader.Advance() == ReadState::kNeedsMore);
+  reader.Append("lo");
+  CHECK(reader.Advance() == ReadState::kNeedsMore);
+  REQUIRE(reader.Finish() == ReadState::kComplete);
+  CHECK(reader.TakeResponse().body == "hello");
+}
+
+TEST_CASE("an answer that ends early is not complete", "[http]")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string rest = GENERATE("Content-Length: 5\r\n\r\nhell",
+                                    "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+                                    "Content-Le");
+  MessageReader reader(MessageReader::Mode::kResponses, Limits());
+  reader.Append(head + rest);
+  CHECK(reader.Advance() == ReadState::kNeedsMore);
+  CHECK(reader.Finish() == ReadState::kMalformed);
+}
+
+TEST_CASE("headers of one connection are dropped, with those that Connection names", "[http]")
+{
+  Headers headers;
+  headers.Add("Connection", "close, X-Mine");
+  headers.Add("X-Mine", "1");
+  headers.Add("Keep-Alive", "timeout=5");
+  headers.Add("Transfer-Encoding", "chunked");
+  headers.Add("X-Kept", "2");
+  headers.RemoveHopByHop();
+  REQUIRE(headers.Fields().size() == 1);
+  CHECK(headers.Get("x-kept") == "2");
+}
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -102,7 +102,18 @@
                                     "membership/evidence.cpp",
                                     "membership/membership.cpp",
                                     "limits/server_gate.cpp",
-                                    "limits/retry_budget.cpp");
+                                    "limits/retry_budget.cpp",
+                                    "config/object_mirror.cpp",
+                                    "limits/route_work.cpp",
+                                    "limits/shared_retry_budget.cpp",
+                                    "limits/waiting_policy.cpp",
+                                    "ownership/key_range.cpp",
+                                    "ownership/range_directory.cpp",
+                                    "ownership/range_granter.cpp",
+                                    "placement/key_load.cpp",
+                                    "placement/range_planner.cpp",
+                                    "routing/route_table.cpp",
+                                    "routing/server_board.cpp");
   const std::string text = Read(file);
   REQUIRE_FALSE(text.empty());
   const std::string word = GENERATE("httplib",
