--- a/http/client.cpp
+++ b/http/client.cpp
@@ -12,7 +12,7 @@
 using Tcp = asio::ip::tcp;
 using SteadyPoint = std::chrono::steady_clock::time_point;
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16384;
 constexpr std::size_t kMaxIdlePerAddress = 16;
 constexpr std::chrono::seconds kConnectTimeout{ 1 };
 /// Answers to other calls that may come before the one that is waited for.
@@ -60,7 +60,7 @@
   {
   }
 
-  void Start(Request aRequest, const CallOptions& aOptions, Completion aDone)
+  void Start(const Request& aRequest, const CallOptions& aOptions, Completion aDone)
   {
     mOptions = aOptions;
     mDone = std::move(aDone);
@@ -379,7 +379,7 @@
   const SteadyPoint now = std::chrono::steady_clock::now();
   while (!found->second.empty()) {
     // The one that was used last is the least likely to have been closed by the server.
-    const std::shared_ptr<Connection> it = found->second.back();
+    std::shared_ptr<Connection> it = found->second.back();
     found->second.pop_back();
     if (it->IsUsable(now, aMaxIdle)) {
       return it;
@@ -390,7 +390,7 @@
 }
 
 std::shared_ptr<Call> Client::Send(const std::string& aAddress,
-                                   Request aRequest,
+                                   const Request& aRequest,
                                    const CallOptions& aOptions,
                                    Completion aDone)
 {
@@ -398,7 +398,7 @@
   if (!it) {
     it = std::make_shared<Connection>(*this, aAddress);
   }
-  it->Start(std::move(aRequest), aOptions, std::move(aDone));
+  it->Start(aRequest, aOptions, std::move(aDone));
   return it;
 }
 
--- a/http/client.h
+++ b/http/client.h
@@ -67,7 +67,7 @@
   /// Sends @p aRequest to @p aAddress ("1.2.3.4:80"). @p aDone is called once, never before this
   /// returns, and not at all after Cancel().
   std::shared_ptr<Call> Send(const std::string& aAddress,
-                             Request aRequest,
+                             const Request& aRequest,
                              const CallOptions& aOptions,
                              Completion aDone);
   /// Closes the idle connections to @p aAddress.
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -11,7 +11,7 @@
 using SteadyPoint = std::chrono::steady_clock::time_point;
 
 constexpr int kBacklog = 1024;
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16384;
 /// Requests of one connection that are served at the same time.
 constexpr std::size_t kMaxPipelined = 16;
 constexpr std::chrono::milliseconds kSweepInterval{ 200 };
@@ -323,8 +323,7 @@
 };
 
 Server::Server(asio::io_context& aContext, const Tcp::endpoint& aEndpoint, Handler& aHandler)
-  : mContext(aContext)
-  , mAcceptor(aContext)
+  : mAcceptor(aContext)
   , mSweepTimer(aContext)
   , mHandler(aHandler)
 {
--- a/http/server.h
+++ b/http/server.h
@@ -73,7 +73,6 @@
   void Accept();
   void Sweep();
 
-  asio::io_context& mContext;
   asio::ip::tcp::acceptor mAcceptor;
   asio::steady_timer mSweepTimer;
   Handler& mHandler;
--- a/limits/shared_retry_budget.cpp
+++ b/limits/shared_retry_budget.cpp
@@ -21,6 +21,16 @@
 }
 
 bool SharedRetryBudget::TakeRetry(Instant aNow, unsigned aDaemons)
+{
+  return Take(aNow, aDaemons, kUsed);
+}
+
+bool SharedRetryBudget::TakeHedge(Instant aNow, unsigned aDaemons)
+{
+  return Take(aNow, aDaemons, kUsedByHedges);
+}
+
+bool SharedRetryBudget::Take(Instant aNow, unsigned aDaemons, double aPart)
 {
   Bucket& now = BucketAt(aNow);
   unsigned requests = 0;
@@ -32,7 +42,7 @@
     }
   }
   const double allowed =
-    kUsed * (mAllowance.share * requests + mAllowance.slack / std::max(1U, aDaemons));
+    aPart * (mAllowance.share * requests + mAllowance.slack / std::max(1U, aDaemons));
   if (retries + 1 > allowed) {
     return false;
   }
--- a/limits/shared_retry_budget.h
+++ b/limits/shared_retry_budget.h
@@ -30,11 +30,14 @@
   void OnRequest(Instant aNow);
   /// Takes one retry; false if there is none left. @p aDaemons: how many share the slack.
   bool TakeRetry(Instant aNow, unsigned aDaemons);
+  /// Takes one for a hedge; a part of the budget is kept for attempts that failed.
+  bool TakeHedge(Instant aNow, unsigned aDaemons);
 
 private:
   static constexpr std::size_t kBuckets = 20;
   /// Part of the allowance that is used: windows slide, buckets are coarse.
   static constexpr double kUsed = 0.85;
+  static constexpr double kUsedByHedges = 0.5;
 
   struct Bucket
   {
@@ -44,6 +47,7 @@
   };
 
   Bucket& BucketAt(Instant aNow);
+  bool Take(Instant aNow, unsigned aDaemons, double aPart);
 
   RetryAllowance mAllowance;
   std::array<Bucket, kBuckets + 1> mBuckets;
--- a/limits/waiting_policy.cpp
+++ b/limits/waiting_policy.cpp
@@ -10,7 +10,7 @@
 constexpr double kLeastService = 0.6;
 /// A request without any usable server waits for this share of its target latency.
 constexpr double kPatienceWithoutServer = 0.12;
-constexpr double kPatienceWhileMoving = 0.6;
+constexpr double kLeastServiceAfterMove = 1.3;
 /// A request may wait in the queue for this share of its target latency.
 constexpr double kPatienceInQueue = 0.75;
 /// One step of priority counts as much as this share of the target latency.
@@ -39,7 +39,9 @@
   }
   const double waited = Ratio(aRequest.waited, aRequest.targetLatency);
   if (aQueue.moving) {
-    return waited < kPatienceWhileMoving ? WaitVerdict::kWait : WaitVerdict::kNoServer;
+    // The keys' new owner has room as a rule, and a rejected caller would come back to the same.
+    return aRequest.timeLeft > Scale(aRequest.work, kLeastServiceAfterMove) ? WaitVerdict::kWait
+                                                                            : WaitVerdict::kNoServer;
   }
   if (aQueue.usableServers == 0) {
     return waited < kPatienceWithoutServer ? WaitVerdict::kWait : WaitVerdict::kNoServer;
--- a/routing/route_config.h
+++ b/routing/route_config.h
@@ -54,8 +54,8 @@
 /// Bounds on what callers may send.
 struct CallerBounds
 {
-  std::size_t headerBytes = 16 * 1024;
-  std::size_t bodyBytes = 1024 * 1024;
+  std::size_t headerBytes = 16384;
+  std::size_t bodyBytes = 1048576;
   Duration headerTimeout = seconds(5);
   Duration idleTimeout = seconds(30);
 };
--- a/routing/server_board.cpp
+++ b/routing/server_board.cpp
@@ -273,7 +273,7 @@
   for (const auto& [id, server] : mServers) {
     const bool fits =
       aNeed.owner.empty() ? server.entry.service == aNeed.service : id == aNeed.owner;
-    if (!fits) {
+    if (!fits || (aNeed.ownDomainOnly && server.entry.domain != mDomain)) {
       continue;
     }
     const ServerBar bar = BarOf(server, aNeed, aNow);
--- a/routing/server_board.h
+++ b/routing/server_board.h
@@ -46,6 +46,7 @@
   Duration targetLeft = Duration::zero();
   /// Whether it may be run more than once; only such requests try out failing servers.
   bool idempotent = false;
+  bool ownDomainOnly = false;
   /// Servers that have had the request.
   std::vector<std::string> tried;
   /// The owner of the request's key; empty if any server may have it.
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -18,8 +18,25 @@
 /// Spreads rejected callers evenly: the fractional part of n times the golden ratio.
 constexpr double kGoldenRatio = 0.6180339887498949;
 
+bool IsGood(const ForwardOutcome& aOutcome)
+{
+  return aOutcome.result == ForwardResult::kAnswered &&
+         aOutcome.response.status < kFirstFailureStatus;
+}
+
 } // namespace
 
+/// One request at one server.
+struct Forwarder::Attempt
+{
+  std::string server;
+  double pace = 1.0;
+  unsigned outstanding = 0;
+  Instant sentAt;
+  InFlightSlot slot;
+  std::shared_ptr<http::Call> call;
+};
+
 /// One request on its way.
 struct Forwarder::Flow
 {
@@ -38,12 +55,13 @@
   unsigned attempts = 0;
   unsigned notOwner = 0;
   std::vector<std::string> tried;
+  /// The attempt that was sent last, for the log.
   std::string server;
-  double pace = 1.0;
   unsigned outstanding = 0;
   Instant sentAt;
-  InFlightSlot slot;
-  std::shared_ptr<http::Call> call;
+  /// Attempts that have no outcome yet; a second one beside the first is a hedge.
+  std::list<Attempt> open;
+  bool hedged = false;
   ForwardResult lastResult = ForwardResult::kUnreachable;
   ServerBar bar = ServerBar::kNone;
   /// A server's failure, to be passed on if nothing better comes.
@@ -181,19 +199,25 @@
   mDispatching = false;
 }
 
+ServerNeed Forwarder::NeedOf(const Flow& aFlow, Instant aNow)
+{
+  ServerNeed need;
+  need.service = aFlow.service;
+  need.work = aFlow.work;
+  need.targetLatency = aFlow.route.targetLatency;
+  need.targetLeft = aFlow.targetAt - aNow;
+  need.idempotent = aFlow.route.idempotent;
+  need.tried = aFlow.tried;
+  return need;
+}
+
 bool Forwarder::TrySend(const FlowPtr& aFlow, Instant aNow)
 {
   Flow& flow = *aFlow;
   if (aNow < flow.notBefore) {
     return false;
   }
-  ServerNeed need;
-  need.service = flow.service;
-  need.work = flow.work;
-  need.targetLatency = flow.route.targetLatency;
-  need.targetLeft = flow.targetAt - aNow;
-  need.idempotent = flow.route.idempotent;
-  need.tried = flow.tried;
+  ServerNeed need = NeedOf(flow, aNow);
   if (flow.keyed) {
     RangeRunner* const ranges = mServices.ranges.FindRanges(flow.service);
     const DirectoryRange* const range = ranges == nullptr ? nullptr : ranges->Find(*flow.terms.key);
@@ -256,41 +280,51 @@
   const ServerEntry& server = *aChoice.server;
   flow.server = server.id;
   flow.outstanding = aChoice.outstanding;
-  flow.pace = mServices.board.PaceOf(server.id, aNow);
   flow.sentAt = aNow;
-  flow.slot = mServices.board.Take(server.id, aNow);
   ++flow.attempts;
+  Attempt& attempt = flow.open.emplace_back();
+  attempt.server = server.id;
+  attempt.pace = mServices.board.PaceOf(server.id, aNow);
+  attempt.outstanding = aChoice.outstanding;
+  attempt.sentAt = aNow;
+  attempt.slot = mServices.board.Take(server.id, aNow);
   ForwardTerms terms;
   terms.address = server.address;
   terms.instance = server.id;
   terms.timeLeft = std::max(flow.giveUpAt - aNow, Duration(milliseconds(1)));
   terms.maxIdle = flow.route.idempotent ? kIdleForIdempotent : kIdleForUnsafe;
-  flow.call = mServices.backends.Forward(
-    flow.exchange->Received(), terms, [this, aFlow](ForwardOutcome aOutcome) {
-      OnOutcome(aFlow, std::move(aOutcome));
+  attempt.call = mServices.backends.Forward(
+    flow.exchange->Received(), terms, [this, aFlow, id = server.id](ForwardOutcome aOutcome) {
+      OnOutcome(aFlow, id, std::move(aOutcome));
     });
+  if (flow.route.idempotent && !flow.keyed && !flow.hedged) {
+    mHedgeable.push_back(aFlow);
+  }
 }
 
-void Forwarder::Learn(const FlowPtr& aFlow, const ForwardOutcome& aOutcome, Instant aNow)
+void Forwarder::Learn(const FlowPtr& aFlow,
+                      const Attempt& aAttempt,
+                      const ForwardOutcome& aOutcome,
+                      Instant aNow)
 {
   Flow& flow = *aFlow;
   ServerSample sample;
   sample.result = aOutcome.result;
   sample.failed =
     aOutcome.result == ForwardResult::kAnswered && aOutcome.response.status >= kFirstFailureStatus;
-  sample.elapsed = aNow - flow.sentAt;
+  sample.elapsed = aNow - aAttempt.sentAt;
   sample.work = flow.work;
-  sample.outstanding = flow.outstanding;
+  sample.outstanding = aAttempt.outstanding;
   sample.load = aOutcome.load;
   // A caller's own deadline says nothing of the server, and a closed idle connection little.
   const bool telling = aOutcome.result != ForwardResult::kBroken || !aOutcome.reused;
   if (telling) {
-    mServices.board.OnSample(flow.server, sample, aNow);
+    mServices.board.OnSample(aAttempt.server, sample, aNow);
   }
   const bool served = aOutcome.result == ForwardResult::kAnswered && !sample.failed;
-  const ServerEntry* const server = mServices.board.Find(flow.server);
-  if (served && server != nullptr && flow.outstanding < server->slots) {
-    mWork.OnServed(flow.route.name, sample.elapsed, flow.pace);
+  const ServerEntry* const server = mServices.board.Find(aAttempt.server);
+  if (served && server != nullptr && aAttempt.outstanding < server->slots) {
+    mWork.OnServed(flow.route.name, sample.elapsed, aAttempt.pace);
   }
   if (flow.keyed && served) {
     RangeRunner* const ranges = mServices.ranges.FindRanges(flow.service);
@@ -300,19 +334,28 @@
   }
 }
 
-void Forwarder::OnOutcome(const FlowPtr& aFlow, ForwardOutcome aOutcome)
+void Forwarder::OnOutcome(const FlowPtr& aFlow, const std::string& aServer, ForwardOutcome aOutcome)
 {
   Flow& flow = *aFlow;
-  flow.call.reset();
-  flow.slot.Release();
-  if (flow.done) {
+  const auto attempt = std::find_if(flow.open.begin(), flow.open.end(), [&](const Attempt& aOpen) {
+    return aOpen.server == aServer;
+  });
+  if (flow.done || attempt == flow.open.end()) {
     return;
   }
+  const Attempt ended = std::move(*attempt);
+  flow.open.erase(attempt);
   const Instant now = mServices.timers.Now();
   flow.lastResult = aOutcome.result;
   mServices.metrics.Count("forwards_total{result=\"" +
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
-  Learn(aFlow, aOutcome, now);
+  Learn(aFlow, ended, aOutcome, now);
+  if (!flow.open.empty() && !IsGood(aOutcome)) {
+    // The other attempt may still be answered.
+    flow.mayHaveRun = true;
+    flow.tried.push_back(ended.server);
+    return;
+  }
   if (aOutcome.result == ForwardResult::kAnswered) {
     const bool failed = aOutcome.response.status >= kFirstFailureStatus;
     flow.mayHaveRun = true;
@@ -398,6 +441,7 @@
 {
   Flow& flow = *aFlow;
   flow.done = true;
+  CancelAttempts(flow);
   const Instant now = mServices.timers.Now();
   const Duration elapsed = now - flow.receivedAt;
   mServices.metrics.Count("answers_total{status=\"" + std::to_string(aResponse.status) + "\"}");
@@ -411,6 +455,7 @@
       { "key", flow.terms.key ? static_cast<std::int64_t>(*flow.terms.key) : -1 },
       { "server", flow.server },
       { "attempts", flow.attempts },
+      { "hedged", flow.hedged },
       { "outstanding", flow.outstanding },
       { "waited-ms", Millis((flow.attempts > 0 ? flow.sentAt : now) - flow.receivedAt) },
       { "elapsed-ms", Millis(elapsed) },
@@ -434,11 +479,51 @@
                         { "service", flow.service },
                         { "server", flow.server },
                         { "elapsed-ms", Millis(mServices.timers.Now() - flow.receivedAt) } });
-  if (flow.call) {
-    flow.call->Cancel();
-    flow.call.reset();
+  CancelAttempts(flow);
+}
+
+void Forwarder::CancelAttempts(Flow& aFlow)
+{
+  for (const Attempt& it : aFlow.open) {
+    it.call->Cancel();
+  }
+  aFlow.open.clear();
+}
+
+void Forwarder::Hedge()
+{
+  const Instant now = mServices.timers.Now();
+  std::vector<FlowPtr> later;
+  for (const std::weak_ptr<Flow>& weak : mHedgeable) {
+    const FlowPtr flow = weak.lock();
+    if (!flow || flow->done || flow->open.size() != 1) {
+      continue;
+    }
+    if (now < HedgeTime({ flow->sentAt, flow->targetAt, flow->work })) {
+      later.push_back(flow);
+      continue;
+    }
+    TryHedge(flow, now);
+  }
+  mHedgeable.assign(later.begin(), later.end());
+}
+
+void Forwarder::TryHedge(const FlowPtr& aFlow, Instant aNow)
+{
+  Flow& flow = *aFlow;
+  if (flow.attempts >= flow.route.maxAttempts) {
+    return;
+  }
+  ServerNeed need = NeedOf(flow, aNow);
+  need.tried.push_back(flow.open.front().server);
+  const ServerChoice choice = mServices.board.Choose(need, aNow);
+  const bool inTime = choice.server && choice.completion <= flow.targetAt - aNow;
+  if (!inTime || !BudgetOf(flow.service).TakeHedge(aNow, mDaemons)) {
+    return;
   }
-  flow.slot.Release();
+  flow.hedged = true;
+  mServices.metrics.Count("hedges_total");
+  SendTo(aFlow, choice, aNow);
 }
 
 } // namespace hawthornlug
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -6,6 +6,7 @@
 #include "core/metrics.h"
 #include "core/timer_service.h"
 #include "http/server.h"
+#include "limits/hedge_policy.h"
 #include "limits/route_work.h"
 #include "limits/shared_retry_budget.h"
 #include "limits/waiting_policy.h"
@@ -55,20 +56,29 @@
   void OnBadRequest(int aStatus, http::ReadState aState) override;
   /// Looks for servers for the requests that wait.
   void Dispatch();
+  /// Sends a second attempt for requests whose first one is late.
+  void Hedge();
   /// From @p aFrom on, new requests are rejected: the process ends soon.
   void RefuseFrom(Instant aFrom) { mRefuseFrom = aFrom; }
   void SetDaemons(unsigned aDaemons) { mDaemons = aDaemons; }
   std::size_t Waiting() const { return mWaiting.size(); }
 
 private:
+  struct Attempt;
   struct Flow;
   using FlowPtr = std::shared_ptr<Flow>;
 
   bool Admit(const FlowPtr& aFlow);
   bool TrySend(const FlowPtr& aFlow, Instant aNow);
   void SendTo(const FlowPtr& aFlow, const ServerChoice& aChoice, Instant aNow);
-  void OnOutcome(const FlowPtr& aFlow, ForwardOutcome aOutcome);
-  void Learn(const FlowPtr& aFlow, const ForwardOutcome& aOutcome, Instant aNow);
+  void OnOutcome(const FlowPtr& aFlow, const std::string& aServer, ForwardOutcome aOutcome);
+  void Learn(const FlowPtr& aFlow,
+             const Attempt& aAttempt,
+             const ForwardOutcome& aOutcome,
+             Instant aNow);
+  void TryHedge(const FlowPtr& aFlow, Instant aNow);
+  static void CancelAttempts(Flow& aFlow);
+  static ServerNeed NeedOf(const Flow& aFlow, Instant aNow);
   /// Tries once more if that is allowed; false if the request must be answered now.
   bool Retry(const FlowPtr& aFlow, ForwardResult aResult, Instant aNow);
   void Wait(const FlowPtr& aFlow);
@@ -89,6 +99,8 @@
   std::map<std::string, SharedRetryBudget> mBudgets;
   RouteWork mWork;
   std::list<FlowPtr> mWaiting;
+  /// Requests that could be hedged.
+  std::list<std::weak_ptr<Flow>> mHedgeable;
   unsigned mDaemons = 1;
   std::uint64_t mRequests = 0;
   bool mDispatching = false;
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -76,6 +76,7 @@
     ranges->Tick(aNow, mFollower.Age(aNow), mLeaving);
   }
   mForwarder.Dispatch();
+  mForwarder.Hedge();
   TellLoad(aNow);
 }
 
