Load by key from what is asked, not from what is served

Cause: placement learned of hot keys from requests that had been served, about a second late and too few of them just where servers are wanting.

--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kNotOwnerPause = milliseconds(150);
 constexpr unsigned kMaxNotOwner = 4;
 constexpr int kFirstFailureStatus = 500;
+/// A server is hedged to while at most one in this many of its slots is taken.
+constexpr unsigned kHedgeRoom = 2;
 /// Callers that a stopping daemon rejects find another one at once.
 constexpr Duration kRetryElsewhere = milliseconds(20);
 /// Spreads rejected callers evenly: the fractional part of n times the golden ratio.
@@ -149,6 +151,13 @@
   flow.giveUpAt =
     flow.receivedAt + std::min(route->timeout, flow.terms.patience.value_or(route->timeout));
   flow.work = mWork.Of(route->name, route->targetLatency);
+  if (flow.keyed) {
+    // What is asked for counts, also what can't be served: it shows where servers are wanting.
+    RangeRunner* const ranges = mServices.ranges.FindRanges(flow.service);
+    if (ranges != nullptr) {
+      ranges->NoteWork(*flow.terms.key, flow.work);
+    }
+  }
   return true;
 }
 
@@ -326,12 +335,6 @@
   if (served && server != nullptr && aAttempt.outstanding < server->slots) {
     mWork.OnServed(flow.route.name, sample.elapsed, aAttempt.pace);
   }
-  if (flow.keyed && served) {
-    RangeRunner* const ranges = mServices.ranges.FindRanges(flow.service);
-    if (ranges != nullptr) {
-      ranges->NoteWork(*flow.terms.key, flow.work);
-    }
-  }
 }
 
 void Forwarder::OnOutcome(const FlowPtr& aFlow, const std::string& aServer, ForwardOutcome aOutcome)
@@ -518,7 +521,10 @@
   need.tried.push_back(flow.open.front().server);
   const ServerChoice choice = mServices.board.Choose(need, aNow);
   const bool inTime = choice.server && choice.completion <= flow.targetAt - aNow;
-  if (!inTime || !BudgetOf(flow.service).TakeHedge(aNow, mDaemons)) {
+  // Where requests wait, a second attempt takes the slot of another's first.
+  const bool roomy = choice.server && mWaiting.empty() &&
+                     kHedgeRoom * (choice.outstanding + 1) <= choice.server->slots;
+  if (!inTime || !roomy || !BudgetOf(flow.service).TakeHedge(aNow, mDaemons)) {
     return;
   }
   flow.hedged = true;
