--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -7,8 +7,14 @@
 namespace {
 
 constexpr Duration kBeatInterval = milliseconds(400);
+/// To other failure domains only every second beat is sent.
+constexpr std::uint64_t kForeignBeatEvery = 2;
 /// A daemon that was not heard for so long is taken for lost.
 constexpr Duration kSilence = milliseconds(1300);
+constexpr Duration kForeignSilence = milliseconds(2000);
+/// The first beats, and some later ones, say where the sender is.
+constexpr std::uint64_t kIntroductions = 5;
+constexpr std::uint64_t kIntroductionEvery = 16;
 /// How long a daemon that is silent goes on being sent beats.
 constexpr Duration kForgetAfter = seconds(60);
 constexpr Duration kEndpointRetry = seconds(1);
@@ -42,7 +48,7 @@
 
 bool Mesh::IsHeard(const MeshPeer& aPeer, Instant aNow) const
 {
-  return aNow - aPeer.heardAt < kSilence;
+  return aNow - aPeer.heardAt < (aPeer.domain == mDomain ? kSilence : kForeignSilence);
 }
 
 bool Mesh::IsLive(const std::string& aDaemon) const
@@ -84,8 +90,11 @@
   wire::Envelope message;
   wire::RouterBeat* const beat = message.mutable_beat();
   beat->set_sequence(++mSequence);
-  beat->set_domain(mDomain);
-  beat->set_endpoint(mEndpoint);
+  // Who the sender is need not be said each time: bytes between domains are dear.
+  if (mSequence <= kIntroductions || mSequence % kIntroductionEvery == 0) {
+    beat->set_domain(mDomain);
+    beat->set_endpoint(mEndpoint);
+  }
   for (const Version it : self.at) {
     beat->add_at(it);
   }
@@ -107,11 +116,18 @@
 }
 
 void Mesh::BeatNow()
+{
+  SendBeats(true);
+}
+
+void Mesh::SendBeats(bool aToAll)
 {
   mBeatAt = mTimers.Now();
   const wire::Envelope beat = MakeBeat();
+  const bool toAll = aToAll || mSequence <= kIntroductions || mSequence % kForeignBeatEvery == 0;
   for (const auto& [id, peer] : mPeers) {
-    if (mBeatAt - peer.heardAt < kForgetAfter) {
+    const bool due = toAll || peer.domain == mDomain;
+    if (due && mBeatAt - peer.heardAt < kForgetAfter) {
       mPort.Send(peer.endpoint, beat, Delivery::kNowOrNever, nullptr);
     }
   }
@@ -136,7 +152,7 @@
     }
   }
   if (aNow - mBeatAt >= kBeatInterval) {
-    BeatNow();
+    SendBeats(false);
   }
 }
 
@@ -172,11 +188,17 @@
       mListener->OnPeerLost(id);
     }
   }
+  const bool introduces = !beat.endpoint().empty();
+  if (!introduces && known == mPeers.end()) {
+    return;
+  }
   MeshPeer& peer = mPeers[id];
-  const bool isNew = peer.endpoint != beat.endpoint();
+  const bool isNew = introduces && peer.endpoint != beat.endpoint();
   peer.ref = { id, aMessage.from().incarnation() };
-  peer.domain = beat.domain();
-  peer.endpoint = beat.endpoint();
+  if (introduces) {
+    peer.domain = beat.domain();
+    peer.endpoint = beat.endpoint();
+  }
   peer.sequence = beat.sequence();
   peer.heardAt = aNow;
   peer.at.assign(beat.at().begin(), beat.at().end());
@@ -198,6 +220,8 @@
   if (isNew) {
     // It learns at once who else is there.
     wire::Envelope answer = MakeBeat();
+    answer.mutable_beat()->set_domain(mDomain);
+    answer.mutable_beat()->set_endpoint(mEndpoint);
     for (const auto& [other, it] : mPeers) {
       if (other != id) {
         answer.mutable_beat()->add_endpoints(it.endpoint);
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -88,6 +88,7 @@
 
 private:
   wire::Envelope MakeBeat();
+  void SendBeats(bool aToAll);
   wire::Envelope Address(wire::Envelope aMessage) const;
   void OnBeat(const wire::Envelope& aMessage, Instant aNow);
   bool IsHeard(const MeshPeer& aPeer, Instant aNow) const;
