--- a/http/server.cpp
+++ b/http/server.cpp
@@ -135,6 +135,12 @@
       connection->WriteNext();
     }
 
+    std::size_t AnswersBehind() const override
+    {
+      const auto connection = mConnection.lock();
+      return connection ? connection->AnswersBehind(this) : 0;
+    }
+
     void SetAbandoned(Abandoned aAbandoned) override { mAbandoned = std::move(aAbandoned); }
 
     void Abandon()
@@ -160,6 +166,15 @@
     bool mKeepAlive;
   };
 
+  std::size_t AnswersBehind(const PendingExchange* aExchange) const
+  {
+    std::size_t n = 0;
+    for (auto it = mPending.rbegin(); it != mPending.rend() && it->get() != aExchange; ++it) {
+      n += (*it)->IsAnswered() ? 1 : 0;
+    }
+    return n;
+  }
+
   void Read()
   {
     if (mClosed || mReading) {
--- a/http/server.h
+++ b/http/server.h
@@ -24,6 +24,8 @@
   virtual Request& Received() = 0;
   /// Answers; called once. Answers leave in the order of their requests.
   virtual void Respond(Response aResponse) = 0;
+  /// Number of later requests of the connection whose answers wait for this one's.
+  virtual std::size_t AnswersBehind() const = 0;
   /// Sets what to do if the caller leaves before it is answered.
   virtual void SetAbandoned(Abandoned aAbandoned) = 0;
 };
--- a/limits/waiting_policy.cpp
+++ b/limits/waiting_policy.cpp
@@ -10,11 +10,15 @@
 constexpr double kLeastService = 0.6;
 /// A request without any usable server waits for this share of its target latency.
 constexpr double kPatienceWithoutServer = 0.12;
+/// And for this share while answers that are ready wait behind it.
+constexpr double kPatienceHoldingBack = 0.12;
 constexpr double kLeastServiceAfterMove = 1.3;
 /// A request may wait in the queue for this share of its target latency.
 constexpr double kPatienceInQueue = 0.75;
 /// One step of priority counts as much as this share of the target latency.
 constexpr double kPriorityWeight = 0.25;
+/// Each answer that waits behind a request counts as much as this share of its target latency.
+constexpr double kHoldingBackWeight = 0.25;
 /// Requests that miss their target go behind all others.
 constexpr double kLatePenalty = 1000.0;
 constexpr Duration kShortestRetryAfter = milliseconds(50);
@@ -38,10 +42,14 @@
     return WaitVerdict::kTooLate;
   }
   const double waited = Ratio(aRequest.waited, aRequest.targetLatency);
+  if (aRequest.answersBehind > 0 && waited > kPatienceHoldingBack) {
+    return WaitVerdict::kHoldsBack;
+  }
   if (aQueue.moving) {
     // The keys' new owner has room as a rule, and a rejected caller would come back to the same.
-    return aRequest.timeLeft > Scale(aRequest.work, kLeastServiceAfterMove) ? WaitVerdict::kWait
-                                                                            : WaitVerdict::kNoServer;
+    return aRequest.timeLeft > Scale(aRequest.work, kLeastServiceAfterMove)
+             ? WaitVerdict::kWait
+             : WaitVerdict::kNoServer;
   }
   if (aQueue.usableServers == 0) {
     return waited < kPatienceWithoutServer ? WaitVerdict::kWait : WaitVerdict::kNoServer;
@@ -56,7 +64,8 @@
 {
   const bool late = aRequest.targetLeft < aRequest.work;
   const double left = Ratio(aRequest.targetLeft - aRequest.work, aRequest.targetLatency);
-  return (late ? kLatePenalty : 0.0) + left + kPriorityWeight * aRequest.priority;
+  return (late ? kLatePenalty : 0.0) + left + kPriorityWeight * aRequest.priority -
+         kHoldingBackWeight * aRequest.answersBehind;
 }
 
 Duration RetryAfter(const WaitingRequest& aRequest, const WaitingQueue& aQueue, double aSpread)
--- a/limits/waiting_policy.h
+++ b/limits/waiting_policy.h
@@ -22,6 +22,8 @@
   Duration timeLeft = Duration::zero();
   /// How long a server is expected to take.
   Duration work = Duration::zero();
+  /// Answers of the same connection that can't be delivered before this one's.
+  unsigned answersBehind = 0;
 };
 
 /// What stands before a request.
@@ -38,11 +40,17 @@
 enum class WaitVerdict
 {
   kWait,
-  kTooLate,  ///< It can't be served before its caller gives up.
-  kNoServer, ///< No server may have it, and none is about to.
-  kOverload, ///< The queue before it is too long.
+  kTooLate,   ///< It can't be served before its caller gives up.
+  kNoServer,  ///< No server may have it, and none is about to.
+  kOverload,  ///< The queue before it is too long.
+  kHoldsBack, ///< Answers that are ready wait for it.
+
 };
-inline constexpr EnumNames<4> kWaitVerdictNames = { "wait", "too-late", "no-server", "overload" };
+inline constexpr EnumNames<5> kWaitVerdictNames = { "wait",
+                                                    "too-late",
+                                                    "no-server",
+                                                    "overload",
+                                                    "holds-back" };
 
 /// Whether a request should go on waiting. It answers overload: what can't be served is rejected
 /// early enough for the caller to do something else.
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -176,6 +176,7 @@
   view.targetLeft = aFlow.targetAt - aNow;
   view.timeLeft = aFlow.giveUpAt - aNow;
   view.work = aFlow.work;
+  view.answersBehind = static_cast<unsigned>(aFlow.exchange->AnswersBehind());
   return view;
 }
 
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -289,8 +289,7 @@
     self.at.push_back(mMirror.At(static_cast<ObjectKind>(n)));
   }
   // A daemon that does not watch would find the store as others do, as far as is known.
-  self.storeAge =
-    mFollower.Watches() ? mFollower.Age(mServices.timers.Now()) : Duration::zero();
+  self.storeAge = mFollower.Watches() ? mFollower.Age(mServices.timers.Now()) : Duration::zero();
   self.leaving = mLeaving;
   for (const auto& [service, ranges] : mRanges) {
     if (ranges->IsGranting()) {
