Owners are read from the store at the start; process tests with the platform's stand-ins

Now a daemon that knows no owners reads them from the store, and one whose earlier run granted the keys takes over at once.

--- a/ownership/range_directory.h
+++ b/ownership/range_directory.h
@@ -44,6 +44,7 @@
   /// Everything, for a daemon that knows less.
   DirectoryUpdate Whole() const;
 
+  bool IsKnown() const { return !mRanges.empty(); }
   std::uint64_t Term() const { return mTerm; }
   std::uint64_t Version() const { return mVersion; }
 
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -27,6 +27,7 @@
 /// The holder reads so often that the record still names it.
 constexpr Duration kRecordWatchWait = milliseconds(1500);
 constexpr Duration kWatchRetry = milliseconds(300);
+constexpr Duration kReadRetry = milliseconds(400);
 constexpr Duration kAskInterval = milliseconds(300);
 
 } // namespace
@@ -62,12 +63,12 @@
   }
   ReportWork(aNow);
   if (mGranter.IsIdle()) {
+    ReadRecord(aNow);
     Elect(aNow, aStoreAge, aLeaving);
     return;
   }
   if (aLeaving) {
-    const auto claimant = Claimant(aNow);
-    if (claimant) {
+    if (Claimant()) {
       mGranter.Resign();
       return;
     }
@@ -83,7 +84,7 @@
   LogNotes();
 }
 
-std::optional<std::string> RangeRunner::Claimant(Instant) const
+std::optional<std::string> RangeRunner::Claimant() const
 {
   std::optional<std::string> claimant;
   std::uint64_t term = 0;
@@ -121,7 +122,7 @@
 
 void RangeRunner::Elect(Instant aNow, Duration aStoreAge, bool aLeaving)
 {
-  if (Claimant(aNow)) {
+  if (Claimant()) {
     mClaimSeenAt = aNow;
     return;
   }
@@ -134,6 +135,56 @@
   }
 }
 
+void RangeRunner::ReadRecord(Instant aNow)
+{
+  if (mDirectory.IsKnown() || mListing || aNow < mReadRetryAt) {
+    return;
+  }
+  mListing = true;
+  mReadRetryAt = aNow + kReadRetry;
+  mServices.store.List(ObjectKind::kRanges, false, [this](const StoreReading& aReading) {
+    mListing = false;
+    const StoredObject* const object = FindRecord(aReading);
+    RangeRecord record;
+    if (object == nullptr || !DecodeRangeRecord(object->value, record)) {
+      return;
+    }
+    // Servers may still hold their keys, whoever grants them.
+    DirectoryUpdate update{ record.term, 0, true, {} };
+    for (const OwnedRange& it : record.ranges) {
+      update.ranges.push_back({ it.keys, it.owner.id, false });
+    }
+    if (mDirectory.Apply(update)) {
+      mChanged();
+    }
+    const DaemonRef& self = mServices.mesh.Self();
+    const bool ownEarlierRun =
+      record.holder.id == self.id && record.holder.incarnation < self.incarnation;
+    if (ownEarlierRun && mGranter.IsIdle() && !Claimant()) {
+      TakeOver(*object, record.holder);
+    }
+  });
+}
+
+const StoredObject* RangeRunner::FindRecord(const StoreReading& aReading) const
+{
+  if (aReading.result != StoreResult::kDone) {
+    return nullptr;
+  }
+  const auto it = std::find_if(
+    aReading.objects.begin(), aReading.objects.end(), [this](const StoredObject& aObject) {
+      return aObject.name == mService && !aObject.removed;
+    });
+  return it == aReading.objects.end() ? nullptr : &*it;
+}
+
+void RangeRunner::TakeOver(const StoredObject& aRecord, const DaemonRef& aHolder)
+{
+  FeedServers();
+  mEarlier = aHolder;
+  mGranter.TakeOver(aRecord, {}, mServices.timers.Now());
+}
+
 void RangeRunner::BeginTakeover()
 {
   mListing = true;
@@ -146,24 +197,19 @@
   mListing = false;
   const Instant now = mServices.timers.Now();
   mTakeoverRetryAt = now + kTakeoverRetry;
-  if (aReading.result != StoreResult::kDone || !mGranter.IsIdle() || Claimant(now)) {
+  if (aReading.result != StoreResult::kDone || !mGranter.IsIdle() || Claimant()) {
     return;
   }
-  FeedServers();
-  const auto it = std::find_if(
-    aReading.objects.begin(), aReading.objects.end(), [this](const StoredObject& aObject) {
-      return aObject.name == mService && !aObject.removed;
-    });
-  if (it != aReading.objects.end()) {
+  if (const StoredObject* const it = FindRecord(aReading)) {
     RangeRecord record;
     if (!DecodeRangeRecord(it->value, record)) {
       mServices.log.Write(EventId::kObjectUnreadable,
                           { { "object", it->name }, { "reason", "range record" } });
     }
-    mEarlier = record.holder;
-    mGranter.TakeOver(*it, {}, now);
+    TakeOver(*it, record.holder);
     return;
   }
+  FeedServers();
   const std::vector<std::string> servers = OpenServers();
   if (servers.empty() || now - mServersChangedAt < kRegistryQuiet) {
     return;
@@ -416,7 +462,7 @@
     }
     return;
   }
-  const auto claimant = Claimant(aNow);
+  const auto claimant = Claimant();
   if (!claimant) {
     return;
   }
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -63,7 +63,12 @@
   void Elect(Instant aNow, Duration aStoreAge, bool aLeaving);
   /// Rank of this daemon among those that could grant; 0 is the first.
   unsigned Rank() const;
-  std::optional<std::string> Claimant(Instant aNow) const;
+  /// The live daemon that says that it grants the keys.
+  std::optional<std::string> Claimant() const;
+  /// Reads the owners from the store while nobody has told them.
+  void ReadRecord(Instant aNow);
+  const StoredObject* FindRecord(const StoreReading& aReading) const;
+  void TakeOver(const StoredObject& aRecord, const DaemonRef& aHolder);
   void BeginTakeover();
   void OnRecordListed(const StoreReading& aReading);
   void Plan(Instant aNow);
@@ -97,6 +102,7 @@
   Instant mReportedAt;
   Instant mAskedAt;
   Instant mTakeoverRetryAt;
+  Instant mReadRetryAt;
   Instant mTakenAt;
   Instant mWatchRetryAt;
   Version mWatchedFrom = 0;
--- a/tests/limits/waiting_policy_test.cpp
+++ b/tests/limits/waiting_policy_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Who waits, who goes first, when a rejected caller comes back; the shared retry budget.
 
+#include "limits/hedge_policy.h"
 #include "limits/route_work.h"
 #include "limits/shared_retry_budget.h"
 #include "limits/waiting_policy.h"
@@ -70,6 +71,30 @@
   CHECK(JudgeWaiting(Request(), { 3, milliseconds(1400), false }) == WaitVerdict::kOverload);
 }
 
+TEST_CASE("a request that holds ready answers back is not waited for so long", "[limits]")
+{
+  WaitingRequest request = Request();
+  request.waited = milliseconds(150);
+  CHECK(JudgeWaiting(request, { 3, Duration::zero(), false }) == WaitVerdict::kWait);
+  CHECK(JudgeWaiting(request, { 0, Duration::zero(), true }) == WaitVerdict::kWait);
+  request.answersBehind = 1;
+  CHECK(JudgeWaiting(request, { 3, Duration::zero(), false }) == WaitVerdict::kHoldsBack);
+  CHECK(JudgeWaiting(request, { 0, Duration::zero(), true }) == WaitVerdict::kHoldsBack);
+  CHECK(WaitingRank(request) < WaitingRank(Request()));
+}
+
+TEST_CASE("a hedge comes when it can still help, and not before the first had its time", "[limits]")
+{
+  const Instant sent{ seconds(100) };
+  const Duration work = milliseconds(200);
+  // Plenty of time: the last moment that leaves the second attempt enough.
+  const Instant relaxed = HedgeTime({ sent, sent + milliseconds(600), work });
+  CHECK(relaxed > sent + work);
+  CHECK(relaxed + work < sent + milliseconds(600));
+  // No time: not before the first attempt could have been answered.
+  CHECK(HedgeTime({ sent, sent + milliseconds(100), work }) >= sent + work);
+}
+
 TEST_CASE("who can still meet its target goes first, then the urgent", "[limits]")
 {
   WaitingRequest urgent = Request();
--- /dev/null
+++ b/tests/support/platform_fleet.cpp
@@ -0,0 +1,630 @@
+#include "tests/support/platform_fleet.h"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace hawthornlug::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kWork{ 30 };
+constexpr milliseconds kLoadInterval{ 10 };
+constexpr milliseconds kPatience{ 2000 };
+constexpr unsigned kSlots = 3;
+constexpr unsigned kKeyStep = 4096;
+constexpr unsigned kKeys = 65536;
+constexpr std::string_view kObjects = "/objects/";
+
+std::string FreeAddress()
+{
+  static std::set<unsigned> used;
+  asio::io_context context;
+  while (true) {
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+    const unsigned port = acceptor.local_endpoint().port();
+    if (used.insert(port).second) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
+}
+
+http::Response Reply(int aStatus, const Json& aBody)
+{
+  http::Response response;
+  response.status = aStatus;
+  response.headers.Add("Content-Type", "application/json");
+  response.body = aBody.dump();
+  return response;
+}
+
+http::Response Status(int aStatus)
+{
+  http::Response response;
+  response.status = aStatus;
+  return response;
+}
+
+/// The number behind @p aName in a query, 0 if there is none.
+std::uint64_t QueryNumber(const std::string& aTarget, const std::string& aName)
+{
+  const std::size_t at = aTarget.find(aName + "=");
+  return at == std::string::npos ? 0
+                                 : std::strtoull(aTarget.c_str() + at + aName.size() + 1, nullptr, 10);
+}
+
+} // namespace
+
+StandInStore::StandInStore(asio::io_context& aContext, const std::string& aAddress)
+  : mContext(aContext)
+  , mServer(std::make_unique<http::Server>(aContext, *http::ParseEndpoint(aAddress), *this))
+{
+}
+
+void StandInStore::Put(const std::string& aKind, const std::string& aName, const Json& aSpec)
+{
+  Object& object = mObjects[aKind][aName];
+  object.revision = ++mRevision;
+  object.removed = false;
+  object.body = { { "Metadata", { { "Name", aName }, { "Revision", mRevision } } },
+                  { "Spec", aSpec } };
+  Changed();
+}
+
+void StandInStore::Remove(const std::string& aKind, const std::string& aName)
+{
+  Object& object = mObjects[aKind][aName];
+  object.revision = ++mRevision;
+  object.removed = true;
+  Changed();
+}
+
+const Json* StandInStore::Find(const std::string& aKind, const std::string& aName) const
+{
+  const auto kind = mObjects.find(aKind);
+  if (kind == mObjects.end() || !kind->second.contains(aName)) {
+    return nullptr;
+  }
+  const Object& object = kind->second.at(aName);
+  return object.removed ? nullptr : &object.body.at("Spec");
+}
+
+Json StandInStore::EventsSince(const std::string& aKind, std::uint64_t aSince) const
+{
+  Json events = Json::array();
+  const auto kind = mObjects.find(aKind);
+  if (kind == mObjects.end()) {
+    return events;
+  }
+  for (const auto& [name, object] : kind->second) {
+    if (object.revision > aSince) {
+      events.push_back({ { "Object", object.body }, { "Removed", object.removed } });
+    }
+  }
+  return events;
+}
+
+void StandInStore::Changed()
+{
+  for (auto it = mWatchers.begin(); it != mWatchers.end();) {
+    const Json events = EventsSince(it->kind, it->since);
+    if (events.empty()) {
+      ++it;
+      continue;
+    }
+    it->timer->cancel();
+    it->exchange->Respond(Reply(200, { { "events", events }, { "At", mRevision } }));
+    it = mWatchers.erase(it);
+  }
+}
+
+void StandInStore::Watch(const std::shared_ptr<http::Exchange>& aExchange,
+                         const std::string& aKind,
+                         std::uint64_t aSince,
+                         milliseconds aWait)
+{
+  const Json events = EventsSince(aKind, aSince);
+  if (!events.empty()) {
+    aExchange->Respond(Reply(200, { { "events", events }, { "At", mRevision } }));
+    return;
+  }
+  auto timer = std::make_shared<asio::steady_timer>(mContext, aWait);
+  mWatchers.push_back({ aExchange, aKind, aSince, timer });
+  timer->async_wait([this, aExchange](const asio::error_code& aError) {
+    if (!aError) {
+      mWatchers.remove_if([&](const Watcher& aWatcher) { return aWatcher.exchange == aExchange; });
+      aExchange->Respond(Reply(200, { { "events", Json::array() }, { "At", mRevision } }));
+    }
+  });
+}
+
+void StandInStore::List(const std::shared_ptr<http::Exchange>& aExchange, const std::string& aKind)
+{
+  Json items = Json::array();
+  for (const auto& [name, object] : mObjects[aKind]) {
+    if (!object.removed) {
+      items.push_back(object.body);
+    }
+  }
+  aExchange->Respond(Reply(200, { { "items", items }, { "HasMore", false }, { "At", mRevision } }));
+}
+
+void StandInStore::Write(const std::shared_ptr<http::Exchange>& aExchange,
+                         const std::string& aKind,
+                         const std::string& aName)
+{
+  const Json body = Json::parse(aExchange->Received().body);
+  const bool creates = aExchange->Received().method == "POST";
+  const std::string name =
+    creates ? body.at("Metadata").at("Name").get<std::string>() : aName;
+  const auto known = mObjects[aKind].find(name);
+  const bool exists = known != mObjects[aKind].end() && !known->second.removed;
+  if (creates ? exists : !exists) {
+    aExchange->Respond(creates ? Reply(409, known->second.body) : Status(404));
+    return;
+  }
+  const Json& metadata = body.at("Metadata");
+  if (exists && metadata.contains("Revision") &&
+      metadata.at("Revision").get<std::uint64_t>() != known->second.revision) {
+    aExchange->Respond(Reply(409, known->second.body));
+    return;
+  }
+  Put(aKind, name, body.at("Spec"));
+  aExchange->Respond(Reply(200, mObjects[aKind][name].body));
+}
+
+void StandInStore::OnRequest(std::shared_ptr<http::Exchange> aExchange)
+{
+  const http::Request& request = aExchange->Received();
+  if (mDown || !request.Path().starts_with(kObjects)) {
+    aExchange->Respond(Status(mDown ? 503 : 404));
+    return;
+  }
+  const std::string path(request.Path().substr(kObjects.size()));
+  const std::size_t slash = path.find('/');
+  const std::string kind = path.substr(0, slash);
+  const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+  if (request.method != "GET") {
+    Write(aExchange, kind, name);
+    return;
+  }
+  const std::uint64_t since = QueryNumber(request.target, "Watch");
+  if (since != 0) {
+    Watch(aExchange, kind, since, milliseconds(QueryNumber(request.target, "WaitMs")));
+    return;
+  }
+  List(aExchange, kind);
+}
+
+StandInServer::StandInServer(PlatformFleet& aFleet,
+                             std::string aId,
+                             std::string aService,
+                             std::string aAddress,
+                             bool aKeyed)
+  : mFleet(aFleet)
+  , mId(std::move(aId))
+  , mService(std::move(aService))
+  , mAddress(std::move(aAddress))
+  , mKeyed(aKeyed)
+  , mServer(
+      std::make_unique<http::Server>(aFleet.Context(), *http::ParseEndpoint(mAddress), *this))
+{
+}
+
+void StandInServer::Register(const std::string& aState)
+{
+  mFleet.Store().Put("servers",
+                     mId,
+                     { { "Service", mService },
+                       { "Address", mAddress },
+                       { "Zone", "here" },
+                       { "Version", "v1" },
+                       { "Capacity", kSlots },
+                       { "State", aState },
+                       { "WarmupLeftS", 0 },
+                       { "Seq", 1 },
+                       { "born", 1 } });
+}
+
+bool StandInServer::Holds(unsigned aKey) const
+{
+  return std::any_of(mHolds.begin(), mHolds.end(), [&](const Hold& aHold) {
+    return aKey >= aHold.from && aKey <= aHold.to && aHold.until > steady_clock::now();
+  });
+}
+
+http::Response StandInServer::Order(const http::Request& aRequest)
+{
+  const Json body = Json::parse(aRequest.body);
+  const unsigned from = body.at("StartKey").get<unsigned>();
+  const unsigned to = body.at("To").get<unsigned>();
+  const auto token = body.at("fence").get<std::uint64_t>();
+  const bool grants = aRequest.target == "/grant";
+  for (const Hold& it : mHolds) {
+    if (grants && it.from <= to && from <= it.to && it.token > token) {
+      return Status(409);
+    }
+  }
+  // What the order covers is taken off the earlier holds.
+  std::vector<Hold> rest;
+  for (const Hold& it : mHolds) {
+    if (it.from < from) {
+      rest.push_back({ it.from, std::min(it.to, from - 1), it.token, it.until });
+    }
+    if (it.to > to) {
+      rest.push_back({ std::max(it.from, to + 1), it.to, it.token, it.until });
+    }
+  }
+  const auto hold = grants ? milliseconds(static_cast<int>(body.at("HoldS").get<double>() * 1000))
+                           : milliseconds(0);
+  rest.push_back({ from, to, token, steady_clock::now() + hold });
+  mHolds = std::move(rest);
+  http::Response response = Status(200);
+  if (!grants) {
+    response.headers.Add("X-Hawthornlug-Handover", "h" + std::to_string(from));
+  }
+  return response;
+}
+
+void StandInServer::OnRequest(std::shared_ptr<http::Exchange> aExchange)
+{
+  const http::Request& request = aExchange->Received();
+  const auto expected = request.headers.Find("X-Hawthornlug-Expect-Instance");
+  const auto refuse = [&](int aStatus) {
+    http::Response response = Status(aStatus);
+    response.headers.Add("X-Hawthornlug-Not-Executed", "1");
+    response.headers.Add("X-Hawthornlug-Instance-Id", mId);
+    aExchange->Respond(std::move(response));
+  };
+  if (expected && *expected != mId) {
+    refuse(421);
+    return;
+  }
+  if (mKeyed && (request.target == "/grant" || request.target == "/release")) {
+    aExchange->Respond(Order(request));
+    return;
+  }
+  if (request.headers.Get("X-Hawthornlug-Attempt-Id").empty()) {
+    refuse(400);
+    return;
+  }
+  if (mKeyed) {
+    const std::string key(request.headers.Get("X-Hawthornlug-Shard-Key"));
+    if (key.empty() || !Holds(static_cast<unsigned>(std::stoul(key)))) {
+      refuse(421);
+      return;
+    }
+  }
+  if (mRunning >= 2 * kSlots) {
+    refuse(503);
+    return;
+  }
+  Run(aExchange);
+}
+
+void StandInServer::Run(const std::shared_ptr<http::Exchange>& aExchange)
+{
+  const http::Request& request = aExchange->Received();
+  const std::string id(request.headers.Get("X-Hawthornlug-Attempt-Id"));
+  const unsigned count = ++mFleet.Ledger().runs[id];
+  if (request.method == "POST" && count > 1) {
+    mFleet.Ledger().broken.insert("a request that may not be repeated ran twice");
+  }
+  ++mRuns;
+  ++mRunning;
+  auto timer = std::make_shared<asio::steady_timer>(mFleet.Context(), kWork);
+  timer->async_wait([this, aExchange, timer, id](const asio::error_code&) {
+    --mRunning;
+    http::Response response = Status(200);
+    response.headers.Add("X-Hawthornlug-Attempt-Id", id);
+    response.headers.Add("X-Hawthornlug-Server-Seal", "seal-" + mId);
+    response.headers.Add("X-Hawthornlug-Server-Load",
+                         std::to_string(mRunning) + ",0," + std::to_string(kSlots));
+    response.body = "answer to " + id;
+    aExchange->Respond(std::move(response));
+  });
+}
+
+PlatformFleet::PlatformFleet(unsigned aDaemons, unsigned aServers)
+  : mClient(mContext)
+  , mStoreAddress(FreeAddress())
+  , mStore(std::make_unique<StandInStore>(mContext, mStoreAddress))
+  , mLoadTimer(mContext)
+{
+  std::string folder = "/tmp/hawthornlug-platform-XXXXXX";
+  mFolder = ::mkdtemp(folder.data());
+  Configure(1, false);
+  for (unsigned n = 0; n < 2 * aServers; ++n) {
+    const bool keyed = n >= aServers;
+    mServers.push_back(std::make_unique<StandInServer>(
+      *this, "i-" + std::to_string(n), keyed ? "keyed" : "plain", FreeAddress(), keyed));
+    mServers.back()->Register("ready");
+  }
+  for (unsigned n = 0; n < aDaemons; ++n) {
+    Daemon daemon;
+    daemon.callers = FreeAddress();
+    daemon.readiness = FreeAddress();
+    daemon.mesh = FreeAddress();
+    daemon.settings = mFolder + "/daemon-" + std::to_string(n) + ".toml";
+    mDaemons.push_back(std::move(daemon));
+  }
+  for (unsigned n = 0; n < aDaemons; ++n) {
+    WriteSettings(n);
+    StartDaemon(n);
+  }
+}
+
+PlatformFleet::~PlatformFleet()
+{
+  for (Daemon& it : mDaemons) {
+    if (it.pid > 0) {
+      ::kill(it.pid, SIGKILL);
+      ::waitpid(it.pid, nullptr, 0);
+    }
+  }
+  std::error_code ec;
+  std::filesystem::remove_all(mFolder, ec);
+}
+
+void PlatformFleet::Configure(unsigned aVersion, bool aMore)
+{
+  const auto route = [](const char* aPrefix, const char* aKind, const char* aService) {
+    return Json{ { "Host", "h.example" }, { "PathPrefix", aPrefix }, { "Kind", aKind },
+                 { "TimeoutS", 2.0 },     { "TargetLatencyS", 0.5 }, { "Priority", 1 },
+                 { "Service", aService }, { "MaxAttempts", 2 } };
+  };
+  Json routes = { { "read", route("/read/", "safe", "plain") },
+                  { "write", route("/write/", "unsafe", "plain") },
+                  { "key", route("/key/", "safe", "keyed") } };
+  if (aMore) {
+    routes["more"] = route("/more/", "safe", "plain");
+  }
+  mStore->Put("config",
+              "main",
+              { { "Version", "r" + std::to_string(aVersion) },
+                { "Routes", routes },
+                { "Services",
+                  { { "plain", { { "HealthPath", "/health" } } },
+                    { "keyed", { { "HealthPath", "/health" }, { "Sharded", true } } } } },
+                { "Limits",
+                  { { "MaxHeaderBytes", 16384 },
+                    { "MaxBodyBytes", 100000 },
+                    { "HeaderTimeoutS", 3 },
+                    { "IdleTimeoutS", 15 } } } });
+}
+
+void PlatformFleet::WriteSettings(unsigned aDaemon)
+{
+  const Daemon& daemon = mDaemons[aDaemon];
+  std::ofstream file(daemon.settings);
+  file << "NodeName = \"d" << aDaemon << "\"\nIpAddr = \"127.0.0.1\"\nZone = \"here\"\nSeeds = [";
+  for (std::size_t n = 0; n < mDaemons.size() && n < 3; ++n) {
+    file << (n > 0 ? "," : "") << '"' << mDaemons[n].mesh << '"';
+  }
+  file << "]\n[Bind]\nFrontHttp = \"" << daemon.callers << "\"\nReadyAddr = \"" << daemon.readiness
+       << "\"\nControlPlane = \"" << daemon.mesh << "\"\n[ContractBounds]\nGraceS = 6\n"
+       << "RetryBudgetRatio = 0.2\nRetrySlack = 58\n[Provider]\nAddress = \"" << mStoreAddress
+       << "\"\n";
+}
+
+void PlatformFleet::StartDaemon(unsigned aDaemon)
+{
+  Daemon& daemon = mDaemons[aDaemon];
+  const std::string program = std::string(HAWTHORNLUG_BINARIES) + "/hawthornlug";
+  std::array<std::string, 4> words = { program, "route", "--settings", daemon.settings };
+  std::array<char*, 5> args = { words[0].data(), words[1].data(), words[2].data(), words[3].data() };
+  posix_spawn_file_actions_t actions;
+  ::posix_spawn_file_actions_init(&actions);
+  const std::string log = mFolder + "/daemon-" + std::to_string(aDaemon) + ".log";
+  ::posix_spawn_file_actions_addopen(
+    &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  ::posix_spawn(&daemon.pid, program.c_str(), &actions, nullptr, args.data(), environ);
+  ::posix_spawn_file_actions_destroy(&actions);
+  daemon.up = true;
+}
+
+void PlatformFleet::Signal(unsigned aDaemon, int aSignal)
+{
+  Daemon& daemon = mDaemons[aDaemon];
+  ::kill(daemon.pid, aSignal);
+  if (aSignal == SIGKILL) {
+    ::waitpid(daemon.pid, nullptr, 0);
+    daemon.pid = 0;
+  }
+  daemon.up = false;
+}
+
+int PlatformFleet::AwaitEnd(unsigned aDaemon, std::chrono::seconds aLongest)
+{
+  Daemon& daemon = mDaemons[aDaemon];
+  int status = -1;
+  const bool ended = RunUntil(
+    [&] { return ::waitpid(daemon.pid, &status, WNOHANG) == daemon.pid; }, aLongest);
+  if (!ended) {
+    return -1;
+  }
+  daemon.pid = 0;
+  return status;
+}
+
+void PlatformFleet::RunFor(milliseconds aTime)
+{
+  const auto end = steady_clock::now() + aTime;
+  while (steady_clock::now() < end) {
+    mContext.restart();
+    mContext.run_for(milliseconds(5));
+    Check();
+  }
+}
+
+bool PlatformFleet::RunUntil(const std::function<bool()>& aDone, std::chrono::seconds aLongest)
+{
+  const auto end = steady_clock::now() + aLongest;
+  while (steady_clock::now() < end) {
+    if (aDone()) {
+      return true;
+    }
+    RunFor(milliseconds(10));
+  }
+  return false;
+}
+
+void PlatformFleet::Check()
+{
+  for (unsigned key = 0; key < kKeys; key += kKeyStep) {
+    unsigned holders = 0;
+    for (const auto& it : mServers) {
+      holders += it->Holds(key) ? 1 : 0;
+    }
+    if (holders > 1) {
+      mLedger.broken.insert("two servers hold key " + std::to_string(key));
+    }
+  }
+}
+
+unsigned PlatformFleet::KeysHeld() const
+{
+  unsigned held = 0;
+  for (unsigned key = 0; key < kKeys; key += kKeyStep) {
+    held += std::any_of(mServers.begin(),
+                        mServers.end(),
+                        [&](const auto& aServer) { return aServer->Holds(key); })
+              ? 1
+              : 0;
+  }
+  return held;
+}
+
+int PlatformFleet::Granter() const
+{
+  const Json* const record = mStore->Find("hawthornlug-ranges", "keyed");
+  if (record == nullptr) {
+    return -1;
+  }
+  return std::stoi(record->at("holder").get<std::string>().substr(1));
+}
+
+void PlatformFleet::SetLoad(bool aOn)
+{
+  mLoading = aOn;
+  if (aOn) {
+    Load();
+    return;
+  }
+  mLoadTimer.cancel();
+  RunUntil([this] { return mUnderWay == 0; }, std::chrono::seconds(5));
+}
+
+void PlatformFleet::Load()
+{
+  mLoadTimer.expires_after(kLoadInterval);
+  mLoadTimer.async_wait([this](const asio::error_code& aError) {
+    if (aError || !mLoading) {
+      return;
+    }
+    ++mSent;
+    for (unsigned n = 0; n < mDaemons.size(); ++n) {
+      const unsigned daemon = (mSent + n) % mDaemons.size();
+      if (mDaemons[daemon].up) {
+        Send(daemon, mSent % 3 == 0, mSent % 3 == 1);
+        break;
+      }
+    }
+    Load();
+  });
+}
+
+void PlatformFleet::Send(unsigned aDaemon, bool aKeyed, bool aUnsafe)
+{
+  const std::string id = "r" + std::to_string(mSent);
+  http::Request request;
+  request.method = aUnsafe ? "POST" : "GET";
+  request.target = std::string(aKeyed ? "/key/" : aUnsafe ? "/write/" : "/read/") + id;
+  request.headers.Add("Host", "h.example");
+  request.headers.Add("X-Hawthornlug-Attempt-Id", id);
+  request.headers.Add("X-Hawthornlug-Deadline-Ms", std::to_string(kPatience.count()));
+  if (aKeyed) {
+    request.headers.Add("X-Hawthornlug-Shard-Key", std::to_string(mSent * 7919 % kKeys));
+  }
+  if (aUnsafe) {
+    request.body = "x";
+  }
+  ++mLedger.asked;
+  ++mUnderWay;
+  http::CallOptions options;
+  options.timeout = kPatience;
+  mClient.Send(mDaemons[aDaemon].callers, request, options, [this, id](const http::CallOutcome& aOutcome) {
+    --mUnderWay;
+    if (aOutcome.result != http::CallResult::kAnswered) {
+      ++mLedger.closed;
+      return;
+    }
+    const http::Response& response = aOutcome.response;
+    if (response.status == 200) {
+      const bool whole = response.body == "answer to " + id &&
+                         response.headers.Find("X-Hawthornlug-Server-Seal").has_value();
+      if (!whole) {
+        mLedger.broken.insert("an answer that is not the server's whole answer");
+      }
+      ++mLedger.served;
+    } else if (response.status == 503) {
+      ++mLedger.notRun;
+      if (mLedger.runs.contains(id)) {
+        mLedger.broken.insert("a request that was refused as not run had run");
+      }
+    } else {
+      ++mLedger.failed;
+    }
+  });
+}
+
+int PlatformFleet::Ask(unsigned aDaemon, const std::string& aTarget, int aKey)
+{
+  const std::string id = "asked-" + std::to_string(++mSent);
+  http::Request request;
+  request.method = "GET";
+  request.target = aTarget;
+  request.headers.Add("Host", "h.example");
+  request.headers.Add("X-Hawthornlug-Attempt-Id", id);
+  request.headers.Add("X-Hawthornlug-Deadline-Ms", std::to_string(kPatience.count()));
+  if (aKey >= 0) {
+    request.headers.Add("X-Hawthornlug-Shard-Key", std::to_string(aKey));
+  }
+  http::CallOptions options;
+  options.timeout = kPatience;
+  int status = -1;
+  mClient.Send(
+    mDaemons[aDaemon].callers, request, options, [&](const http::CallOutcome& aOutcome) {
+      status = aOutcome.result == http::CallResult::kAnswered ? aOutcome.response.status : 0;
+    });
+  RunUntil([&] { return status >= 0; }, std::chrono::seconds(5));
+  return status;
+}
+
+bool PlatformFleet::IsReady(unsigned aDaemon)
+{
+  http::Request request;
+  request.method = "GET";
+  request.target = "/ready";
+  request.headers.Add("Host", "h");
+  int status = -1;
+  mClient.Send(
+    mDaemons[aDaemon].readiness, request, {}, [&](const http::CallOutcome& aOutcome) {
+      status = aOutcome.result == http::CallResult::kAnswered ? aOutcome.response.status : 0;
+    });
+  RunUntil([&] { return status >= 0; }, std::chrono::seconds(5));
+  return status == 200;
+}
+
+} // namespace hawthornlug::test
