A daemon that is not known yet introduces itself; two daemons no longer take the ranges from each other

The newcomer's first beats had been lost, and only the first five and then every sixteenth said where it is; the others ignored the rest, so neither heard the other's claim. Ruled out: the election's order (one of them alone had no rival), the store (up). Now beats to addresses where nobody was heard introduce the sender, and a daemon that was superseded leaves the ranges alone for 2.5 s.

--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -84,6 +84,12 @@
   return aMessage;
 }
 
+void Mesh::Introduce(wire::Envelope& aBeat) const
+{
+  aBeat.mutable_beat()->set_domain(mDomain);
+  aBeat.mutable_beat()->set_endpoint(mEndpoint);
+}
+
 wire::Envelope Mesh::MakeBeat()
 {
   const MeshSelf self = mListener->DescribeSelf();
@@ -92,8 +98,7 @@
   beat->set_sequence(++mSequence);
   // Who the sender is need not be said each time: bytes between domains are dear.
   if (mSequence <= kIntroductions || mSequence % kIntroductionEvery == 0) {
-    beat->set_domain(mDomain);
-    beat->set_endpoint(mEndpoint);
+    Introduce(message);
   }
   for (const Version it : self.at) {
     beat->add_at(it);
@@ -131,11 +136,13 @@
       mPort.Send(peer.endpoint, beat, Delivery::kNowOrNever, nullptr);
     }
   }
+  wire::Envelope introduction = beat;
+  Introduce(introduction);
   for (auto& [endpoint, triedAt] : mEndpoints) {
     if (mBeatAt - triedAt >= kEndpointRetry) {
       triedAt = mBeatAt;
       // The first beat has to wait for its connection.
-      mPort.Send(endpoint, beat, Delivery::kSoon, nullptr);
+      mPort.Send(endpoint, introduction, Delivery::kSoon, nullptr);
     }
   }
 }
@@ -220,8 +227,7 @@
   if (isNew) {
     // It learns at once who else is there.
     wire::Envelope answer = MakeBeat();
-    answer.mutable_beat()->set_domain(mDomain);
-    answer.mutable_beat()->set_endpoint(mEndpoint);
+    Introduce(answer);
     for (const auto& [other, it] : mPeers) {
       if (other != id) {
         answer.mutable_beat()->add_endpoints(it.endpoint);
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -88,6 +88,8 @@
 
 private:
   wire::Envelope MakeBeat();
+  /// Adds where the sender is to a beat.
+  void Introduce(wire::Envelope& aBeat) const;
   void SendBeats(bool aToAll);
   wire::Envelope Address(wire::Envelope aMessage) const;
   void OnBeat(const wire::Envelope& aMessage, Instant aNow);
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kRankDelay = milliseconds(700);
 constexpr Duration kStoreFresh = milliseconds(3000);
 constexpr Duration kTakeoverRetry = milliseconds(500);
+/// How long a daemon that was superseded leaves the ranges to the other one.
+constexpr Duration kAfterSuperseded = milliseconds(2500);
 /// Beats that arrive later than this after a takeover were sent after it was known.
 constexpr Duration kBeatsSettled = milliseconds(1200);
 /// The holder reads so often that the record still names it.
@@ -431,6 +433,8 @@
       mServices.mesh.BeatNow();
     } else if (it.what == GranterNote::What::kSuperseded) {
       id = EventId::kRangesSuperseded;
+      // Whoever has the ranges lives, also if it is not heard yet.
+      mTakeoverRetryAt = mServices.timers.Now() + kAfterSuperseded;
     }
     mServices.log.Write(id,
                         { { "service", mService },
