A slot is given back before those that wait are looked at; tests of the request path

Cause: the ended attempt held its slot until its handler returned, after the waiting requests had been looked at: each waited up to 20 ms more for the next tick (forwarder_test "requests wait here", red first).

--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -347,8 +347,10 @@
   if (flow.done || attempt == flow.open.end()) {
     return;
   }
-  const Attempt ended = std::move(*attempt);
+  Attempt ended = std::move(*attempt);
   flow.open.erase(attempt);
+  // Whoever waits may have the slot at once.
+  ended.slot.Release();
   const Instant now = mServices.timers.Now();
   flow.lastResult = aOutcome.result;
   mServices.metrics.Count("forwards_total{result=\"" +
