--- a/tests/support/range_world.cpp
+++ b/tests/support/range_world.cpp
@@ -302,9 +302,10 @@
   for (unsigned b = first; b <= last; ++b) {
     const auto& [token, taker] = mTaken[b];
     if (aOrder.token < token || (aOrder.token == token && taker != holder && !taker.empty())) {
-      Fail("bucket " + std::to_string(b) + " taken by " + holder + " with token " +
-           std::to_string(aOrder.token) + " after " + taker + " had it with " +
-           std::to_string(token));
+      std::string rule = "bucket " + std::to_string(b);
+      rule += " taken by " + holder + " with token " + std::to_string(aOrder.token);
+      rule += " after " + taker + " had it with " + std::to_string(token);
+      Fail(rule);
     }
     mTaken[b] = { aOrder.token, holder };
     server.highest[b] = aOrder.token;
