--- a/core/decision_log.cpp
+++ b/core/decision_log.cpp
@@ -44,7 +44,9 @@
 
 DecisionLog::~DecisionLog()
 {
-  mLogger->flush();
+  // The pool writes what is queued and ends its thread, which holds references to the logger.
+  mPool.reset();
+  mLogger.reset();
 }
 
 std::uint64_t DecisionLog::LeftOut() const
