The fake servers of the forwarder's tests let go of unfinished calls

The address sanitizer's leak report of the unit tests (76 allocations, all of forwarder_test): a request and its unfinished call refer to each other, and the fake kept both.

--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -26,6 +26,17 @@
 class FakeBackends : public BackendPort
 {
 public:
+  FakeBackends() = default;
+  FakeBackends(const FakeBackends&) = delete;
+  FakeBackends& operator=(const FakeBackends&) = delete;
+  ~FakeBackends() override
+  {
+    // A request and its unfinished call refer to each other.
+    for (const auto& it : sent) {
+      it->done = nullptr;
+    }
+  }
+
   struct Sent : http::Call
   {
     std::string server;
