--- a/config/object_mirror.cpp
+++ b/config/object_mirror.cpp
@@ -67,18 +67,6 @@
   return changes;
 }
 
-bool ObjectMirror::ApplyObject(ObjectKind aKind, const StoredObject& aObject)
-{
-  return Take(Of(aKind), aObject, aObject.revision);
-}
-
-const StoredObject* ObjectMirror::Find(ObjectKind aKind, const std::string& aName) const
-{
-  const auto& objects = Of(aKind).objects;
-  const auto it = objects.find(aName);
-  return it == objects.end() || it->second.object.removed ? nullptr : &it->second.object;
-}
-
 std::vector<StoredObject> ObjectMirror::All(ObjectKind aKind) const
 {
   std::vector<StoredObject> all;
--- a/config/object_mirror.h
+++ b/config/object_mirror.h
@@ -33,13 +33,9 @@
   std::vector<StoredObject> ApplyChanges(ObjectKind aKind,
                                          Version aSince,
                                          const StoreReading& aReading);
-  /// Takes one object as a write's answer shows it; the mirror's revision stays.
-  bool ApplyObject(ObjectKind aKind, const StoredObject& aObject);
 
   /// Up to which revision the objects of a kind are complete; 0 if nothing is known.
   Version At(ObjectKind aKind) const { return Of(aKind).at; }
-  /// The object; null if there is none.
-  const StoredObject* Find(ObjectKind aKind, const std::string& aName) const;
   /// All objects that are not removed.
   std::vector<StoredObject> All(ObjectKind aKind) const;
   /// What has changed after @p aSince, for another daemon.
--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<EventInfo, 55> kCatalogue = { {
+constexpr std::array<EventInfo, 54> kCatalogue = { {
   { 100, 'i', "started" },           { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },           { 103, 'e', "listen-failed" },
   { 200, 'i', "config-in-force" },   { 201, 'w', "config-refused" },
@@ -33,11 +33,10 @@
   { 404, 'i', "peer-heard" },        { 405, 'w', "peer-silent" },
   { 640, 'i', "server-registered" }, { 641, 'i', "server-deregistered" },
   { 530, 'i', "ranges-taken" },      { 531, 'w', "ranges-superseded" },
-  { 532, 'i', "range-moved" },       { 533, 'w', "range-waits" },
-  { 534, 'w', "order-failed" },      { 800, 'i', "request-done" },
-  { 801, 'w', "request-refused" },   { 802, 'w', "request-failed" },
-  { 803, 'i', "request-retried" },   { 804, 'i', "request-abandoned" },
-  { 805, 'w', "request-malformed" },
+  { 532, 'i', "range-moved" },       { 534, 'w', "order-failed" },
+  { 800, 'i', "request-done" },      { 801, 'w', "request-refused" },
+  { 802, 'w', "request-failed" },    { 803, 'i', "request-retried" },
+  { 804, 'i', "request-abandoned" }, { 805, 'w', "request-malformed" },
 } };
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -63,7 +63,6 @@
   kRangesTaken,
   kRangesSuperseded,
   kRangeMoved,
-  kRangeWaits,
   kOrderFailed,
   kRequestDone,
   kRequestRefused,
--- a/core/instant.h
+++ b/core/instant.h
@@ -34,4 +34,22 @@
   return std::chrono::duration_cast<milliseconds>(aDuration).count();
 }
 
+/// Returns @p aDuration in seconds.
+constexpr double InSeconds(Duration aDuration)
+{
+  return static_cast<double>(aDuration.count()) / 1e6;
+}
+
+/// Returns @p aSeconds as a duration, rounded down to microseconds.
+constexpr Duration FromSeconds(double aSeconds)
+{
+  return Duration(static_cast<Duration::rep>(aSeconds * 1e6));
+}
+
+/// Returns @p aDuration times @p aFactor, rounded down to microseconds.
+constexpr Duration Scaled(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<Duration::rep>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
 } // namespace hawthornlug
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -69,8 +69,6 @@
       mReader.ExpectHeadAnswer();
     }
     mSkipped = 0;
-    mWritten = false;
-    mAnswer.reset();
     mDeadline = std::chrono::steady_clock::now() + aOptions.timeout;
     if (mConnected) {
       mReused = true;
@@ -128,7 +126,6 @@
                  [self = shared_from_this()] { self->Fail(CallResult::kNotSent); });
       return;
     }
-    ++mClient.mOpened;
     ArmTimer(std::min<SteadyPoint>(mDeadline, std::chrono::steady_clock::now() + kConnectTimeout));
     mSocket.async_connect(*endpoint, [self = shared_from_this()](const asio::error_code& aError) {
       self->OnConnected(aError);
@@ -163,17 +160,7 @@
                           return;
                         }
                         if (aError) {
-                          // What has come from the server counts, also if it stopped reading.
-                          if (!self->mAnswer) {
-                            self->Fail(CallResult::kBroken);
-                          } else {
-                            self->Finish(false);
-                          }
-                          return;
-                        }
-                        self->mWritten = true;
-                        if (self->mAnswer) {
-                          self->Finish(self->mAnswer->keepAlive);
+                          self->Fail(CallResult::kBroken);
                         }
                       });
   }
@@ -257,15 +244,9 @@
       return false;
     }
     const bool keep = aMayKeep && response.keepAlive && !mSpoiled && mReader.Buffered() == 0;
-    response.keepAlive = keep;
     NoteIdleTimeout(response);
-    mAnswer = std::move(response);
-    if (mSending) {
-      // An early answer is handed over at once; the connection is not kept.
-      Finish(false);
-      return true;
-    }
-    Finish(keep);
+    // An early answer is handed over at once; its connection is not kept.
+    Finish(std::move(response), keep && !mSending);
     return true;
   }
 
@@ -282,13 +263,12 @@
     mIdleUntil = std::chrono::steady_clock::now() + std::chrono::seconds(timeout) - kIdleMargin;
   }
 
-  void Finish(bool aKeep)
+  void Finish(Response aResponse, bool aKeep)
   {
     CallOutcome outcome;
     outcome.result = CallResult::kAnswered;
-    outcome.response = std::move(*mAnswer);
+    outcome.response = std::move(aResponse);
     outcome.reused = mReused;
-    mAnswer.reset();
     const Completion done = std::move(mDone);
     mDone = nullptr;
     mTimer.cancel();
@@ -341,14 +321,12 @@
   Completion mDone;
   std::string mBytes;
   std::array<char, kReadBytes> mBuffer{};
-  std::optional<Response> mAnswer;
   SteadyPoint mDeadline;
   SteadyPoint mIdleSince;
   SteadyPoint mIdleUntil = SteadyPoint::max();
   int mSkipped = 0;
   bool mConnected = false;
   bool mSending = false;
-  bool mWritten = false;
   bool mReused = false;
   bool mSpoiled = false;
   bool mClosed = false;
@@ -402,17 +380,4 @@
   return it;
 }
 
-void Client::Forget(const std::string& aAddress)
-{
-  const auto found = mIdle.find(aAddress);
-  if (found == mIdle.end()) {
-    return;
-  }
-  const auto idle = std::move(found->second);
-  mIdle.erase(found);
-  for (const auto& it : idle) {
-    it->Close();
-  }
-}
-
 } // namespace hawthornlug::http
--- a/http/client.h
+++ b/http/client.h
@@ -70,10 +70,6 @@
                              const Request& aRequest,
                              const CallOptions& aOptions,
                              Completion aDone);
-  /// Closes the idle connections to @p aAddress.
-  void Forget(const std::string& aAddress);
-  /// Number of connections opened so far.
-  std::uint64_t Opened() const { return mOpened; }
 
   class Connection;
 
@@ -83,7 +79,6 @@
   asio::io_context& mContext;
   ReadLimits mLimits;
   std::map<std::string, std::vector<std::shared_ptr<Connection>>> mIdle;
-  std::uint64_t mOpened = 0;
   /// Lets connections that outlive the client see that it is gone.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -101,19 +101,6 @@
   return Find(aName).value_or(std::string_view());
 }
 
-bool Headers::HasToken(std::string_view aName, std::string_view aToken) const
-{
-  bool found = false;
-  for (const Field& it : mFields) {
-    if (EqualsIgnoringCase(it.name, aName)) {
-      ForEachToken(it.value, [&](std::string_view aEntry) {
-        found = found || EqualsIgnoringCase(aEntry, aToken);
-      });
-    }
-  }
-  return found;
-}
-
 void Headers::RemoveHopByHop()
 {
   std::vector<std::string> named;
--- a/http/message.h
+++ b/http/message.h
@@ -27,8 +27,6 @@
   std::optional<std::string_view> Find(std::string_view aName) const;
   /// The first value of @p aName, empty if there is none.
   std::string_view Get(std::string_view aName) const;
-  /// Whether a comma-separated list of @p aName holds @p aToken.
-  bool HasToken(std::string_view aName, std::string_view aToken) const;
   /// Removes what concerns only one connection, such as Connection and what it names.
   void RemoveHopByHop();
 
--- a/limits/hedge_policy.cpp
+++ b/limits/hedge_policy.cpp
@@ -11,17 +11,12 @@
 /// The first attempt is left alone for this many times the usual work.
 constexpr double kFirstAttempt = 1.1;
 
-Duration Scale(Duration aDuration, double aFactor)
-{
-  return Duration(static_cast<Duration::rep>(static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 Instant HedgeTime(const RunningRequest& aRequest)
 {
-  const Instant lastMoment = aRequest.targetAt - Scale(aRequest.work, kSecondAttempt);
-  return std::max(lastMoment, aRequest.sentAt + Scale(aRequest.work, kFirstAttempt));
+  const Instant lastMoment = aRequest.targetAt - Scaled(aRequest.work, kSecondAttempt);
+  return std::max(lastMoment, aRequest.sentAt + Scaled(aRequest.work, kFirstAttempt));
 }
 
 } // namespace hawthornlug
--- a/limits/route_work.cpp
+++ b/limits/route_work.cpp
@@ -17,8 +17,7 @@
 {
   const auto it = mRoutes.find(aRoute);
   if (it == mRoutes.end()) {
-    return Duration(
-      static_cast<Duration::rep>(static_cast<double>(aTargetLatency.count()) * kFirstGuess));
+    return Scaled(aTargetLatency, kFirstGuess);
   }
   return Duration(static_cast<Duration::rep>(it->second.micros));
 }
--- a/limits/waiting_policy.cpp
+++ b/limits/waiting_policy.cpp
@@ -29,16 +29,11 @@
          static_cast<double>(std::max<Duration::rep>(1, aWhole.count()));
 }
 
-Duration Scale(Duration aDuration, double aFactor)
-{
-  return Duration(static_cast<Duration::rep>(static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 WaitVerdict JudgeWaiting(const WaitingRequest& aRequest, const WaitingQueue& aQueue)
 {
-  if (aRequest.timeLeft < Scale(aRequest.work, kLeastService)) {
+  if (aRequest.timeLeft < Scaled(aRequest.work, kLeastService)) {
     return WaitVerdict::kTooLate;
   }
   const double waited = Ratio(aRequest.waited, aRequest.targetLatency);
@@ -47,7 +42,7 @@
   }
   if (aQueue.moving) {
     // The keys' new owner has room as a rule, and a rejected caller would come back to the same.
-    return aRequest.timeLeft > Scale(aRequest.work, kLeastServiceAfterMove)
+    return aRequest.timeLeft > Scaled(aRequest.work, kLeastServiceAfterMove)
              ? WaitVerdict::kWait
              : WaitVerdict::kNoServer;
   }
@@ -71,7 +66,7 @@
 Duration RetryAfter(const WaitingRequest& aRequest, const WaitingQueue& aQueue, double aSpread)
 {
   const Duration base = std::max(aQueue.expectedWait / 2, aRequest.work / 4);
-  const Duration spread = Scale(aRequest.work, aSpread);
+  const Duration spread = Scaled(aRequest.work, aSpread);
   // Callers wait a third of what they have left at most; later is as good as never.
   const Duration longest = aRequest.timeLeft / 3;
   return std::max(kShortestRetryAfter, std::min(base + spread, longest));
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -35,17 +35,15 @@
 
 } // namespace
 
-RangeGranter::RangeGranter(std::string aService, DaemonRef aSelf, GrantTiming aTiming)
-  : mService(std::move(aService))
-  , mSelf(std::move(aSelf))
+RangeGranter::RangeGranter(DaemonRef aSelf, GrantTiming aTiming)
+  : mSelf(std::move(aSelf))
   , mTiming(aTiming)
 {
 }
 
 Duration RangeGranter::LongestHold() const
 {
-  const double hold = static_cast<double>(mTiming.hold.count()) * (1.0 + mTiming.clockDrift);
-  return Duration(static_cast<Duration::rep>(hold)) + mTiming.slack;
+  return Scaled(mTiming.hold, 1.0 + mTiming.clockDrift) + mTiming.slack;
 }
 
 void RangeGranter::TakeOver(const std::optional<StoredObject>& aCurrent,
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -86,7 +86,6 @@
     kTaken,
     kSuperseded,
     kMoved,
-    kWaits,
   };
   What what = What::kTaken;
   KeyRange keys;
@@ -116,7 +115,7 @@
 class RangeGranter
 {
 public:
-  RangeGranter(std::string aService, DaemonRef aSelf, GrantTiming aTiming);
+  RangeGranter(DaemonRef aSelf, GrantTiming aTiming);
 
   /// Begins to become the holder. @p aCurrent: the record in the store, if there is one.
   /// @p aOwners: servers for the first grant of all keys, used if there is no record.
@@ -213,7 +212,6 @@
   void Note(GranterNote aNote) { mNotes.push_back(std::move(aNote)); }
   DirectoryRange View(const Range& aRange) const;
 
-  std::string mService;
   DaemonRef mSelf;
   GrantTiming mTiming;
   State mState = State::kIdle;
--- a/placement/key_load.cpp
+++ b/placement/key_load.cpp
@@ -10,16 +10,11 @@
 /// Work below this many seconds a second is forgotten.
 constexpr double kForgotten = 1e-3;
 
-double Seconds(Duration aDuration)
-{
-  return static_cast<double>(aDuration.count()) / 1e6;
-}
-
 } // namespace
 
 KeyLoad::KeyLoad(Duration aHalfLife)
   // A steady rate of r keeps a decayed sum of r times the half-life over ln 2.
-  : mPerSecond(std::numbers::ln2 / Seconds(aHalfLife))
+  : mPerSecond(std::numbers::ln2 / InSeconds(aHalfLife))
   , mHalfLife(aHalfLife)
 {
 }
@@ -27,13 +22,13 @@
 void KeyLoad::Add(RangeKey aKey, Duration aWork, Instant aNow)
 {
   // Since the last Settle() nothing has been decayed: later work counts more instead.
-  const double lead = Seconds(aNow - mSettledAt) / Seconds(mHalfLife);
-  mWork[aKey] += Seconds(aWork) * mPerSecond * std::exp2(std::min(lead, 10.0));
+  const double lead = InSeconds(aNow - mSettledAt) / InSeconds(mHalfLife);
+  mWork[aKey] += InSeconds(aWork) * mPerSecond * std::exp2(std::min(lead, 10.0));
 }
 
 void KeyLoad::Settle(Instant aNow)
 {
-  const double factor = std::exp2(-Seconds(aNow - mSettledAt) / Seconds(mHalfLife));
+  const double factor = std::exp2(-InSeconds(aNow - mSettledAt) / InSeconds(mHalfLife));
   mSettledAt = aNow;
   for (auto it = mWork.begin(); it != mWork.end();) {
     it->second *= factor;
--- a/ports/object_store.h
+++ b/ports/object_store.h
@@ -33,10 +33,6 @@
                      Version aExpected,
                      const std::string& aValue,
                      WriteDone aDone) = 0;
-  virtual void Remove(ObjectKind aKind,
-                      const std::string& aName,
-                      Version aExpected,
-                      WriteDone aDone) = 0;
 };
 
 /// Reads what others write to the store. Nothing is returned for what can't be read; why is logged.
--- a/routing/server_board.cpp
+++ b/routing/server_board.cpp
@@ -37,11 +37,6 @@
 /// Part of a cold server's bound that is used, since daemons don't know each other's sends.
 constexpr double kWarmUpUsed = 0.6;
 
-double Seconds(Duration aDuration)
-{
-  return static_cast<double>(aDuration.count()) / 1e6;
-}
-
 bool IsHopeless(ForwardResult aResult)
 {
   return aResult == ForwardResult::kUnreachable || aResult == ForwardResult::kRefusedPort;
@@ -160,7 +155,7 @@
 
 double ServerBoard::Failures(const Server& aServer, Instant aNow)
 {
-  const double age = Seconds(aNow - aServer.sampledAt) / Seconds(kFailureHalfLife);
+  const double age = InSeconds(aNow - aServer.sampledAt) / InSeconds(kFailureHalfLife);
   return aServer.failures * std::exp2(-std::max(0.0, age));
 }
 
@@ -183,12 +178,12 @@
 
 Duration ServerBoard::Completion(const Server& aServer, Duration aWork, Instant aNow) const
 {
-  const double service = Seconds(aWork) * aServer.pace * Slowness(aServer, aNow);
+  const double service = InSeconds(aWork) * aServer.pace * Slowness(aServer, aNow);
   const unsigned slots = std::max(1U, aServer.entry.slots);
   const unsigned outstanding = Outstanding(aServer, aNow);
   const double rounds =
     outstanding < slots ? 0.0 : static_cast<double>(outstanding - slots + 1) / slots;
-  return Duration(static_cast<Duration::rep>((service + rounds * service) * 1e6));
+  return FromSeconds(service + rounds * service);
 }
 
 Duration ServerBoard::WarmUpInterval(const Server& aServer) const
@@ -251,16 +246,16 @@
     // The trickle by which a failing server can show that it has recovered.
     return 0.0;
   }
-  const double completion = Seconds(Completion(aServer, aNeed.work, aNow));
-  const double late = std::max(0.0, completion - Seconds(aNeed.targetLeft));
+  const double completion = InSeconds(Completion(aServer, aNeed.work, aNow));
+  const double late = std::max(0.0, completion - InSeconds(aNeed.targetLeft));
   double cost = completion + kLateCost * late;
-  cost += kFailureCost * Failures(aServer, aNow) * Seconds(aNeed.work);
+  cost += kFailureCost * Failures(aServer, aNow) * InSeconds(aNeed.work);
   if (aServer.entry.domain != mDomain) {
-    cost += kForeignCost * Seconds(aNeed.targetLatency);
+    cost += kForeignCost * InSeconds(aNeed.targetLatency);
   }
   if (aNow < aServer.coldUntil) {
     // A cold server is slow; its few requests are sent to it all the same, while there are many.
-    cost += 0.25 * Seconds(aNeed.work);
+    cost += 0.25 * InSeconds(aNeed.work);
   }
   return cost;
 }
@@ -273,13 +268,10 @@
   for (const auto& [id, server] : mServers) {
     const bool fits =
       aNeed.owner.empty() ? server.entry.service == aNeed.service : id == aNeed.owner;
-    if (!fits || (aNeed.ownDomainOnly && server.entry.domain != mDomain)) {
+    if (!fits) {
       continue;
     }
     const ServerBar bar = BarOf(server, aNeed, aNow);
-    if (bar == ServerBar::kNone || bar == ServerBar::kFull || bar == ServerBar::kCold) {
-      ++choice.usable;
-    }
     if (bar != ServerBar::kNone) {
       // The bar that is told is the one that lifts soonest.
       if (choice.bar == ServerBar::kUnknown || bar == ServerBar::kFull) {
@@ -349,7 +341,7 @@
   const bool contended = aSample.outstanding >= server.entry.slots;
   if (answered && !contended && aSample.work > Duration::zero()) {
     const double slowness = aSample.load ? std::max(0.1, aSample.load->slowness) : 1.0;
-    const double sample = Seconds(aSample.elapsed) / Seconds(aSample.work) / slowness;
+    const double sample = InSeconds(aSample.elapsed) / InSeconds(aSample.work) / slowness;
     server.pace += kPaceWeight * (std::clamp(sample, kMinPace, kMaxPace) - server.pace);
   }
 }
--- a/routing/server_board.h
+++ b/routing/server_board.h
@@ -46,7 +46,6 @@
   Duration targetLeft = Duration::zero();
   /// Whether it may be run more than once; only such requests try out failing servers.
   bool idempotent = false;
-  bool ownDomainOnly = false;
   /// Servers that have had the request.
   std::vector<std::string> tried;
   /// The owner of the request's key; empty if any server may have it.
@@ -77,8 +76,6 @@
   Duration completion = Duration::zero();
   /// Requests known to be at the server, of all daemons.
   unsigned outstanding = 0;
-  /// How many servers of the service there are that could be used now or soon.
-  unsigned usable = 0;
 };
 
 /// What was seen of a request at a server.
@@ -94,15 +91,6 @@
   std::optional<ServerLoad> load;
 };
 
-/// A cold server's pace: how often this daemon may send to it.
-struct WarmUpTerms
-{
-  /// Requests per second that all daemons together may send.
-  double perSecond = 0.0;
-  /// Daemons that send to the server.
-  unsigned daemons = 1;
-};
-
 /// Keeps the servers and chooses among them. It answers normal load by the expected completion,
 /// and overload by letting requests wait here instead of in the servers' own short queues.
 class ServerBoard
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -70,7 +70,6 @@
   std::optional<http::Response> failure;
   /// A server may have run it: nothing may be promised any more.
   bool mayHaveRun = false;
-  bool waiting = false;
   bool done = false;
 };
 
@@ -163,7 +162,6 @@
 
 void Forwarder::Wait(const FlowPtr& aFlow)
 {
-  aFlow->waiting = true;
   mWaiting.push_back(aFlow);
 }
 
@@ -200,7 +198,6 @@
     if (flow->done) {
       continue;
     }
-    flow->waiting = false;
     if (TrySend(flow, now) || JudgeWait(flow, now)) {
       continue;
     }
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -42,7 +42,7 @@
   , mTiming(aTiming)
   , mServices(aServices)
   , mChanged(std::move(aChanged))
-  , mGranter(mService, aServices.mesh.Self(), aTiming)
+  , mGranter(aServices.mesh.Self(), aTiming)
   , mLoad(kLoadHalfLife)
   , mStartedAt(aServices.timers.Now())
   , mServersChangedAt(mStartedAt)
@@ -69,11 +69,9 @@
     Elect(aNow, aStoreAge, aLeaving);
     return;
   }
-  if (aLeaving) {
-    if (Claimant()) {
-      mGranter.Resign();
-      return;
-    }
+  if (aLeaving && Claimant()) {
+    mGranter.Resign();
+    return;
   }
   FeedServers();
   WatchRecord(aNow);
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -171,13 +171,13 @@
 {
   const Instant now = mServices.timers.Now();
   if (aObject.removed) {
-    mMissing[aObject.name] = now;
+    mMissing.insert(aObject.name);
     return;
   }
   const std::optional<ServerEntry> entry = mServices.reader.ReadServer(aObject);
   if (!entry) {
     // It names no server that could be used.
-    OnServerRemoved(aObject.name, now);
+    DropServer(aObject.name);
     return;
   }
   mMissing.erase(entry->id);
@@ -198,7 +198,7 @@
   }
 }
 
-void RouterDaemon::OnServerRemoved(const std::string& aId, Instant)
+void RouterDaemon::DropServer(const std::string& aId)
 {
   if (mBoard.Find(aId) != nullptr) {
     mServices.log.Write(EventId::kServerDeregistered, { { "server", aId } });
@@ -214,7 +214,7 @@
       ++it;
       continue;
     }
-    OnServerRemoved(it->first, aNow);
+    DropServer(*it);
     it = mMissing.erase(it);
   }
 }
@@ -412,11 +412,12 @@
     return;
   }
   wire::Envelope message;
+  // Set also when nothing is in flight: that is news as well.
+  wire::RouterLoad* const told = message.mutable_load();
   for (const auto& [server, n] : load) {
-    message.mutable_load()->add_servers(server);
-    message.mutable_load()->add_counts(n);
+    told->add_servers(server);
+    told->add_counts(n);
   }
-  message.mutable_load()->set_sequence(1);
   mToldLoad = std::move(load);
   mToldLoadAt = aNow;
   mMesh.Broadcast(message, true);
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace hawthornlug {
@@ -76,7 +77,7 @@
   void Tick(Instant aNow);
   void OnObjects(ObjectKind aKind, const std::vector<StoredObject>& aObjects);
   void OnServer(const StoredObject& aObject);
-  void OnServerRemoved(const std::string& aId, Instant aNow);
+  void DropServer(const std::string& aId);
   void OnConfiguration(const StoredObject& aObject);
   void RemoveMissing(Instant aNow);
   /// Whether this daemon is one of the few that watch the store for all.
@@ -95,8 +96,8 @@
   StoreFollower mFollower;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
   Forwarder mForwarder;
-  /// Servers whose entries were removed, and when; they may only have lapsed in an outage.
-  std::map<std::string, Instant> mMissing;
+  /// Servers whose entries were removed; they may only have lapsed in an outage.
+  std::set<std::string> mMissing;
   std::map<std::uint32_t, unsigned> mToldLoad;
   Instant mToldLoadAt;
   Instant mAskedAt;
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -16,7 +16,7 @@
 {
 public:
   explicit Session(Incarnation aIncarnation = 1)
-    : granter("service", { "d", aIncarnation }, timing)
+    : granter({ "d", aIncarnation }, timing)
   {
     SetServers({ "a", "b" });
   }
@@ -181,7 +181,7 @@
   second.record = first.record;
   second.results["a"] = OrderResult::kNoAnswer;
   // The earlier holder is another daemon that may still renew.
-  second.granter = RangeGranter("service", { "e", 1 }, second.timing);
+  second.granter = RangeGranter({ "e", 1 }, second.timing);
   second.SetServers({ "a", "b" });
   second.granter.TakeOver(first.record, {}, second.now);
   second.Run(seconds(1));
@@ -202,7 +202,7 @@
   Session second(2);
   second.record = first.record;
   second.results["a"] = OrderResult::kNotSent;
-  second.granter = RangeGranter("service", { "e", 1 }, second.timing);
+  second.granter = RangeGranter({ "e", 1 }, second.timing);
   second.SetServers({ "a", "b" });
   second.granter.TakeOver(first.record, {}, second.now);
   second.Run(milliseconds(100));
--- a/tests/support/range_world.cpp
+++ b/tests/support/range_world.cpp
@@ -37,7 +37,7 @@
   for (unsigned n = 0; n < kDaemons; ++n) {
     Daemon daemon;
     daemon.ref = { "d" + std::to_string(n), 1 };
-    daemon.granter = std::make_unique<RangeGranter>("service", daemon.ref, Timing());
+    daemon.granter = std::make_unique<RangeGranter>(daemon.ref, Timing());
     daemon.tickedAt = mNow;
     mDaemons.push_back(std::move(daemon));
   }
@@ -400,7 +400,7 @@
 {
   Daemon& daemon = mDaemons[aDaemon];
   ++daemon.ref.incarnation;
-  daemon.granter = std::make_unique<RangeGranter>("service", daemon.ref, Timing());
+  daemon.granter = std::make_unique<RangeGranter>(daemon.ref, Timing());
   daemon.tickedAt = mNow;
   daemon.reading = false;
   daemon.earlier = DaemonRef();
