The store's lists and watches are taken by one function, failed orders logged by one

Twins in the change: the two completions of StoreFollower differed only in what is put into the mirror, the two log lines of RangeRunner in one word, two tests had the same manual clock.

--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -331,6 +331,23 @@
   }
 }
 
+void RangeRunner::LogFailedOrder(const char* aOrder,
+                                 const std::string& aServer,
+                                 const KeyRange& aKeys,
+                                 OrderResult aResult)
+{
+  if (aResult == OrderResult::kDone) {
+    return;
+  }
+  mServices.log.Write(EventId::kOrderFailed,
+                      { { "order", aOrder },
+                        { "service", mService },
+                        { "server", aServer },
+                        { "from", aKeys.from },
+                        { "to", aKeys.to },
+                        { "result", NameOf(kOrderResultNames, aResult) } });
+}
+
 void RangeRunner::Carry(const GrantKeys& aAction)
 {
   mServices.metrics.Count("grants_sent_total");
@@ -339,15 +356,7 @@
     mTiming.orderTimeout,
     [this, order = aAction.order, server = aAction.server, range = aAction.grant.range](
       const OrderOutcome& aOutcome) {
-      if (aOutcome.result != OrderResult::kDone) {
-        mServices.log.Write(EventId::kOrderFailed,
-                            { { "order", "grant" },
-                              { "service", mService },
-                              { "server", server },
-                              { "from", range.from },
-                              { "to", range.to },
-                              { "result", NameOf(kOrderResultNames, aOutcome.result) } });
-      }
+      LogFailedOrder("grant", server, range, aOutcome.result);
       mGranter.OnGranted(order, aOutcome.result, mServices.timers.Now());
       Publish();
       LogNotes();
@@ -362,15 +371,7 @@
     mTiming.releaseTimeout,
     [this, order = aAction.order, server = aAction.server, range = aAction.release.range](
       const OrderOutcome& aOutcome) {
-      if (aOutcome.result != OrderResult::kDone) {
-        mServices.log.Write(EventId::kOrderFailed,
-                            { { "order", "release" },
-                              { "service", mService },
-                              { "server", server },
-                              { "from", range.from },
-                              { "to", range.to },
-                              { "result", NameOf(kOrderResultNames, aOutcome.result) } });
-      }
+      LogFailedOrder("release", server, range, aOutcome.result);
       const Instant now = mServices.timers.Now();
       mGranter.OnReleased(order, aOutcome, now);
       Carry(mGranter.Tick(now));
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -77,6 +77,11 @@
   void OnRecordWatched(const StoreReading& aReading);
   void FeedServers();
   void Carry(const std::vector<GranterAction>& aActions);
+  /// Logs an order that was not done.
+  void LogFailedOrder(const char* aOrder,
+                      const std::string& aServer,
+                      const KeyRange& aKeys,
+                      OrderResult aResult);
   void Carry(const GrantKeys& aAction);
   void Carry(const ReleaseKeys& aAction);
   void Carry(const WriteRecord& aAction);
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -76,12 +76,13 @@
   followed.nextAt = aNow;
   const Version since = mMirror.At(aKind);
   if (followed.mustList || since == 0) {
-    mStore.List(
-      aKind, false, [this, aKind](const StoreReading& aReading) { OnList(aKind, aReading); });
+    mStore.List(aKind, false, [this, aKind](const StoreReading& aReading) {
+      OnReading(aKind, aReading, [&] { return mMirror.ApplyList(aKind, aReading); });
+    });
     return;
   }
   mStore.Watch(aKind, since, kWatchWait, [this, aKind, since](const StoreReading& aReading) {
-    OnWatch(aKind, since, aReading);
+    OnReading(aKind, aReading, [&] { return mMirror.ApplyChanges(aKind, since, aReading); });
   });
 }
 
@@ -96,7 +97,9 @@
   aFollowed.nextAt = mTimers.Now() + kRetry * aFollowed.failures;
 }
 
-void StoreFollower::OnList(ObjectKind aKind, const StoreReading& aReading)
+void StoreFollower::OnReading(ObjectKind aKind,
+                              const StoreReading& aReading,
+                              const std::function<std::vector<StoredObject>()>& aApply)
 {
   Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
   followed.busy = false;
@@ -105,30 +108,13 @@
     return;
   }
   followed.failures = 0;
-  followed.mustList = false;
+  // A list without a revision is of a kind that is not known to the store yet.
+  followed.mustList = aReading.at == 0;
   OnHeard(mTimers.Now());
-  if (aReading.at == 0) {
-    // The kind is not known to the store yet.
-    followed.mustList = true;
+  if (followed.mustList) {
     followed.nextAt = mTimers.Now() + kRetry;
   }
-  const std::vector<StoredObject> changes = mMirror.ApplyList(aKind, aReading);
-  if (!changes.empty()) {
-    mChanged(aKind, changes);
-  }
-}
-
-void StoreFollower::OnWatch(ObjectKind aKind, Version aSince, const StoreReading& aReading)
-{
-  Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
-  followed.busy = false;
-  if (aReading.result != StoreResult::kDone) {
-    OnFailure(followed, aReading.result);
-    return;
-  }
-  followed.failures = 0;
-  OnHeard(mTimers.Now());
-  const std::vector<StoredObject> changes = mMirror.ApplyChanges(aKind, aSince, aReading);
+  const std::vector<StoredObject> changes = aApply();
   if (!changes.empty()) {
     mChanged(aKind, changes);
   }
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -50,8 +50,10 @@
 
   void Start(ObjectKind aKind, Instant aNow);
   bool IsDue(ObjectKind aKind, Instant aNow, bool aWatches) const;
-  void OnList(ObjectKind aKind, const StoreReading& aReading);
-  void OnWatch(ObjectKind aKind, Version aSince, const StoreReading& aReading);
+  /// Takes the store's answer; @p aApply puts it into the mirror and returns what is new.
+  void OnReading(ObjectKind aKind,
+                 const StoreReading& aReading,
+                 const std::function<std::vector<StoredObject>()>& aApply);
   void OnFailure(Followed& aFollowed, StoreResult aResult);
 
   ObjectStore& mStore;
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -3,25 +3,15 @@
 
 #include "platform/backend_calls.h"
 #include "runtime/forwarder.h"
+#include "tests/support/manual_timers.h"
 
 #include <catch2/catch.hpp>
 
 using namespace hawthornlug;
+using hawthornlug::test::ManualTimers;
 
 namespace {
 
-class ManualTimers : public TimerService
-{
-public:
-  Instant Now() const override { return now; }
-  std::unique_ptr<TimerSubscription> Every(Duration, std::function<void(Instant)>) override
-  {
-    return nullptr;
-  }
-
-  Instant now{ seconds(1000) };
-};
-
 /// Keeps what was forwarded until the test says how it comes out.
 class FakeBackends : public BackendPort
 {
--- a/tests/runtime/mesh_test.cpp
+++ b/tests/runtime/mesh_test.cpp
@@ -2,28 +2,18 @@
 /// Several daemons' meshes over a network that a test cuts and that loses messages.
 
 #include "runtime/mesh.h"
+#include "tests/support/manual_timers.h"
 
 #include <catch2/catch.hpp>
 #include <deque>
 
 using namespace hawthornlug;
+using hawthornlug::test::ManualTimers;
 
 namespace {
 
 constexpr Duration kTick = milliseconds(20);
 
-class ManualTimers : public TimerService
-{
-public:
-  Instant Now() const override { return now; }
-  std::unique_ptr<TimerSubscription> Every(Duration, std::function<void(Instant)>) override
-  {
-    return nullptr;
-  }
-
-  Instant now{ seconds(1000) };
-};
-
 /// Passes messages on; loses those to addresses that are not reached.
 class Network
 {
