--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -317,8 +317,8 @@
   Flow& flow = *aFlow;
   ServerSample sample;
   sample.result = aOutcome.result;
-  sample.failed =
-    aOutcome.result == ForwardResult::kAnswered && aOutcome.response.status >= kFirstFailureStatus;
+  const bool served = IsGood(aOutcome);
+  sample.failed = aOutcome.result == ForwardResult::kAnswered && !served;
   sample.elapsed = aNow - aAttempt.sentAt;
   sample.work = flow.work;
   sample.outstanding = aAttempt.outstanding;
@@ -328,7 +328,6 @@
   if (telling) {
     mServices.board.OnSample(aAttempt.server, sample, aNow);
   }
-  const bool served = aOutcome.result == ForwardResult::kAnswered && !sample.failed;
   const ServerEntry* const server = mServices.board.Find(aAttempt.server);
   if (served && server != nullptr && aAttempt.outstanding < server->slots) {
     mWork.OnServed(flow.route.name, sample.elapsed, aAttempt.pace);
@@ -360,9 +359,8 @@
     return;
   }
   if (aOutcome.result == ForwardResult::kAnswered) {
-    const bool failed = aOutcome.response.status >= kFirstFailureStatus;
     flow.mayHaveRun = true;
-    if (!failed || !Retry(aFlow, aOutcome.result, now)) {
+    if (IsGood(aOutcome) || !Retry(aFlow, aOutcome.result, now)) {
       Finish(aFlow, std::move(aOutcome.response), EventId::kRequestDone, "answered");
     } else {
       flow.failure = std::move(aOutcome.response);
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -15,11 +15,22 @@
 class Session
 {
 public:
-  explicit Session(Incarnation aIncarnation = 1)
-    : granter({ "d", aIncarnation }, timing)
+  explicit Session(DaemonRef aDaemon = { "d", 1 })
+    : granter(std::move(aDaemon), timing)
   {
     SetServers({ "a", "b" });
   }
+  /// A second of a first holder's work, as the record has it, and then another holder.
+  static Session After(DaemonRef aDaemon)
+  {
+    Session first;
+    first.granter.TakeOver(std::nullopt, { "a", "b" }, first.now);
+    first.Run(seconds(1));
+    Session second(std::move(aDaemon));
+    second.record = first.record;
+    second.granter.TakeOver(first.record, {}, second.now);
+    return second;
+  }
 
   void SetServers(const std::vector<std::string>& aIds)
   {
@@ -146,12 +157,7 @@
 
 TEST_CASE("a takeover keeps the owners under a higher token", "[ownership][ranges]")
 {
-  Session first;
-  first.granter.TakeOver(std::nullopt, { "a", "b" }, first.now);
-  first.Run(seconds(1));
-  Session second(2);
-  second.record = first.record;
-  second.granter.TakeOver(first.record, {}, second.now);
+  Session second = Session::After({ "d", 2 });
   second.Run(seconds(1));
   CHECK(second.OwnerOf(0) == "a");
   CHECK(Holds(second.orders, "grant a 0-32767 token 11"));
@@ -174,16 +180,9 @@
 
 TEST_CASE("after a takeover an unreached owner's keys move in the end", "[ownership][ranges]")
 {
-  Session first;
-  first.granter.TakeOver(std::nullopt, { "a", "b" }, first.now);
-  first.Run(seconds(1));
-  Session second(2);
-  second.record = first.record;
-  second.results["a"] = OrderResult::kNoAnswer;
   // The earlier holder is another daemon that may still renew.
-  second.granter = RangeGranter({ "e", 1 }, second.timing);
-  second.SetServers({ "a", "b" });
-  second.granter.TakeOver(first.record, {}, second.now);
+  Session second = Session::After({ "e", 1 });
+  second.results["a"] = OrderResult::kNoAnswer;
   second.Run(seconds(1));
   second.granter.Move({ { 0, 32767 }, "b" }, second.now);
   const Duration blind = second.timing.blindRenewal + second.timing.confirmationLag;
@@ -196,15 +195,8 @@
 TEST_CASE("once the earlier holder has stopped, only its last grant is waited out",
           "[ownership][ranges]")
 {
-  Session first;
-  first.granter.TakeOver(std::nullopt, { "a", "b" }, first.now);
-  first.Run(seconds(1));
-  Session second(2);
-  second.record = first.record;
+  Session second = Session::After({ "e", 1 });
   second.results["a"] = OrderResult::kNotSent;
-  second.granter = RangeGranter({ "e", 1 }, second.timing);
-  second.SetServers({ "a", "b" });
-  second.granter.TakeOver(first.record, {}, second.now);
   second.Run(milliseconds(100));
   second.granter.OnEarlierHolderStopped(second.now);
   second.granter.Move({ { 0, 32767 }, "b" }, second.now);
--- a/tests/support/range_world.cpp
+++ b/tests/support/range_world.cpp
@@ -215,6 +215,15 @@
      });
 }
 
+void RangeWorld::AnswerAfter(Duration aDelay,
+                             unsigned aDaemon,
+                             Incarnation aIncarnation,
+                             std::function<void(Daemon&)> aRun)
+{
+  At(aDelay,
+     [this, aDaemon, aIncarnation, run = std::move(aRun)] { Answer(aDaemon, aIncarnation, run); });
+}
+
 void RangeWorld::Act(unsigned aDaemon, const GranterAction& aAction)
 {
   if (const auto* grant = std::get_if<GrantKeys>(&aAction)) {
@@ -232,10 +241,8 @@
   const Incarnation run = mDaemons[aDaemon].ref.incarnation;
   const std::uint64_t order = aAction.order;
   const auto answer = [this, aDaemon, run, order](OrderResult aResult, Duration aDelay) {
-    At(aDelay, [this, aDaemon, run, order, aResult] {
-      Answer(aDaemon, run, [this, order, aResult](Daemon& aWho) {
-        aWho.granter->OnGranted(order, aResult, mNow);
-      });
+    AnswerAfter(aDelay, aDaemon, run, [this, order, aResult](Daemon& aWho) {
+      aWho.granter->OnGranted(order, aResult, mNow);
     });
   };
   const Duration timeout = Timing().orderTimeout;
@@ -319,10 +326,8 @@
   const Incarnation run = mDaemons[aDaemon].ref.incarnation;
   const std::uint64_t order = aAction.order;
   const auto answer = [this, aDaemon, run, order](OrderResult aResult, Duration aDelay) {
-    At(aDelay, [this, aDaemon, run, order, aResult] {
-      Answer(aDaemon, run, [this, order, aResult](Daemon& aWho) {
-        aWho.granter->OnReleased(order, { aResult, "warm" }, mNow);
-      });
+    AnswerAfter(aDelay, aDaemon, run, [this, order, aResult](Daemon& aWho) {
+      aWho.granter->OnReleased(order, { aResult, "warm" }, mNow);
     });
   };
   const Duration timeout = Timing().releaseTimeout;
@@ -359,8 +364,8 @@
 {
   const Incarnation run = mDaemons[aDaemon].ref.incarnation;
   const auto answer = [this, aDaemon, run](StoreWrite aWrite, Duration aDelay) {
-    At(aDelay, [this, aDaemon, run, write = std::move(aWrite)] {
-      Answer(aDaemon, run, [this, write](Daemon& aWho) { aWho.granter->OnWritten(write, mNow); });
+    AnswerAfter(aDelay, aDaemon, run, [this, write = std::move(aWrite)](Daemon& aWho) {
+      aWho.granter->OnWritten(write, mNow);
     });
   };
   if (mNow < mDaemons[aDaemon].storeCutUntil) {
--- a/tests/support/range_world.h
+++ b/tests/support/range_world.h
@@ -100,6 +100,10 @@
   bool DoWrite(const WriteRecord& aAction);
   /// Calls @p aRun in the daemon's run that is @p aIncarnation, once it is not frozen.
   void Answer(unsigned aDaemon, Incarnation aIncarnation, std::function<void(Daemon&)> aRun);
+  void AnswerAfter(Duration aDelay,
+                   unsigned aDaemon,
+                   Incarnation aIncarnation,
+                   std::function<void(Daemon&)> aRun);
   void Apply(unsigned aServer,
              Incarnation aIncarnation,
              const GrantOrder& aOrder,
