--- a/adapters/http_callers.cpp
+++ b/adapters/http_callers.cpp
@@ -1,25 +1,28 @@
 #include "adapters/http_callers.h"
 
+#include "http/target.h"
+
+#include <algorithm>
+#include <array>
+#include <thread>
+
 namespace hawthornlug {
 
 namespace {
 
-constexpr std::size_t kMaxRequestsPerConnection = 1000000000;
-constexpr std::size_t kKeepAliveSeconds = 30;
 constexpr std::size_t kMaxRequestIdLength = 128;
+constexpr Duration kStopPoll = milliseconds(5);
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-/// Set by the connection's own framing; not passed through.
-bool IsFraming(const std::string& aName)
+bool IsServedMethod(const std::string& aMethod)
 {
-  static const std::set<std::string> kNames = { "REMOTE_ADDR", "REMOTE_PORT",   "LOCAL_ADDR",
-                                                "LOCAL_PORT",  "Host",          "Connection",
-                                                "Keep-Alive",  "Content-Length" };
-  return kNames.count(aName) != 0;
+  static constexpr std::array<std::string_view, 7> kMethods = { "GET",   "HEAD",   "POST",   "PUT",
+                                                                "PATCH", "DELETE", "OPTIONS" };
+  return std::find(kMethods.begin(), kMethods.end(), aMethod) != kMethods.end();
 }
 
 int StatusOf(const OrderAnswer& aAnswer)
@@ -33,111 +36,159 @@
   return aAnswer.refusal == Refusal::kBadRequest ? kBadRequest : kUnavailable;
 }
 
-void WriteAnswer(const Order& aOrder, const OrderAnswer& aAnswer, httplib::Response& aResponse)
+http::Response MakeText(int aStatus, const char* aType, std::string aBody)
+{
+  http::Response response;
+  response.status = aStatus;
+  response.headers.Add("Content-Type", aType);
+  response.body = std::move(aBody);
+  return response;
+}
+
+/// What says why there is no answer of a server.
+void DescribeRefusal(const OrderAnswer& aAnswer, http::Response& aResponse)
 {
-  aResponse.set_header("Hawthornlug-Outcome", std::string(NameOf(kOutcomeNames, aAnswer.outcome)));
-  aResponse.set_header("Hawthornlug-Request-Id", aOrder.requestId);
-  if (!aAnswer.server.empty()) {
-    aResponse.set_header("Hawthornlug-Server", aAnswer.server);
-    aResponse.set_header("Hawthornlug-Epoch", std::to_string(aAnswer.epoch));
-  }
-  if (aAnswer.outcome == Outcome::kDone) {
-    aResponse.status = aAnswer.status;
-    std::string type = "application/octet-stream";
-    for (const HeaderField& it : aAnswer.headers) {
-      if (it.name == "Content-Type") {
-        type = it.value;
-      } else {
-        aResponse.headers.emplace(it.name, it.value);
-      }
-    }
-    if (!aAnswer.body.empty()) {
-      aResponse.set_content(aAnswer.body, type);
-    }
-    return;
-  }
   aResponse.status = StatusOf(aAnswer);
+  const std::string outcome(NameOf(kOutcomeNames, aAnswer.outcome));
   const std::string reason(NameOf(kRefusalNames, aAnswer.refusal));
-  aResponse.set_header("Hawthornlug-Reason", reason);
+  aResponse.headers.Add("Hawthornlug-Reason", reason);
   if (aAnswer.outcome == Outcome::kNotRun && aResponse.status == kUnavailable) {
     const auto wait = std::chrono::ceil<std::chrono::seconds>(aAnswer.retryAfter).count();
-    aResponse.set_header("Retry-After", std::to_string(std::max<std::int64_t>(wait, 1)));
+    aResponse.headers.Add("Retry-After", std::to_string(std::max<std::int64_t>(wait, 1)));
   }
-  aResponse.set_content("{\"outcome\":\"" + std::string(NameOf(kOutcomeNames, aAnswer.outcome)) +
-                          "\",\"reason\":\"" + reason + "\"}\n",
-                        "application/json");
+  aResponse.headers.Add("Content-Type", "application/json");
+  aResponse.body = R"({"outcome":")" + outcome + R"(","reason":")" + reason + "\"}\n";
+}
+
+http::Response MakeAnswer(const std::string& aRequestId, const OrderAnswer& aAnswer)
+{
+  http::Response response;
+  response.headers.Add("Hawthornlug-Outcome", std::string(NameOf(kOutcomeNames, aAnswer.outcome)));
+  response.headers.Add("Hawthornlug-Request-Id", aRequestId);
+  if (!aAnswer.server.empty()) {
+    response.headers.Add("Hawthornlug-Server", aAnswer.server);
+    response.headers.Add("Hawthornlug-Epoch", std::to_string(aAnswer.epoch));
+  }
+  if (aAnswer.outcome != Outcome::kDone) {
+    DescribeRefusal(aAnswer, response);
+    return response;
+  }
+  response.status = aAnswer.status;
+  for (const HeaderField& it : aAnswer.headers) {
+    response.headers.Add(it.name, it.value);
+  }
+  response.body = aAnswer.body;
+  return response;
 }
 
 } // namespace
 
-HttpCallers::HttpCallers(RequestHandler& aRequests,
+HttpCallers::HttpCallers(HttpLoop& aLoop,
+                         RequestHandler& aRequests,
                          const OperatorHandler& aOperators,
-                         CallerLimits aLimits,
-                         std::size_t aThreads)
-  : mRequests(aRequests)
+                         CallerLimits aLimits)
+  : mLoop(aLoop)
+  , mRequests(aRequests)
   , mOperators(aOperators)
   , mLimits(aLimits)
 {
-  mServer.new_task_queue = [aThreads] { return new httplib::ThreadPool(aThreads); };
-  mServer.set_tcp_nodelay(true);
-  mServer.set_keep_alive_max_count(kMaxRequestsPerConnection);
-  mServer.set_keep_alive_timeout(kKeepAliveSeconds);
-  mServer.set_payload_max_length(aLimits.maxBodyBytes);
-  AddRoutes();
 }
 
 HttpCallers::~HttpCallers()
 {
-  Stop();
+  Stop(Duration::zero());
+}
+
+Result<void> HttpCallers::Listen(const std::string& aHost, int aPort)
+{
+  const std::string address = aHost + ":" + std::to_string(aPort);
+  const auto endpoint = http::ParseEndpoint(address);
+  if (!endpoint) {
+    return leaf::new_error(ListenError{ address });
+  }
+  mLoop.DispatchAndWait([&] {
+    try {
+      mServer = std::make_unique<http::Server>(mLoop.Context(), *endpoint, *this);
+    } catch (const std::system_error&) {
+      return;
+    }
+    http::ServerLimits limits;
+    limits.read.bodyBytes = mLimits.maxBodyBytes;
+    limits.connections = mLimits.maxConnections;
+    mServer->SetLimits(limits);
+  });
+  if (!mServer) {
+    return leaf::new_error(ListenError{ address });
+  }
+  return {};
+}
+
+void HttpCallers::Drain()
+{
+  mLoop.DispatchAndWait([this] { mServer->Drain(); });
+}
+
+std::size_t HttpCallers::Unanswered()
+{
+  std::size_t n = 0;
+  mLoop.DispatchAndWait([&] { n = mServer->Unanswered(); });
+  return n;
+}
+
+void HttpCallers::Stop(Duration aPatience)
+{
+  if (!mServer) {
+    return;
+  }
+  mLoop.DispatchAndWait([this] { mServer->StopAccepting(); });
+  for (Duration waited = Duration::zero(); waited < aPatience && Unanswered() > 0;
+       waited += kStopPoll) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  mLoop.DispatchAndWait([this] { mServer.reset(); });
+}
+
+void HttpCallers::OnRequest(std::shared_ptr<http::Exchange> aExchange)
+{
+  if (!ServeOperator(*aExchange)) {
+    ServeCaller(aExchange);
+  }
 }
 
-bool HttpCallers::ServeOperator(const httplib::Request& aRequest, httplib::Response& aResponse)
+void HttpCallers::OnBadRequest(int, http::ReadState) {}
+
+bool HttpCallers::ServeOperator(http::Exchange& aExchange) const
 {
-  const std::string& path = aRequest.path;
+  const http::Request& request = aExchange.Received();
+  const std::string_view path = request.Path();
+  if (request.method != "GET" && request.method != "HEAD") {
+    return false;
+  }
   if (path == "/healthz") {
-    aResponse.set_content("ok\n", "text/plain");
+    aExchange.Respond(MakeText(kOk, "text/plain", "ok\n"));
   } else if (path == "/readyz") {
     const bool ready = mOperators.IsReady();
-    aResponse.status = ready ? kOk : kUnavailable;
-    aResponse.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+    aExchange.Respond(
+      MakeText(ready ? kOk : kUnavailable, "text/plain", ready ? "ready\n" : "not ready\n"));
   } else if (path == "/metrics") {
-    aResponse.set_content(mOperators.Metrics(), "text/plain; version=0.0.4");
+    aExchange.Respond(MakeText(kOk, "text/plain; version=0.0.4", mOperators.Metrics()));
   } else if (path == "/-/status") {
-    aResponse.set_content(mOperators.Status(), "application/json");
+    aExchange.Respond(MakeText(kOk, "application/json", mOperators.Status()));
   } else if (path == "/-/explain") {
-    const std::string text =
-      mOperators.Explain(aRequest.get_param_value("service"), aRequest.get_param_value("key"));
-    aResponse.status = text.empty() ? kNotFound : kOk;
-    aResponse.set_content(text.empty() ? "{\"reason\":\"unknown-service\"}\n" : text,
-                          "application/json");
+    const std::string text = mOperators.Explain(http::QueryValue(request.Query(), "service"),
+                                                http::QueryValue(request.Query(), "key"));
+    aExchange.Respond(
+      text.empty() ? MakeText(kNotFound, "application/json", "{\"reason\":\"unknown-service\"}\n")
+                   : MakeText(kOk, "application/json", text));
   } else {
     return false;
   }
   return true;
 }
 
-void HttpCallers::AddRoutes()
+bool HttpCallers::ReadTarget(const http::Request& aRequest, Order& aOrder) const
 {
-  const auto serve = [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-    ServeCaller(aRequest, aResponse);
-  };
-  const char* const kAnyPath = "/.*";
-  // The library tries the patterns of a method one after another, so each method has just one.
-  mServer.Get(kAnyPath, [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
-    if (!ServeOperator(aRequest, aResponse)) {
-      ServeCaller(aRequest, aResponse);
-    }
-  });
-  mServer.Post(kAnyPath, serve);
-  mServer.Put(kAnyPath, serve);
-  mServer.Patch(kAnyPath, serve);
-  mServer.Delete(kAnyPath, serve);
-  mServer.Options(kAnyPath, serve);
-}
-
-bool HttpCallers::ReadTarget(const httplib::Request& aRequest, Order& aOrder) const
-{
-  const std::string& path = aRequest.path;
+  const std::string path = http::DecodePercent(aRequest.Path());
   const std::size_t slash = path.find('/', 1);
   if (slash == std::string::npos) {
     return false;
@@ -150,53 +201,41 @@
          aOrder.key.size() <= mLimits.maxKeyLength;
 }
 
-void HttpCallers::ServeCaller(const httplib::Request& aRequest, httplib::Response& aResponse)
+void HttpCallers::ServeCaller(const std::shared_ptr<http::Exchange>& aExchange)
 {
+  http::Request& request = aExchange->Received();
   Order order;
-  order.method = aRequest.method;
-  order.body = aRequest.body;
-  order.requestId = aRequest.get_header_value("Idempotency-Key");
-  order.caller = aRequest.get_header_value("Hawthornlug-Caller");
+  order.method = request.method;
+  order.requestId = request.headers.Get("Idempotency-Key");
+  order.caller = request.headers.Get("Hawthornlug-Caller");
   if (order.caller.empty()) {
-    order.caller = aRequest.remote_addr;
+    order.caller = request.sender;
   }
   const bool idShaped = order.requestId.size() <= kMaxRequestIdLength;
   if (order.requestId.empty()) {
     order.requestId = Hex(RandomId()) + Hex(RandomId());
   }
-  if (!ReadTarget(aRequest, order) || !idShaped) {
-    WriteAnswer(order, OrderAnswer::NotRun(Refusal::kBadRequest), aResponse);
+  const std::string id = order.requestId;
+  if (!IsServedMethod(order.method) || !idShaped || !ReadTarget(request, order)) {
+    aExchange->Respond(MakeAnswer(id, OrderAnswer::NotRun(Refusal::kBadRequest)));
     return;
   }
-  const auto trace = TraceContext::Parse(aRequest.get_header_value("traceparent"));
+  const auto trace = TraceContext::Parse(std::string(request.headers.Get("traceparent")));
   if (trace) {
     order.trace = *trace;
   }
-  for (const auto& [name, value] : aRequest.headers) {
-    if (!IsFraming(name)) {
-      order.headers.push_back({ name, value });
-    }
-  }
-  const OrderAnswer answer = mRequests.Handle(order);
-  WriteAnswer(order, answer, aResponse);
-}
-
-Result<void> HttpCallers::Listen(const std::string& aHost, int aPort)
-{
-  if (!mServer.bind_to_port(aHost.c_str(), aPort)) {
-    return leaf::new_error(ListenError{ aHost + ":" + std::to_string(aPort) });
-  }
-  mThread = std::thread([this] { mServer.listen_after_bind(); });
-  return {};
-}
-
-void HttpCallers::Stop()
-{
-  if (!mThread.joinable()) {
-    return;
+  request.headers.RemoveHopByHop();
+  request.headers.Remove("Host");
+  for (const http::Headers::Field& it : request.headers.Fields()) {
+    order.headers.push_back({ it.name, it.value });
   }
-  mServer.stop();
-  mThread.join();
+  order.body = std::move(request.body);
+  const auto progress =
+    mRequests.Handle(std::move(order), [&loop = mLoop, aExchange, id](const OrderAnswer& aAnswer) {
+      loop.Dispatch(
+        [aExchange, response = MakeAnswer(id, aAnswer)] { aExchange->Respond(response); });
+    });
+  aExchange->SetAbandoned([progress] { progress->Abandon(); });
 }
 
 } // namespace hawthornlug
--- a/adapters/http_callers.h
+++ b/adapters/http_callers.h
@@ -2,44 +2,51 @@
 /// The HTTP interface for callers and operators.
 #pragma once
 
+#include "adapters/http_loop.h"
 #include "core/errors.h"
+#include "http/server.h"
 #include "ports/caller_port.h"
 
-#include <httplib.h>
+#include <memory>
 #include <string>
-#include <thread>
 
 namespace hawthornlug {
 
 /// Serves /{service}/{key}[/rest], /healthz, /readyz, /metrics, /-/status and /-/explain.
-class HttpCallers
+class HttpCallers : public http::Handler
 {
 public:
-  HttpCallers(RequestHandler& aRequests,
+  HttpCallers(HttpLoop& aLoop,
+              RequestHandler& aRequests,
               const OperatorHandler& aOperators,
-              CallerLimits aLimits,
-              std::size_t aThreads);
-  ~HttpCallers();
+              CallerLimits aLimits);
+  ~HttpCallers() override;
   HttpCallers(const HttpCallers&) = delete;
   HttpCallers& operator=(const HttpCallers&) = delete;
 
   /// Begins to listen; fails with ListenError.
   Result<void> Listen(const std::string& aHost, int aPort);
-  /// Takes no new connections, answers what is in progress, then returns.
-  void Stop();
+  /// From now on each answer closes its connection.
+  void Drain();
+  /// Takes no new connections, answers what is in progress for up to @p aPatience, then returns.
+  void Stop(Duration aPatience);
+
+  void OnRequest(std::shared_ptr<http::Exchange> aExchange) override;
+  void OnBadRequest(int aStatus, http::ReadState aState) override;
 
 private:
-  void AddRoutes();
   /// Answers operators' addresses; false if the request is a caller's.
-  bool ServeOperator(const httplib::Request& aRequest, httplib::Response& aResponse);
-  void ServeCaller(const httplib::Request& aRequest, httplib::Response& aResponse);
-  bool ReadTarget(const httplib::Request& aRequest, Order& aOrder) const;
+  bool ServeOperator(http::Exchange& aExchange) const;
+  void ServeCaller(const std::shared_ptr<http::Exchange>& aExchange);
+  /// Reads service, key and target; false if there are none.
+  bool ReadTarget(const http::Request& aRequest, Order& aOrder) const;
+  std::size_t Unanswered();
 
+  HttpLoop& mLoop;
   RequestHandler& mRequests;
   const OperatorHandler& mOperators;
   const CallerLimits mLimits;
-  httplib::Server mServer;
-  std::thread mThread;
+  std::unique_ptr<http::Server> mServer;
 };
 
 } // namespace hawthornlug
--- a/adapters/http_pool.cpp
+++ b/adapters/http_pool.cpp
@@ -1,7 +1,5 @@
 #include "adapters/http_pool.h"
 
-#include <charconv>
-
 namespace hawthornlug {
 
 namespace {
@@ -58,18 +56,4 @@
   return result;
 }
 
-std::uint64_t NumberHeader(const httplib::Headers& aHeaders,
-                           const std::string& aName,
-                           std::uint64_t aDefault)
-{
-  const auto it = aHeaders.find(aName);
-  if (it == aHeaders.end()) {
-    return aDefault;
-  }
-  std::uint64_t value = 0;
-  const char* last = it->second.data() + it->second.size();
-  const auto [end, ec] = std::from_chars(it->second.data(), last, value);
-  return ec == std::errc() && end == last ? value : aDefault;
-}
-
 } // namespace hawthornlug
--- a/adapters/http_pool.h
+++ b/adapters/http_pool.h
@@ -40,9 +40,4 @@
   std::vector<Idle> mIdle;
 };
 
-/// Reads a header that carries a number; @p aDefault if it is missing or no number.
-std::uint64_t NumberHeader(const httplib::Headers& aHeaders,
-                           const std::string& aName,
-                           std::uint64_t aDefault = 0);
-
 } // namespace hawthornlug
--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -9,24 +9,18 @@
 using nlohmann::json;
 
 constexpr Duration kControlTimeout = milliseconds(400);
-constexpr Duration kConnectTimeout = milliseconds(300);
+/// Idle connections are closed before servers close them, so that no request meets a closing one.
+constexpr Duration kMaxIdleTime = seconds(20);
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kPrecondition = 412;
+constexpr std::string_view kScheme = "http://";
 constexpr const char* kRefusedHeader = "Hawthornlug-Refused";
 constexpr const char* kRequestIdHeader = "Hawthornlug-Request-Id";
 
-/// Headers that belong to one connection, not to the message.
-bool IsHopByHop(const std::string& aName)
+std::string HostPortOf(const std::string& aUrl)
 {
-  static const std::set<std::string> kNames = { "connection", "keep-alive",     "proxy-connection",
-                                                "te",         "trailer",        "transfer-encoding",
-                                                "upgrade",    "content-length", "accept-encoding" };
-  std::string name = aName;
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aChar) {
-    return static_cast<char>(std::tolower(aChar));
-  });
-  return kNames.count(name) != 0;
+  return aUrl.rfind(kScheme, 0) == 0 ? aUrl.substr(kScheme.size()) : aUrl;
 }
 
 json EncodeGrants(const std::map<ShardId, Epoch>& aGrants)
@@ -38,89 +32,185 @@
   return list;
 }
 
-SendAnswer ReadAnswer(const httplib::Response& aResponse, const std::string& aRequestId)
+/// Reads a reply that came; one that can't be read counts as lost.
+ServerReply ReadReply(const http::Response& aResponse, CallNumber aNumber)
+{
+  ServerReply reply;
+  reply.number = aNumber;
+  if (aResponse.status == kConflict) {
+    reply.outcome = CallOutcome::kSuperseded;
+    return reply;
+  }
+  const bool read = aResponse.status == kOk || aResponse.status == kPrecondition;
+  const json doc = read ? json::parse(aResponse.body, nullptr, false) : json();
+  if (!doc.is_object()) {
+    return reply;
+  }
+  try {
+    reply.incarnation = doc.value("incarnation", Incarnation{ 0 });
+    reply.reading = doc.value("clock_us", ServerInstant{ 0 });
+    reply.draining = doc.value("draining", false);
+    for (const json& it : doc.value("grants", json::array())) {
+      reply.grants[it.at(0).get<ShardId>()] = it.at(1).get<Epoch>();
+    }
+  } catch (const json::exception&) {
+    return ServerReply::Lost(aNumber);
+  }
+  reply.outcome = aResponse.status == kOk ? CallOutcome::kAccepted : CallOutcome::kRestarted;
+  return reply;
+}
+
+SendAnswer ReadAnswer(http::Response aResponse, const std::string& aRequestId)
 {
   SendAnswer answer;
-  const auto refused = aResponse.headers.find(kRefusedHeader);
-  if (refused != aResponse.headers.end()) {
-    answer.result = refused->second == "shed" ? SendResult::kShed : SendResult::kRefused;
+  if (const auto refused = aResponse.headers.Find(kRefusedHeader)) {
+    answer.result = *refused == "shed" ? SendResult::kShed : SendResult::kRefused;
     return answer;
   }
   // An answer that isn't to this request proves nothing about it.
-  if (aResponse.get_header_value(kRequestIdHeader) != aRequestId) {
+  if (aResponse.headers.Get(kRequestIdHeader) != aRequestId) {
     answer.result = SendResult::kNoAnswer;
     return answer;
   }
   answer.result = SendResult::kAnswered;
   answer.status = aResponse.status;
-  answer.body = aResponse.body;
-  for (const auto& [name, value] : aResponse.headers) {
-    if (!IsHopByHop(name) && name != kRequestIdHeader) {
-      answer.headers.push_back({ name, value });
-    }
+  answer.body = std::move(aResponse.body);
+  aResponse.headers.RemoveHopByHop();
+  aResponse.headers.Remove("Content-Length");
+  aResponse.headers.Remove(kRequestIdHeader);
+  for (const http::Headers::Field& it : aResponse.headers.Fields()) {
+    answer.headers.push_back({ it.name, it.value });
   }
   return answer;
 }
 
-} // namespace
-
-HttpServer::HttpServer(const ServerAddress& aAddress)
-  : mAddress(aAddress)
-  , mOrders(aAddress.url, aAddress.connections, kConnectTimeout)
-  , mControl(aAddress.url, 1, kConnectTimeout)
+SendAnswer AnswerOf(http::CallOutcome aOutcome, const std::string& aRequestId)
 {
+  SendAnswer answer;
+  switch (aOutcome.result) {
+    case http::CallResult::kAnswered:
+      return ReadAnswer(std::move(aOutcome.response), aRequestId);
+    case http::CallResult::kRefused:
+    case http::CallResult::kNotSent:
+      answer.result = SendResult::kUnreachable;
+      break;
+    case http::CallResult::kBroken:
+    case http::CallResult::kTimedOut:
+      answer.result = SendResult::kNoAnswer;
+      break;
+  }
+  return answer;
 }
 
-ServerReply HttpServer::Control(const std::string& aPath,
-                                const std::string& aBody,
-                                CallNumber aNumber)
+/// One order at a server. Everything but Cancel() happens on the loop.
+class OrderCall
+  : public http::Call
+  , public std::enable_shared_from_this<OrderCall>
 {
-  httplib::Request request;
-  request.method = "POST";
-  request.path = aPath;
-  request.body = aBody;
-  request.set_header("Content-Type", "application/json");
-  ServerReply reply;
-  reply.number = aNumber;
-  const httplib::Result result = mControl.Send(request, kControlTimeout);
-  if (!result) {
-    return reply;
+public:
+  OrderCall(HttpLoop& aLoop, ServerPort::SendDone aDone)
+    : mLoop(aLoop)
+    , mDone(std::move(aDone))
+  {
   }
-  if (result->status == kConflict) {
-    reply.outcome = CallOutcome::kSuperseded;
-    return reply;
+
+  void Start(const std::string& aHostPort,
+             const http::Request& aRequest,
+             const http::CallOptions& aOptions)
+  {
+    mCall = mLoop.Client().Send(
+      aHostPort,
+      aRequest,
+      aOptions,
+      [self = shared_from_this(), id = aOptions.echoValue](http::CallOutcome aOutcome) {
+        self->Complete(AnswerOf(std::move(aOutcome), id));
+      });
   }
-  const bool read = result->status == kOk || result->status == kPrecondition;
-  const json doc = read ? json::parse(result->body, nullptr, false) : json();
-  if (!doc.is_object()) {
-    return reply;
+
+  void Cancel() override
+  {
+    mLoop.Dispatch([self = shared_from_this()] {
+      if (!self->mDone) {
+        return;
+      }
+      self->mCall->Cancel();
+      SendAnswer answer;
+      answer.result = SendResult::kNoAnswer;
+      self->Complete(std::move(answer));
+    });
   }
-  reply.incarnation = doc.value("incarnation", Incarnation{ 0 });
-  reply.reading = doc.value("clock_us", ServerInstant{ 0 });
-  reply.outcome = result->status == kOk ? CallOutcome::kAccepted : CallOutcome::kRestarted;
-  reply.draining = doc.value("draining", false);
-  for (const json& it : doc.value("grants", json::array())) {
-    reply.grants[it.at(0).get<ShardId>()] = it.at(1).get<Epoch>();
+
+private:
+  void Complete(SendAnswer aAnswer)
+  {
+    const ServerPort::SendDone done = std::move(mDone);
+    mDone = nullptr;
+    done(std::move(aAnswer));
   }
-  return reply;
+
+  HttpLoop& mLoop;
+  ServerPort::SendDone mDone;
+  std::shared_ptr<http::Call> mCall;
+};
+
+} // namespace
+
+HttpServer::HttpServer(HttpLoop& aLoop, const ServerAddress& aAddress)
+  : mLoop(aLoop)
+  , mAddress(aAddress)
+  , mHostPort(HostPortOf(aAddress.url))
+{
 }
 
-ServerReply HttpServer::Fence(const FenceServer& aCall, const DaemonRef& aDaemon)
+void HttpServer::Control(const std::string& aPath,
+                         std::string aBody,
+                         CallNumber aNumber,
+                         ReplyDone aDone)
+{
+  http::Request request;
+  request.method = "POST";
+  request.target = aPath;
+  request.headers.Add("Host", mHostPort);
+  request.headers.Add("Content-Type", "application/json");
+  request.body = std::move(aBody);
+  http::CallOptions options;
+  options.timeout = kControlTimeout;
+  options.maxIdle = kMaxIdleTime;
+  mLoop.Dispatch([&loop = mLoop,
+                  address = mHostPort,
+                  request = std::move(request),
+                  options,
+                  aNumber,
+                  done = std::move(aDone)] {
+    loop.Client().Send(
+      address, request, options, [aNumber, done](const http::CallOutcome& aOutcome) {
+        if (!done) {
+          return;
+        }
+        const bool answered = aOutcome.result == http::CallResult::kAnswered;
+        done(answered ? ReadReply(aOutcome.response, aNumber) : ServerReply::Lost(aNumber));
+      });
+  });
+}
+
+void HttpServer::Fence(const FenceServer& aCall, const DaemonRef& aDaemon, ReplyDone aDone)
 {
   if (!mAddress.checked) {
-    return Control("/_/probe", "{}", aCall.number);
+    Control("/_/probe", "{}", aCall.number, std::move(aDone));
+    return;
   }
   const json body = { { "token", aCall.token },
                       { "number", aCall.number },
                       { "daemon", aDaemon.id } };
-  return Control("/_/fence", body.dump(), aCall.number);
+  Control("/_/fence", body.dump(), aCall.number, std::move(aDone));
 }
 
-ServerReply HttpServer::Grant(const GrantServer& aCall)
+void HttpServer::Grant(const GrantServer& aCall, ReplyDone aDone)
 {
   if (!mAddress.checked) {
     const json body = { { "incarnation", aCall.incarnation } };
-    return Control("/_/probe", body.dump(), aCall.number);
+    Control("/_/probe", body.dump(), aCall.number, std::move(aDone));
+    return;
   }
   const json body = { { "token", aCall.token },
                       { "number", aCall.number },
@@ -128,49 +218,61 @@
                       { "until_us", aCall.until },
                       { "add", EncodeGrants(aCall.add) },
                       { "remove", aCall.remove } };
-  return Control("/_/grants", body.dump(), aCall.number);
+  Control("/_/grants", body.dump(), aCall.number, std::move(aDone));
 }
 
-SendAnswer HttpServer::Send(const Order& aOrder, const SendTerms& aTerms)
+http::Request HttpServer::MakeRequest(const Order& aOrder, const SendTerms& aTerms) const
 {
-  httplib::Request request;
+  http::Request request;
   request.method = aOrder.method;
-  request.path = aOrder.target;
+  request.target = aOrder.target;
   request.body = aOrder.body;
+  http::Headers& headers = request.headers;
   for (const HeaderField& it : aOrder.headers) {
-    if (!IsHopByHop(it.name)) {
-      request.headers.emplace(it.name, it.value);
-    }
-  }
-  request.headers.erase("traceparent");
-  request.headers.emplace("traceparent", aTerms.span.Header());
-  request.headers.emplace(kRequestIdHeader, aOrder.requestId);
-  request.headers.emplace("Hawthornlug-Service", aOrder.service);
-  request.headers.emplace("Hawthornlug-Key", aOrder.key);
-  request.headers.emplace("Hawthornlug-Shard", std::to_string(aTerms.shard));
-  request.headers.emplace("Hawthornlug-Epoch", std::to_string(aTerms.epoch));
-  request.headers.emplace("Hawthornlug-Token", std::to_string(aTerms.token));
-  request.headers.emplace("Hawthornlug-Incarnation", std::to_string(aTerms.incarnation));
-  request.headers.emplace("Hawthornlug-Deadline", std::to_string(aTerms.deadline));
-  const httplib::Result result = mOrders.Send(request, aTerms.patience);
-  if (result) {
-    return ReadAnswer(*result, aOrder.requestId);
+    headers.Add(it.name, it.value);
   }
-  SendAnswer answer;
-  answer.result =
-    result.error() == httplib::Error::Connection ? SendResult::kUnreachable : SendResult::kNoAnswer;
-  return answer;
+  headers.RemoveHopByHop();
+  headers.Remove("Content-Length");
+  headers.Remove("Accept-Encoding");
+  headers.Set("Host", mHostPort);
+  headers.Set("traceparent", aTerms.span.Header());
+  headers.Set(kRequestIdHeader, aOrder.requestId);
+  headers.Set("Hawthornlug-Service", aOrder.service);
+  headers.Set("Hawthornlug-Key", aOrder.key);
+  headers.Set("Hawthornlug-Shard", std::to_string(aTerms.shard));
+  headers.Set("Hawthornlug-Epoch", std::to_string(aTerms.epoch));
+  headers.Set("Hawthornlug-Token", std::to_string(aTerms.token));
+  headers.Set("Hawthornlug-Incarnation", std::to_string(aTerms.incarnation));
+  headers.Set("Hawthornlug-Deadline", std::to_string(aTerms.deadline));
+  return request;
+}
+
+std::shared_ptr<http::Call> HttpServer::Send(const Order& aOrder,
+                                             const SendTerms& aTerms,
+                                             SendDone aDone)
+{
+  http::CallOptions options;
+  options.timeout = aTerms.patience;
+  options.maxIdle = kMaxIdleTime;
+  options.keep = mAddress.connections;
+  options.echoHeader = kRequestIdHeader;
+  options.echoValue = aOrder.requestId;
+  auto call = std::make_shared<OrderCall>(mLoop, std::move(aDone));
+  mLoop.Dispatch([call, address = mHostPort, request = MakeRequest(aOrder, aTerms), options] {
+    call->Start(address, request, options);
+  });
+  return call;
 }
 
 void HttpServer::Cancel(const std::string& aRequestId)
 {
   const json body = { { "request_id", aRequestId } };
-  Control("/_/cancel", body.dump(), 0);
+  Control("/_/cancel", body.dump(), 0, nullptr);
 }
 
 std::unique_ptr<ServerPort> HttpServerFactory::Make(const ServerAddress& aAddress)
 {
-  return std::make_unique<HttpServer>(aAddress);
+  return std::make_unique<HttpServer>(mLoop, aAddress);
 }
 
 } // namespace hawthornlug
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -13,7 +13,6 @@
 using SteadyPoint = std::chrono::steady_clock::time_point;
 
 constexpr std::size_t kReadBytes = 16384;
-constexpr std::size_t kMaxIdlePerAddress = 16;
 constexpr std::chrono::seconds kConnectTimeout{ 1 };
 /// Answers to other calls that may come before the one that is waited for.
 constexpr int kMaxSkipped = 3;
@@ -278,7 +277,7 @@
       mIdleSince = std::chrono::steady_clock::now();
       std::vector<std::shared_ptr<Connection>>& idle = mClient.mIdle[mAddress];
       idle.push_back(shared_from_this());
-      if (idle.size() > kMaxIdlePerAddress) {
+      if (idle.size() > mOptions.keep) {
         const auto oldest = idle.front();
         oldest->Close();
       }
--- a/http/client.h
+++ b/http/client.h
@@ -48,6 +48,8 @@
   Duration timeout = seconds(1);
   /// A kept connection that has been idle for longer is not used.
   Duration maxIdle = seconds(8);
+  /// Idle connections to the address that are kept.
+  std::size_t keep = 16;
   /// An answer with another value in this header belongs to another call and is skipped.
   std::string echoHeader;
   std::string echoValue;
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -122,6 +122,12 @@
   return std::string_view(target).substr(0, target.find('?'));
 }
 
+std::string_view Request::Query() const
+{
+  const std::size_t mark = target.find('?');
+  return mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+}
+
 std::string_view ReasonOf(int aStatus)
 {
   switch (aStatus) {
--- a/http/message.h
+++ b/http/message.h
@@ -44,9 +44,13 @@
   Headers headers;
   std::string body;
   bool keepAlive = true;
+  /// The sender's IP address, if a server took the request in.
+  std::string sender;
 
   /// The target up to its query.
   std::string_view Path() const;
+  /// What follows the target's first '?'.
+  std::string_view Query() const;
 };
 
 /// An answer, whole.
--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -225,6 +225,9 @@
   if ((error != HPE_OK && error != HPE_PAUSED) || !mParser->headerDone || read != size) {
     return ReadState::kMalformed;
   }
+  if (mParser->parser.http_major != 1) {
+    return ReadState::kMalformed;
+  }
   if (mParser->parser.upgrade != 0 && mParser->parser.method == HTTP_CONNECT) {
     return ReadState::kMalformed;
   }
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -49,6 +49,10 @@
   {
     asio::error_code ec;
     mSocket.set_option(Tcp::no_delay(true), ec);
+    const Tcp::endpoint sender = mSocket.remote_endpoint(ec);
+    if (!ec) {
+      mSender = sender.address().to_string();
+    }
     Read();
   }
 
@@ -234,6 +238,7 @@
       mContinued = false;
       mMessageStartedAt = std::chrono::steady_clock::now();
       auto it = std::make_shared<PendingExchange>(weak_from_this(), mReader.TakeRequest());
+      it->Received().sender = mSender;
       mLastRequest = !it->Received().keepAlive;
       mPending.push_back(it);
       mServer.mHandler.OnRequest(it);
@@ -324,6 +329,7 @@
   Server& mServer;
   Tcp::socket mSocket;
   MessageReader mReader;
+  std::string mSender;
   std::array<char, kReadBytes> mBuffer{};
   std::deque<std::shared_ptr<PendingExchange>> mPending;
   SteadyPoint mTouchedAt;
@@ -355,10 +361,15 @@
   Stop();
 }
 
-void Server::Stop()
+void Server::StopAccepting()
 {
   asio::error_code ec;
   mAcceptor.close(ec);
+}
+
+void Server::Stop()
+{
+  StopAccepting();
   mSweepTimer.cancel();
   const auto connections = mConnections;
   for (const auto& it : connections) {
@@ -381,7 +392,7 @@
     if (!mAcceptor.is_open()) {
       return;
     }
-    if (!aError) {
+    if (!aError && mConnections.size() < mLimits.connections) {
       auto it = std::make_shared<Connection>(*this, std::move(aSocket));
       mConnections.insert(it);
       it->Start();
--- a/http/server.h
+++ b/http/server.h
@@ -47,6 +47,8 @@
   ReadLimits read;
   Duration headerTimeout = seconds(5);
   Duration idleTimeout = seconds(30);
+  /// Connections at a time; further ones are closed at once.
+  std::size_t connections = 65536;
 };
 
 /// Listens on one address. Everything runs on the thread of the given context.
@@ -64,6 +66,8 @@
   /// From now on each answer closes its connection.
   void Drain() { mDraining = true; }
   bool IsDraining() const { return mDraining; }
+  /// Takes no new connections; those that stand are served on.
+  void StopAccepting();
   /// Number of requests that wait for their answers.
   std::size_t Unanswered() const;
   /// Closes everything.
--- /dev/null
+++ b/http/target.cpp
@@ -0,0 +1,46 @@
+#include "http/target.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hawthornlug::http {
+
+namespace {
+
+constexpr std::size_t kHexDigits = 2;
+constexpr int kHexBase = 16;
+
+} // namespace
+
+std::string DecodePercent(std::string_view aText)
+{
+  std::string text;
+  text.reserve(aText.size());
+  for (std::size_t n = 0; n < aText.size(); ++n) {
+    unsigned char byte = 0;
+    const std::string_view digits = aText.substr(n + 1 < aText.size() ? n + 1 : n, kHexDigits);
+    const char* const end = digits.data() + digits.size();
+    const bool decodes = aText[n] == '%' && digits.size() == kHexDigits &&
+                         std::from_chars(digits.data(), end, byte, kHexBase).ptr == end;
+    text.push_back(decodes ? static_cast<char>(byte) : aText[n]);
+    n += decodes ? kHexDigits : 0;
+  }
+  return text;
+}
+
+std::string QueryValue(std::string_view aQuery, std::string_view aName)
+{
+  while (!aQuery.empty()) {
+    const std::string_view field = aQuery.substr(0, aQuery.find('&'));
+    const std::size_t equals = field.find('=');
+    if (equals != std::string_view::npos && DecodePercent(field.substr(0, equals)) == aName) {
+      std::string value(field.substr(equals + 1));
+      std::replace(value.begin(), value.end(), '+', ' ');
+      return DecodePercent(value);
+    }
+    aQuery.remove_prefix(std::min(field.size() + 1, aQuery.size()));
+  }
+  return {};
+}
+
+} // namespace hawthornlug::http
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -17,6 +17,8 @@
 
 constexpr Duration kPlatformTimeout = milliseconds(500);
 constexpr Duration kLeavePatience = seconds(5);
+/// Requests in progress are waited for so long before the process ends.
+constexpr Duration kAnswerPatience = seconds(30);
 constexpr std::size_t kControlThreads = 16;
 
 /// Waits for SIGTERM or SIGINT.
@@ -46,16 +48,17 @@
   hawthornlug::Metrics metrics;
   ObjectCache cache;
   HttpPlatform platform(aSettings.platformUrl, kPlatformTimeout);
-  HttpServerFactory servers;
+  HttpLoop loop;
+  HttpServerFactory servers(loop);
   AsioTimers timers;
   AsioTimers heartbeatTimers;
-  AsioWorkers orderWorkers(aSettings.orderThreads);
+  AsioWorkers orderWorkers(aSettings.workerThreads);
   AsioWorkers controlWorkers(kControlThreads);
   Services services{ platform,        servers,      *peers,         timers,
                      heartbeatTimers, orderWorkers, controlWorkers, log,
                      metrics,         spans,        cache };
   Daemon daemon(aSettings.daemon, services);
-  HttpCallers callers(daemon.Requests(), daemon, aSettings.callerLimits, aSettings.callerThreads);
+  HttpCallers callers(loop, daemon.Requests(), daemon, aSettings.callerLimits);
   daemon.Start();
   const bool listening = leaf::try_handle_all(
     [&]() -> Result<bool> {
@@ -70,17 +73,19 @@
   if (listening) {
     WaitForSignal();
     const Instant stopAt = timers.Now() + aSettings.drainWait;
+    callers.Drain();
     daemon.Leave(kLeavePatience);
     // The balancer needs time to see that this host is not ready any more.
     while (timers.Now() < stopAt) {
       std::this_thread::sleep_for(milliseconds(10));
     }
   }
-  callers.Stop();
+  callers.Stop(kAnswerPatience);
   orderWorkers.Join();
   peers->Stop();
   daemon.Stop();
   controlWorkers.Join();
+  loop.Stop();
   return listening ? kExitDone : kExitRefused;
 }
 
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -15,6 +15,7 @@
 constexpr const char* kEnvironmentPrefix = "HAWTHORNLUG_";
 constexpr int kMaxPort = 65535;
 constexpr std::size_t kMaxThreads = 4096;
+constexpr std::size_t kMaxConnections = 65536;
 constexpr const char* kDefaultPlatform = "http://127.0.0.1:7070";
 constexpr const char* kDefaultDaemon = "http://127.0.0.1:8080";
 
@@ -186,11 +187,12 @@
     levels.count(aSettings.logLevel) != 0, "log-level", "must be debug, info, warning or error");
   const double sample = aSettings.daemon.traceSample;
   check(sample >= 0.0 && sample <= 1.0, "trace-sample", "must be a share from 0 to 1");
-  check(aSettings.callerThreads > 0 && aSettings.callerThreads <= kMaxThreads,
-        "caller-threads",
-        "must be from 1 to 4096");
-  check(aSettings.orderThreads > 0 && aSettings.orderThreads <= kMaxThreads,
-        "order-threads",
+  const std::size_t connections = aSettings.callerLimits.maxConnections;
+  check(connections > 0 && connections <= kMaxConnections,
+        "max-connections",
+        "must be from 1 to 65536");
+  check(aSettings.workerThreads > 0 && aSettings.workerThreads <= kMaxThreads,
+        "worker-threads",
         "must be from 1 to 4096");
   check(aSettings.callerLimits.maxKeyLength > 0, "max-key-length", "must be above 0");
   check(aSettings.callerLimits.maxBodyBytes > 0, "max-body-bytes", "must be above 0");
@@ -220,8 +222,10 @@
   const auto level = flags.Add("log-level", "debug, info, warning or error", "info");
   const auto spans = flags.Add("trace-file", "Where spans go, '-' for standard output", "");
   const auto sample = flags.Add("trace-sample", "Share of new traces that are kept", "0.01");
-  const auto callers = flags.Add("caller-threads", "Connections from callers at a time", "256");
-  const auto orders = flags.Add("order-threads", "Orders to servers at a time", "64");
+  const auto connections =
+    flags.Add("max-connections", "Connections from callers at a time", "1024");
+  const auto workers =
+    flags.Add("worker-threads", "Threads that take up orders of other daemons", "4");
   const auto maxKey = flags.Add("max-key-length", "Longest key, in bytes", "512");
   const auto maxBody = flags.Add("max-body-bytes", "Largest request body, in bytes", "1048576");
   const auto drainWait =
@@ -257,8 +261,8 @@
   std::int64_t drainMs = 0;
   std::int64_t listLagMs = 0;
   number(*sample, aSettings.daemon.traceSample);
-  number(*callers, aSettings.callerThreads);
-  number(*orders, aSettings.orderThreads);
+  number(*connections, aSettings.callerLimits.maxConnections);
+  number(*workers, aSettings.workerThreads);
   number(*maxKey, aSettings.callerLimits.maxKeyLength);
   number(*maxBody, aSettings.callerLimits.maxBodyBytes);
   number(*drainWait, drainMs);
--- a/main/settings.h
+++ b/main/settings.h
@@ -31,8 +31,7 @@
   std::string logLevel;
   std::string spanFile;
   CallerLimits callerLimits;
-  std::size_t callerThreads = 0;
-  std::size_t orderThreads = 0;
+  std::size_t workerThreads = 0;
   Duration drainWait = Duration::zero();
 };
 
--- a/ownership/cell_actions.h
+++ b/ownership/cell_actions.h
@@ -135,6 +135,14 @@
   std::map<ShardId, Epoch> grants;
   /// The server says that it is about to leave and wants no shards.
   bool draining = false;
+
+  /// No reply came to the call, or none that could be read.
+  static ServerReply Lost(CallNumber aNumber)
+  {
+    ServerReply reply;
+    reply.number = aNumber;
+    return reply;
+  }
 };
 
 } // namespace hawthornlug
--- a/ports/server_port.h
+++ b/ports/server_port.h
@@ -2,9 +2,11 @@
 /// One backend server.
 #pragma once
 
+#include "http/call.h"
 #include "ownership/cell_actions.h"
 #include "routing/order.h"
 
+#include <functional>
 #include <memory>
 
 namespace hawthornlug {
@@ -47,16 +49,23 @@
   std::string body;
 };
 
-/// Blocking calls; safe to use from any thread.
+/// Asynchronous calls; safe to use from any thread. Completions are called once, on the port's own
+/// thread and never before the call returns, so they must not block.
 class ServerPort
 {
 public:
+  using ReplyDone = std::function<void(const ServerReply&)>;
+  using SendDone = std::function<void(SendAnswer)>;
+
   virtual ~ServerPort() = default;
 
   /// Presents a token. A server that checks no tokens only tells its incarnation and clock.
-  virtual ServerReply Fence(const FenceServer& aCall, const DaemonRef& aDaemon) = 0;
-  virtual ServerReply Grant(const GrantServer& aCall) = 0;
-  virtual SendAnswer Send(const Order& aOrder, const SendTerms& aTerms) = 0;
+  virtual void Fence(const FenceServer& aCall, const DaemonRef& aDaemon, ReplyDone aDone) = 0;
+  virtual void Grant(const GrantServer& aCall, ReplyDone aDone) = 0;
+  /// Sends an order. Cancelling it closes its connection and completes it without an answer.
+  virtual std::shared_ptr<http::Call> Send(const Order& aOrder,
+                                           const SendTerms& aTerms,
+                                           SendDone aDone) = 0;
   /// Tells the server that nobody waits for this request any more.
   virtual void Cancel(const std::string& aRequestId) = 0;
 };
--- a/routing/order.h
+++ b/routing/order.h
@@ -41,11 +41,12 @@
   kTombstone,    ///< The request id was declared not run before.
   kInProgress,   ///< The same request id is running.
   kStopping,     ///< This daemon is stopping.
+  kAbandoned,    ///< The caller left before it was sent.
 };
-inline constexpr EnumNames<16> kRefusalNames = {
+inline constexpr EnumNames<17> kRefusalNames = {
   "none",       "unknown-service", "bad-request", "no-route",       "not-mine",   "no-owner",
   "overloaded", "deadline",        "unreachable", "server-refused", "domain-out", "domain-cut-off",
-  "no-answer",  "tombstone",       "in-progress", "stopping"
+  "no-answer",  "tombstone",       "in-progress", "stopping",       "abandoned"
 };
 
 struct HeaderField
--- a/runtime/attached.cpp
+++ b/runtime/attached.cpp
@@ -22,6 +22,28 @@
   }
 }
 
+/// An order in the hands of a cell.
+class OrderInCell : public OrderInProgress
+{
+public:
+  OrderInCell(std::shared_ptr<CellRunner> aCell, const PendingPtr& aOrder)
+    : mCell(std::move(aCell))
+    , mOrder(aOrder)
+  {
+  }
+
+  void Abandon() override
+  {
+    if (const PendingPtr it = mOrder.lock()) {
+      mCell->Abandon(it);
+    }
+  }
+
+private:
+  std::shared_ptr<CellRunner> mCell;
+  std::weak_ptr<PendingOrder> mOrder;
+};
+
 } // namespace
 
 Attached::Attached(Services& aServices, const Directory& aDirectory, const RoutingTable& aRoutes)
@@ -44,7 +66,7 @@
   return AnswerSeen(seen);
 }
 
-void Attached::Run(Order aOrder, const Done& aDone)
+std::shared_ptr<OrderInProgress> Attached::Run(Order aOrder, const Done& aDone)
 {
   const Done done =
     [this, once = !aOrder.repeatable, id = aOrder.requestId, aDone](const OrderAnswer& aAnswer) {
@@ -57,7 +79,7 @@
   const ServiceConfig* service = config->FindService(aOrder.service);
   if (service == nullptr) {
     done(OrderAnswer::NotRun(Refusal::kUnknownService));
-    return;
+    return nullptr;
   }
   const ShardId shard = ShardOf(aOrder.key, service->shards);
   const auto route = mRoutes.Find(aOrder.service, shard);
@@ -66,13 +88,14 @@
     OrderAnswer answer = OrderAnswer::NotRun(route ? Refusal::kNotMine : Refusal::kNoRoute);
     answer.redirect = route ? route->attached : DaemonRef{};
     done(answer);
-    return;
+    return nullptr;
   }
   auto pending = std::make_shared<PendingOrder>();
   pending->shard = shard;
   pending->done = done;
   pending->order = std::move(aOrder);
   cell->Submit(pending);
+  return std::make_shared<OrderInCell>(cell, pending);
 }
 
 OrderAnswer Attached::Ask(const std::string& aRequestId)
--- a/runtime/attached.h
+++ b/runtime/attached.h
@@ -2,6 +2,7 @@
 /// Takes in orders for the cells that this daemon is attached to.
 #pragma once
 
+#include "ports/caller_port.h"
 #include "routing/request_table.h"
 #include "routing/routing_table.h"
 #include "runtime/directory.h"
@@ -12,15 +13,15 @@
 class Attached
 {
 public:
-  using Done = std::function<void(const OrderAnswer&)>;
+  using Done = RequestHandler::Done;
 
   Attached(Services& aServices, const Directory& aDirectory, const RoutingTable& aRoutes);
 
   /// Notes that a request has arrived; to be called in the order of arrival. If its id was seen
   /// before, returns what it is answered, and it must not be run.
   std::optional<OrderAnswer> Accept(const std::string& aRequestId, bool aRepeatable);
-  /// Runs an accepted order, on the calling thread if it can start at once.
-  void Run(Order aOrder, const Done& aDone);
+  /// Runs an accepted order. Null if it has been answered already.
+  std::shared_ptr<OrderInProgress> Run(Order aOrder, const Done& aDone);
   /// Answers what became of a request; one that was never seen is refused from now on.
   OrderAnswer Ask(const std::string& aRequestId);
 
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -232,14 +232,31 @@
     Route(aOrder, effects);
     Collect(effects);
   }
-  std::optional<Start> own;
-  if (effects.starts.size() == 1 && effects.starts.front().order == aOrder) {
-    own = std::move(effects.starts.front());
-    effects.starts.clear();
+  Carry(std::move(effects));
+}
+
+void CellRunner::Abandon(const PendingPtr& aOrder)
+{
+  Effects effects;
+  std::shared_ptr<http::Call> call;
+  {
+    const std::lock_guard lock(mMutex);
+    aOrder->abandoned = true;
+    const auto server = mServers.find(aOrder->server);
+    const bool waits = server != mServers.end() && server->second.gate->Cancel(aOrder->ticket);
+    const bool held = std::erase(mHeld, aOrder) != 0;
+    if (waits) {
+      server->second.waiting.erase(aOrder->ticket);
+    }
+    if (waits || held) {
+      effects.finished.push_back({ aOrder, OrderAnswer::NotRun(Refusal::kAbandoned) });
+    } else if (aOrder->order.repeatable) {
+      call = aOrder->call;
+    }
   }
   Carry(std::move(effects));
-  if (own) {
-    RunOrder(*own);
+  if (call) {
+    call->Cancel();
   }
 }
 
@@ -276,6 +293,7 @@
     return;
   }
   Server& server = it->second;
+  aOrder->server = admission.server;
   GateOffer offer;
   offer.ticket = aOrder->ticket;
   offer.keyFlow = HashOf(aOrder->order.key);
@@ -363,28 +381,49 @@
   if (now - pending->arrivedAt > milliseconds(1)) {
     RecordSpan(aStart, "queue", pending->arrivedAt, now, true);
   }
-  const std::shared_ptr<ServerPort> port = PortOf(admission.server);
-  SendAnswer answer;
-  if (pending->order.deadline > now) {
-    answer = port->Send(pending->order, terms);
+  if (pending->order.deadline <= now) {
+    FinishOrder(aStart, {}, now);
+    return;
   }
-  const Instant end = mServices.timers.Now();
+  std::shared_ptr<http::Call> call =
+    PortOf(admission.server)
+      ->Send(pending->order,
+             terms,
+             [self = shared_from_this(), aStart, span = terms.span, now](SendAnswer aAnswer) {
+               self->OnAnswer(aStart, span, now, std::move(aAnswer));
+             });
+  {
+    const std::lock_guard lock(mMutex);
+    if (!pending->abandoned || !pending->order.repeatable) {
+      pending->call.swap(call);
+      return;
+    }
+  }
+  call->Cancel();
+}
+
+void CellRunner::OnAnswer(const Start& aStart,
+                          const TraceContext& aSpan,
+                          Instant aStartedAt,
+                          SendAnswer aAnswer)
+{
+  const PendingPtr& pending = aStart.order;
   if (pending->order.trace.sampled) {
     Span span;
-    span.context = terms.span;
+    span.context = aSpan;
     span.parent = pending->order.trace.span;
     span.name = "server";
-    span.start = now;
-    span.end = end;
+    span.start = aStartedAt;
+    span.end = mServices.timers.Now();
     span.service = pending->order.service;
     span.requestId = pending->order.requestId;
-    span.outcome = NameOf(kSendResultNames, answer.result);
+    span.outcome = NameOf(kSendResultNames, aAnswer.result);
     mServices.spans.Record(span);
   }
-  if (answer.result == SendResult::kNoAnswer) {
-    mServices.controlWorkers.Post([port, id = pending->order.requestId] { port->Cancel(id); });
+  if (aAnswer.result == SendResult::kNoAnswer) {
+    PortOf(aStart.admission.server)->Cancel(pending->order.requestId);
   }
-  FinishOrder(aStart, std::move(answer), now);
+  FinishOrder(aStart, std::move(aAnswer), aStartedAt);
 }
 
 void CellRunner::FinishOrder(const Start& aStart, SendAnswer aAnswer, Instant aStartedAt)
@@ -397,6 +436,7 @@
     const Instant now = mServices.timers.Now();
     Server& server = mServers.at(id);
     const Duration latency = now - aStartedAt;
+    pending->call.reset();
     const bool mayStillStart = aAnswer.result == SendResult::kNoAnswer && !server.checked;
     if (mayStillStart && pending->order.deadline > now) {
       mLingering.push_back({ pending->order.deadline, pending->shard });
@@ -441,7 +481,7 @@
 
 bool CellRunner::MayRetry(const PendingOrder& aOrder, Instant aNow, SendResult aResult)
 {
-  const bool inTime = aNow + kRetryPause < aOrder.order.deadline;
+  const bool inTime = !aOrder.abandoned && aNow + kRetryPause < aOrder.order.deadline;
   // Waiting for an heir is not a retry storm: nothing was sent.
   if (aResult == SendResult::kUnreachable || aResult == SendResult::kRefused) {
     return inTime;
@@ -505,9 +545,8 @@
   for (const CellAction& it : aEffects.actions) {
     Perform(it);
   }
-  for (Start& it : aEffects.starts) {
-    mServices.orderWorkers.Post(
-      [self = shared_from_this(), start = std::move(it)] { self->RunOrder(start); });
+  for (const Start& it : aEffects.starts) {
+    RunOrder(it);
   }
   for (const Finished& it : aEffects.finished) {
     it.order->done(it.answer);
@@ -600,36 +639,46 @@
 
 void CellRunner::PerformFence(const FenceServer& aAction)
 {
-  const auto port = PortOf(aAction.server);
-  ServerReply reply;
-  reply.number = aAction.number;
-  if (port) {
-    reply = port->Fence(aAction, mSelf);
+  const auto done = [self = shared_from_this(), server = aAction.server](
+                      const ServerReply& aReply) { self->OnFenced(server, aReply); };
+  if (const auto port = PortOf(aAction.server)) {
+    port->Fence(aAction, mSelf, done);
+  } else {
+    done(ServerReply::Lost(aAction.number));
   }
+}
+
+void CellRunner::OnFenced(const std::string& aServer, const ServerReply& aReply)
+{
   Feed([&](Instant aNow) {
-    const auto it = mServers.find(aAction.server);
-    const bool accepted = reply.outcome == CallOutcome::kAccepted;
-    if (accepted && it != mServers.end() && it->second.incarnation != reply.incarnation) {
-      it->second.incarnation = reply.incarnation;
+    const auto it = mServers.find(aServer);
+    const bool accepted = aReply.outcome == CallOutcome::kAccepted;
+    if (accepted && it != mServers.end() && it->second.incarnation != aReply.incarnation) {
+      it->second.incarnation = aReply.incarnation;
       it->second.gate->OnColdStart();
     }
-    mMachine.OnFenced(aNow, aAction.server, reply);
-    HearServer(aNow, aAction.server, reply);
+    mMachine.OnFenced(aNow, aServer, aReply);
+    HearServer(aNow, aServer, aReply);
   });
 }
 
 void CellRunner::PerformGrant(const GrantServer& aAction)
 {
-  const auto port = PortOf(aAction.server);
-  ServerReply reply;
-  reply.number = aAction.number;
-  if (port) {
-    reply = port->Grant(aAction);
-  }
   mServices.metrics.Count("server_renewals_total");
+  const auto done = [self = shared_from_this(), server = aAction.server](
+                      const ServerReply& aReply) { self->OnGranted(server, aReply); };
+  if (const auto port = PortOf(aAction.server)) {
+    port->Grant(aAction, done);
+  } else {
+    done(ServerReply::Lost(aAction.number));
+  }
+}
+
+void CellRunner::OnGranted(const std::string& aServer, const ServerReply& aReply)
+{
   Feed([&](Instant aNow) {
-    mMachine.OnGranted(aNow, aAction.server, reply);
-    HearServer(aNow, aAction.server, reply);
+    mMachine.OnGranted(aNow, aServer, aReply);
+    HearServer(aNow, aServer, aReply);
   });
 }
 
--- a/runtime/cell_runner.h
+++ b/runtime/cell_runner.h
@@ -28,6 +28,12 @@
   Instant arrivedAt;
   /// Not tried again before this.
   Instant notBefore;
+  /// The server that it waits for or runs at, empty if none.
+  std::string server;
+  /// Set while it runs at a server.
+  std::shared_ptr<http::Call> call;
+  /// Nobody waits for it any more.
+  bool abandoned = false;
 };
 using PendingPtr = std::shared_ptr<PendingOrder>;
 
@@ -87,8 +93,10 @@
   /// Plans and begins moves; @p aCells are all cells of the service.
   void Plan(Instant aNow, const std::vector<CellLoad>& aCells);
 
-  /// Takes an order in. It runs on the calling thread if it can start at once.
+  /// Takes an order in; never blocks.
   void Submit(const PendingPtr& aOrder);
+  /// Nobody waits for the order any more: drops it if it waits; breaks it off if it is repeatable.
+  void Abandon(const PendingPtr& aOrder);
 
   CellRole Role() const;
   /// Daemons of which proof is wanted that they are gone.
@@ -158,8 +166,14 @@
   void PerformReadOther(const ReadOtherCell& aAction);
   void PerformFence(const FenceServer& aAction);
   void PerformGrant(const GrantServer& aAction);
+  void OnFenced(const std::string& aServer, const ServerReply& aReply);
+  void OnGranted(const std::string& aServer, const ServerReply& aReply);
   void Log(const CellNote& aNote);
   void RunOrder(const Start& aStart);
+  void OnAnswer(const Start& aStart,
+                const TraceContext& aSpan,
+                Instant aStartedAt,
+                SendAnswer aAnswer);
   void FinishOrder(const Start& aStart, SendAnswer aAnswer, Instant aStartedAt);
   bool MayRetry(const PendingOrder& aOrder, Instant aNow, SendResult aResult);
   void RecordSpan(const Start& aStart, const char* aName, Instant aFrom, Instant aTo, bool aServed);
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -62,6 +62,8 @@
     mServices.heartbeatTimers.Every(kMemberTick, [this](Instant aNow) { TickMembers(aNow); }));
   mTimers.push_back(timers.Every(kCellTick, [this](Instant aNow) { TickCells(aNow); }));
   mTimers.push_back(timers.Every(kAttachmentTick, [this](Instant aNow) { TickAttachments(aNow); }));
+  mTimers.push_back(
+    timers.Every(Entry::kTickInterval, [this](Instant aNow) { mEntry.Tick(aNow); }));
   mTimers.push_back(timers.Every(kPlanTick, [this](Instant aNow) { TickPlans(aNow); }));
   mTimers.push_back(timers.Every(kEvidenceTick, [this, &workers](Instant) {
     if (!mSeekingEvidence.exchange(true)) {
@@ -158,6 +160,9 @@
     case wire::Envelope::kAnswer:
       mCalls.OnAnswer(aEnvelope.answer().call(), DecodeAnswer(aEnvelope.answer()));
       break;
+    case wire::Envelope::kOrderAbandoned:
+      mRemoteOrders.Abandon(DecodeRef(aEnvelope.from()), aEnvelope.order_abandoned().call());
+      break;
     case wire::Envelope::kQuestion: {
       const wire::OutcomeQuestion& question = aEnvelope.question();
       SendAnswer(aEnvelope.from(), question.call(), mAttached.Ask(question.request_id()));
@@ -194,8 +199,11 @@
 
 void Daemon::OnOrder(wire::Envelope aEnvelope)
 {
-  const auto answer = [this, call = aEnvelope.order().call(), from = aEnvelope.from()](
-                        const OrderAnswer& aAnswer) { SendAnswer(from, call, aAnswer); };
+  const std::uint64_t call = aEnvelope.order().call();
+  const auto answer = [this, call, from = aEnvelope.from()](const OrderAnswer& aAnswer) {
+    mRemoteOrders.End(DecodeRef(from), call);
+    SendAnswer(from, call, aAnswer);
+  };
   // Accepted in the order of arrival: a question that comes after an order finds it.
   const auto seen =
     mAttached.Accept(aEnvelope.order().request_id(), aEnvelope.order().repeatable());
@@ -205,8 +213,10 @@
   }
   // Time spent waiting for a worker counts against the order's deadline.
   const Instant received = mServices.timers.Now();
-  mServices.orderWorkers.Post([this, answer, received, envelope = std::move(aEnvelope)] {
-    mAttached.Run(DecodeOrder(envelope.order(), received), answer);
+  mRemoteOrders.Begin(DecodeRef(aEnvelope.from()), call);
+  mServices.orderWorkers.Post([this, answer, received, call, envelope = std::move(aEnvelope)] {
+    auto order = mAttached.Run(DecodeOrder(envelope.order(), received), answer);
+    mRemoteOrders.Set(DecodeRef(envelope.from()), call, std::move(order));
   });
 }
 
--- a/runtime/daemon.h
+++ b/runtime/daemon.h
@@ -6,6 +6,7 @@
 #include "membership/evidence.h"
 #include "ports/caller_port.h"
 #include "runtime/entry.h"
+#include "runtime/remote_orders.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -103,6 +104,7 @@
   RoutingTable mRoutes;
   PeerCalls mCalls;
   Attached mAttached;
+  RemoteOrders mRemoteOrders;
   Entry mEntry;
 
   /// Held while a configuration is put in force; taken before all other locks.
--- a/runtime/entry.h
+++ b/runtime/entry.h
@@ -1,12 +1,12 @@
 /// @file
-/// Takes callers' requests in and finds the daemon that runs them.
+/// Takes callers' requests in at one entry host.
 #pragma once
 
-#include "ports/caller_port.h"
-#include "runtime/attached.h"
-#include "runtime/peer_calls.h"
+#include "runtime/entry_request.h"
 
 #include <atomic>
+#include <list>
+#include <mutex>
 
 namespace hawthornlug {
 
@@ -21,38 +21,22 @@
         PeerCalls& aCalls,
         double aTraceSample);
 
-  OrderAnswer Handle(Order& aOrder) override;
+  std::shared_ptr<OrderInProgress> Handle(Order aOrder, Done aDone) override;
+  /// Looks at what is due; to be called at kTickInterval.
+  void Tick(Instant aNow);
   /// Requests in progress.
   std::size_t InProgress() const { return mInProgress; }
 
+  static constexpr Duration kTickInterval = milliseconds(10);
+
 private:
-  OrderAnswer Serve(const Order& aOrder, ShardId aShard);
-  OrderAnswer TryOnce(const Order& aOrder, ShardId aShard);
-  OrderAnswer RunHere(const Order& aOrder);
-  OrderAnswer Forward(const Order& aOrder, const DaemonRef& aTo);
-  /// Settles what became of an order whose answer is overdue.
-  /// Waits for the answer to an order that was sent; asks what became of it if none comes.
-  OrderAnswer Await(const Order& aOrder,
-                    const DaemonRef& aTo,
-                    const std::string& aEndpoint,
-                    PeerCalls::Call& aCall);
-  /// Waits until there is an answer, @p aTo is believed gone, or it is @p aEnd.
-  CallState WaitWhileLive(const DaemonRef& aTo, Instant aEnd, PeerCalls::Call& aCall);
-  OrderAnswer Settle(const Order& aOrder, const DaemonRef& aTo, const std::string& aEndpoint);
-  void RecordSpan(const Order& aOrder,
-                  const TraceContext& aContext,
-                  std::uint64_t aParent,
-                  const char* aName,
-                  Instant aStart,
-                  const OrderAnswer& aAnswer);
-
-  Services& mServices;
-  const Directory& mDirectory;
-  const RoutingTable& mRoutes;
-  Attached& mAttached;
-  PeerCalls& mCalls;
+  void Finish(const Order& aOrder, std::uint64_t aParent, Instant aStart, const OrderAnswer& aWhat);
+
+  EntryParts mParts;
   const double mTraceSample;
   std::atomic<std::size_t> mInProgress{ 0 };
+  std::mutex mMutex;
+  std::list<std::shared_ptr<EntryRequest>> mRequests;
 };
 
 } // namespace hawthornlug
--- a/runtime/peer_calls.cpp
+++ b/runtime/peer_calls.cpp
@@ -2,26 +2,12 @@
 
 namespace hawthornlug {
 
-CallState PeerCalls::Call::Wait(Duration aTimeout)
-{
-  std::unique_lock lock(mMutex);
-  mChanged.wait_for(lock, aTimeout, [this] { return mState != CallState::kWaiting; });
-  return mState;
-}
-
-OrderAnswer PeerCalls::Call::TakeAnswer()
+std::uint64_t PeerCalls::Begin(Completion aDone)
 {
-  const std::lock_guard lock(mMutex);
-  return std::move(mAnswer);
-}
-
-std::pair<std::uint64_t, std::shared_ptr<PeerCalls::Call>> PeerCalls::Begin()
-{
-  auto call = std::make_shared<Call>();
   const std::lock_guard lock(mMutex);
   const std::uint64_t number = ++mNext;
-  mCalls.emplace(number, call);
-  return { number, call };
+  mCalls.emplace(number, std::move(aDone));
+  return number;
 }
 
 void PeerCalls::End(std::uint64_t aNumber)
@@ -30,34 +16,29 @@
   mCalls.erase(aNumber);
 }
 
-std::shared_ptr<PeerCalls::Call> PeerCalls::Find(std::uint64_t aNumber)
+void PeerCalls::OnAnswer(std::uint64_t aNumber, const OrderAnswer& aAnswer)
 {
-  const std::lock_guard lock(mMutex);
-  const auto it = mCalls.find(aNumber);
-  return it == mCalls.end() ? nullptr : it->second;
+  Complete(aNumber, CallEnd::kAnswered, aAnswer);
 }
 
-void PeerCalls::OnAnswer(std::uint64_t aNumber, OrderAnswer aAnswer)
+void PeerCalls::OnUnsent(std::uint64_t aNumber)
 {
-  const auto call = Find(aNumber);
-  if (!call) {
-    return;
-  }
-  const std::lock_guard lock(call->mMutex);
-  call->mAnswer = std::move(aAnswer);
-  call->mState = CallState::kAnswered;
-  call->mChanged.notify_one();
+  Complete(aNumber, CallEnd::kUnsent, {});
 }
 
-void PeerCalls::OnUnsent(std::uint64_t aNumber)
+void PeerCalls::Complete(std::uint64_t aNumber, CallEnd aEnd, const OrderAnswer& aAnswer)
 {
-  const auto call = Find(aNumber);
-  if (!call) {
-    return;
+  Completion done;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto it = mCalls.find(aNumber);
+    if (it == mCalls.end()) {
+      return;
+    }
+    done = std::move(it->second);
+    mCalls.erase(it);
   }
-  const std::lock_guard lock(call->mMutex);
-  call->mState = CallState::kUnsent;
-  call->mChanged.notify_one();
+  done(aEnd, aAnswer);
 }
 
 } // namespace hawthornlug
--- a/runtime/peer_calls.h
+++ b/runtime/peer_calls.h
@@ -4,57 +4,42 @@
 
 #include "routing/order.h"
 
-#include <condition_variable>
 #include <cstdint>
-#include <memory>
+#include <functional>
 #include <mutex>
-#include <optional>
 #include <unordered_map>
 
 namespace hawthornlug {
 
-/// How a call stands.
-enum class CallState
+/// How a call ended.
+enum class CallEnd
 {
-  kWaiting,
   kAnswered,
   kUnsent, ///< For certain nothing was sent.
 };
-inline constexpr EnumNames<3> kCallStateNames = { "waiting", "answered", "unsent" };
+inline constexpr EnumNames<2> kCallEndNames = { "answered", "unsent" };
 
 /// Matches answers to calls by number. Safe to use from any thread.
 class PeerCalls
 {
 public:
-  /// One call; the caller waits on it.
-  class Call
-  {
-  public:
-    /// Waits up to @p aTimeout for a change and returns the state.
-    CallState Wait(Duration aTimeout);
-    OrderAnswer TakeAnswer();
-
-  private:
-    friend class PeerCalls;
-    std::mutex mMutex;
-    std::condition_variable mChanged;
-    CallState mState = CallState::kWaiting;
-    OrderAnswer mAnswer;
-  };
-
-  /// Begins a call and returns its number with it.
-  std::pair<std::uint64_t, std::shared_ptr<Call>> Begin();
+  /// Called once at most, on the thread that brings the answer.
+  using Completion = std::function<void(CallEnd, const OrderAnswer&)>;
+
+  /// Begins a call and returns its number.
+  std::uint64_t Begin(Completion aDone);
+  /// Drops a call without completion.
   void End(std::uint64_t aNumber);
   /// An answer to a call that has ended is dropped.
-  void OnAnswer(std::uint64_t aNumber, OrderAnswer aAnswer);
+  void OnAnswer(std::uint64_t aNumber, const OrderAnswer& aAnswer);
   void OnUnsent(std::uint64_t aNumber);
 
 private:
-  std::shared_ptr<Call> Find(std::uint64_t aNumber);
+  void Complete(std::uint64_t aNumber, CallEnd aEnd, const OrderAnswer& aAnswer);
 
   std::mutex mMutex;
   std::uint64_t mNext = 0;
-  std::unordered_map<std::uint64_t, std::shared_ptr<Call>> mCalls;
+  std::unordered_map<std::uint64_t, Completion> mCalls;
 };
 
 } // namespace hawthornlug
--- a/runtime/services.h
+++ b/runtime/services.h
@@ -1,10 +1,10 @@
 /// @file
 /// What the parts of a daemon share.
 ///
-/// Lock order, outermost first: Daemon's configuration lock, CellRunner, Daemon's table lock, then
-/// the tables (ObjectCache, RoutingTable, RequestTable, PeerCalls), then Metrics, EventLog and
-/// SpanPort. No lock but the configuration lock is held during a callback, and none during a
-/// blocking call.
+/// Lock order, outermost first: Daemon's configuration lock, Entry, EntryRequest, CellRunner,
+/// Daemon's table lock, then the tables (ObjectCache, RoutingTable, RequestTable, PeerCalls,
+/// RemoteOrders), then Metrics, EventLog and SpanPort. No lock but the configuration lock is held
+/// during a callback, and none during a blocking call.
 #pragma once
 
 #include "config/object_cache.h"
@@ -28,9 +28,9 @@
   TimerService& timers;
   /// Paces heartbeats, which no other work may hold up.
   TimerService& heartbeatTimers;
-  /// Carries out orders to servers.
+  /// Takes up the orders that other daemons send.
   WorkerPool& orderWorkers;
-  /// Carries out control calls, which must not wait behind orders.
+  /// Carries out calls to the platform, which block.
   WorkerPool& controlWorkers;
   EventLog& log;
   Metrics& metrics;
--- a/runtime/wire_codec.cpp
+++ b/runtime/wire_codec.cpp
@@ -31,6 +31,11 @@
 
 } // namespace
 
+DaemonRef DecodeRef(const wire::Ref& aMessage)
+{
+  return { aMessage.id(), aMessage.incarnation() };
+}
+
 void EncodeOrder(const Order& aOrder, Instant aNow, wire::Order& aMessage)
 {
   aMessage.set_request_id(aOrder.requestId);
@@ -107,7 +112,7 @@
   answer.server = aMessage.server();
   answer.epoch = aMessage.epoch();
   answer.retryAfter = milliseconds(aMessage.retry_after_ms());
-  answer.redirect = { aMessage.redirect().id(), aMessage.redirect().incarnation() };
+  answer.redirect = DecodeRef(aMessage.redirect());
   return answer;
 }
 
--- a/runtime/wire_codec.h
+++ b/runtime/wire_codec.h
@@ -9,6 +9,8 @@
 
 namespace hawthornlug {
 
+DaemonRef DecodeRef(const wire::Ref& aMessage);
+
 void EncodeOrder(const Order& aOrder, Instant aNow, wire::Order& aMessage);
 Order DecodeOrder(const wire::Order& aMessage, Instant aNow);
 
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -87,6 +87,8 @@
     { "signed length", head + "Content-Length: +1\r\n\r\na", ReadState::kMalformed },
     { "unknown coding", head + "Transfer-Encoding: gzip, chunked\r\n\r\n", ReadState::kMalformed },
     { "disguised coding", head + "Transfer-Encoding: xchunked\r\n\r\n", ReadState::kMalformed },
+    { "no version", "GET /\r\n\r\n", ReadState::kMalformed },
+    { "another version", "GET / HTTP/2.0\r\nHost: x\r\n\r\n", ReadState::kMalformed },
     { "folded line", head + "X-One: 1\r\n 2\r\n\r\n", ReadState::kMalformed },
     { "bare line feed", "POST / HTTP/1.1\nHost: x\r\n\r\n", ReadState::kMalformed },
     { "bare carriage return", head + "X-One: 1\rX-Two: 2\r\n\r\n", ReadState::kMalformed },
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -22,8 +22,7 @@
   settings.httpPort = 8080;
   settings.platformUrl = "http://127.0.0.1:7070";
   settings.logLevel = "info";
-  settings.callerThreads = 1;
-  settings.orderThreads = 1;
+  settings.workerThreads = 1;
   return settings;
 }
 
@@ -55,8 +54,10 @@
     { "platform", [](ServeSettings& s) { s.platformUrl = "127.0.0.1:1"; } },
     { "log-level", [](ServeSettings& s) { s.logLevel = "loud"; } },
     { "trace-sample", [](ServeSettings& s) { s.daemon.traceSample = 2.0; } },
-    { "caller-threads", [](ServeSettings& s) { s.callerThreads = 0; } },
-    { "order-threads", [](ServeSettings& s) { s.orderThreads = 5000; } },
+    { "max-connections", [](ServeSettings& s) { s.callerLimits.maxConnections = 0; } },
+    { "max-connections", [](ServeSettings& s) { s.callerLimits.maxConnections = 70000; } },
+    { "worker-threads", [](ServeSettings& s) { s.workerThreads = 0; } },
+    { "worker-threads", [](ServeSettings& s) { s.workerThreads = 5000; } },
     { "host-list-lag-ms", [](ServeSettings& s) { s.daemon.hostListLag = Duration::zero(); } },
     { "seeds", [](ServeSettings& s) { s.daemon.seeds.emplace_back(); } },
   }));
--- a/tests/runtime/entry_test.cpp
+++ b/tests/runtime/entry_test.cpp
@@ -2,6 +2,7 @@
 /// The request path between two daemons, with the peer port and the timers as mocks.
 
 #include "runtime/entry.h"
+#include "runtime/remote_orders.h"
 #include "runtime/wire_codec.h"
 
 #include <catch2/catch.hpp>
@@ -71,6 +72,9 @@
   mutable Instant mNow{ seconds(1) };
 };
 
+/// More ticks than fit before any deadline.
+constexpr int kMostTicks = 1000;
+
 /// An entry daemon that knows one other daemon, which is attached to the only cell.
 struct Fixture
 {
@@ -87,23 +91,35 @@
     cell.attached = { "d2", 7 };
     cell.shards[0] = { "a", 1, "" };
     routes.Learn("cells/s/y/0", 1, cell);
+    using trompeloeil::_;
+    allowed.push_back(NAMED_ALLOW_CALL(directory, Self()).RETURN(DaemonRef{ "d1", 1 }));
+    allowed.push_back(NAMED_ALLOW_CALL(directory, Config()).LR_RETURN(config));
+    allowed.push_back(NAMED_ALLOW_CALL(directory, IsCutOff(_)).LR_RETURN(cutOff));
+    allowed.push_back(NAMED_ALLOW_CALL(directory, IsLive(_)).LR_RETURN(live));
+    allowed.push_back(
+      NAMED_ALLOW_CALL(directory, EndpointOf(_)).RETURN(std::optional<std::string>("tcp://d2")));
+    allowed.push_back(NAMED_ALLOW_CALL(directory, FindCell(_)).RETURN(nullptr));
   }
 
-  OrderAnswer Handle(const std::string& aMethod)
+  std::shared_ptr<OrderInProgress> Begin(const std::string& aMethod, RequestHandler::Done aDone)
   {
-    using trompeloeil::_;
-    ALLOW_CALL(directory, Self()).RETURN(DaemonRef{ "d1", 1 });
-    ALLOW_CALL(directory, Config()).LR_RETURN(config);
-    ALLOW_CALL(directory, IsCutOff(_)).LR_RETURN(cutOff);
-    ALLOW_CALL(directory, IsLive(_)).LR_RETURN(live);
-    ALLOW_CALL(directory, EndpointOf(_)).RETURN(std::optional<std::string>("tcp://d2"));
-    ALLOW_CALL(directory, FindCell(_)).RETURN(nullptr);
     Order order;
     order.requestId = "r";
     order.service = "s";
     order.key = "k";
     order.method = aMethod;
-    return entry.Handle(order);
+    return entry.Handle(order, std::move(aDone));
+  }
+
+  OrderAnswer Handle(const std::string& aMethod)
+  {
+    std::optional<OrderAnswer> outcome;
+    Begin(aMethod, [&](const OrderAnswer& aAnswer) { outcome = aAnswer; });
+    for (int n = 0; n < kMostTicks && !outcome; ++n) {
+      entry.Tick(timers.Now());
+    }
+    REQUIRE(outcome);
+    return *outcome;
   }
 
   MockPeers peers;
@@ -125,6 +141,7 @@
   std::shared_ptr<const Configuration> config;
   bool cutOff = false;
   bool live = true;
+  std::vector<std::unique_ptr<trompeloeil::expectation>> allowed;
 };
 
 } // namespace
@@ -237,15 +254,68 @@
 TEST_CASE("an answer that comes after its call has ended is dropped", "[runtime]")
 {
   PeerCalls calls;
-  const auto [first, one] = calls.Begin();
+  int answered = 0;
+  const auto count = [&](CallEnd aEnd, const OrderAnswer&) {
+    answered += aEnd == CallEnd::kAnswered ? 1 : 0;
+  };
+  const std::uint64_t first = calls.Begin(count);
   calls.End(first);
-  const auto [second, two] = calls.Begin();
+  const std::uint64_t second = calls.Begin(count);
   OrderAnswer answer;
   answer.status = 1;
   calls.OnAnswer(first, answer);
-  CHECK(two->Wait(Duration::zero()) == CallState::kWaiting);
+  CHECK(answered == 0);
   calls.OnAnswer(second, answer);
-  CHECK(two->Wait(Duration::zero()) == CallState::kAnswered);
+  CHECK(answered == 1);
+  calls.OnAnswer(second, answer);
+  CHECK(answered == 1);
+}
+
+TEST_CASE("the daemon that has an order is told when its caller has left", "[runtime]")
+{
+  using trompeloeil::_;
+  Fixture fixture;
+  std::uint64_t order = 0;
+  std::uint64_t abandoned = 0;
+  ALLOW_CALL(fixture.peers, Send(_, _, _, _)).WITH(_2.has_order()).LR_SIDE_EFFECT({
+    order = _2.order().call();
+  });
+  REQUIRE_CALL(fixture.peers, Send("tcp://d2", _, Delivery::kNowOrNever, _))
+    .WITH(_2.has_order_abandoned() && _2.to_incarnation() == 7)
+    .LR_SIDE_EFFECT(abandoned = _2.order_abandoned().call());
+  int answered = 0;
+  const auto progress = fixture.Begin("GET", [&](const OrderAnswer&) { ++answered; });
+  progress->Abandon();
+  CHECK(abandoned == order);
+  // What comes of it is not tried again.
+  fixture.calls.OnAnswer(order, OrderAnswer::Unknown(Refusal::kNoAnswer));
+  CHECK(answered == 1);
+}
+
+TEST_CASE("another daemon's order is abandoned by its call while it is in progress", "[runtime]")
+{
+  class Progress : public OrderInProgress
+  {
+  public:
+    void Abandon() override { ++abandoned; }
+    int abandoned = 0;
+  };
+  const DaemonRef from{ "d1", 1 };
+  const auto progress = std::make_shared<Progress>();
+  RemoteOrders orders;
+  orders.Begin(from, 5);
+  orders.Abandon(from, 5);
+  CHECK(progress->abandoned == 0);
+  orders.Set(from, 5, progress);
+  orders.Abandon({ "d1", 2 }, 5);
+  orders.Abandon(from, 6);
+  CHECK(progress->abandoned == 0);
+  orders.Abandon(from, 5);
+  CHECK(progress->abandoned == 1);
+  orders.End(from, 5);
+  orders.Set(from, 5, progress);
+  orders.Abandon(from, 5);
+  CHECK(progress->abandoned == 1);
 }
 
 TEST_CASE("an order survives its way over the wire", "[runtime]")
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -228,9 +228,7 @@
                    "--trace-file",
                    mFolder + "/" + it.id + ".spans",
                    "--trace-sample",
-                   std::to_string(mShape.traceSample),
-                   "--caller-threads",
-                   "64" };
+                   std::to_string(mShape.traceSample) };
       mDaemons.push_back(it);
     }
   }
