--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -167,6 +167,11 @@
   return mBuffer.size();
 }
 
+std::size_t MessageReader::HeldBytes() const
+{
+  return mBuffer.size() + mParser->body.size();
+}
+
 ReadState MessageReader::CheckHeaderLines(std::string_view aHeader) const
 {
   std::size_t lengths = 0;
--- a/http/message_reader.h
+++ b/http/message_reader.h
@@ -70,6 +70,8 @@
   bool ExpectsContinue() const;
   /// Bytes that came and are not read yet.
   std::size_t Buffered() const;
+  /// Bytes in memory: what is not read yet, and the body so far.
+  std::size_t HeldBytes() const;
 
 private:
   struct Parser;
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -14,9 +14,12 @@
 constexpr std::size_t kReadBytes = 16384;
 /// Requests of one connection that are served at the same time.
 constexpr std::size_t kMaxPipelined = 16;
+/// A connection that holds less than this is not refused for want of memory.
+constexpr std::size_t kSmallHolding = 65536;
 constexpr std::chrono::milliseconds kSweepInterval{ 200 };
 /// How long a connection that is being closed is read, so that its last answer isn't lost.
 constexpr std::chrono::seconds kLinger{ 1 };
+constexpr int kUnavailable = 503;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 int StatusOf(ReadState aState)
@@ -90,6 +93,8 @@
     mClosed = true;
     asio::error_code ec;
     mSocket.close(ec);
+    mServer.mHeldBytes -= mHeldBytes;
+    mHeldBytes = 0;
     // Abandoned requests may hold the last references to this connection.
     const auto self = shared_from_this();
     std::deque<std::shared_ptr<PendingExchange>> pending;
@@ -137,6 +142,7 @@
       aResponse.keepAlive = aResponse.keepAlive && mKeepAlive;
       mResponse = std::move(aResponse);
       connection->WriteNext();
+      connection->CountHeld();
     }
 
     std::size_t AnswersBehind() const override
@@ -156,6 +162,7 @@
       }
     }
 
+    std::size_t HeldBytes() const { return mRequest.body.size() + mResponse.body.size(); }
     bool IsAnswered() const { return mAnswered; }
     Response& Answer() { return mResponse; }
     bool IsHead() const { return mIsHead; }
@@ -214,12 +221,38 @@
     }
     mReader.Append({ mBuffer.data(), aBytes });
     TakeRequests();
+    CountHeld();
+    RefuseIfFull();
     // A caller that floods its connection waits until some of it has been answered.
     if (!mRefused && mReader.Buffered() < mServer.mLimits.read.headerBytes + kReadBytes) {
       Read();
     }
   }
 
+  /// Tells the server how much this connection holds.
+  void CountHeld()
+  {
+    if (mClosed) {
+      return;
+    }
+    std::size_t held = mReader.HeldBytes() + mWritingBytes;
+    for (const auto& it : mPending) {
+      held += it->HeldBytes();
+    }
+    mServer.mHeldBytes += held;
+    mServer.mHeldBytes -= mHeldBytes;
+    mHeldBytes = held;
+  }
+
+  /// Refuses a body that is on its way when memory has run out; nothing of it has been passed on.
+  void RefuseIfFull()
+  {
+    const bool full = mServer.mHeldBytes > mServer.mLimits.heldBytes;
+    if (full && !mClosed && mReader.HasHeader() && mReader.HeldBytes() > kSmallHolding) {
+      Refuse(kUnavailable, ReadState::kBodyTooLarge);
+    }
+  }
+
   void TakeRequests()
   {
     while (!mClosed && !mRefused && !mLastRequest && mPending.size() < kMaxPipelined) {
@@ -280,13 +313,16 @@
   void WriteBytes(std::string aBytes, bool aLast)
   {
     mWriting = true;
+    mWritingBytes = aBytes.size();
     auto bytes = std::make_shared<std::string>(std::move(aBytes));
     asio::async_write(
       mSocket,
       asio::buffer(*bytes),
       [self = shared_from_this(), bytes, aLast](const asio::error_code& aError, std::size_t) {
         self->mWriting = false;
+        self->mWritingBytes = 0;
         self->OnWritten(aError, aLast);
+        self->CountHeld();
       });
   }
 
@@ -334,6 +370,8 @@
   std::deque<std::shared_ptr<PendingExchange>> mPending;
   SteadyPoint mTouchedAt;
   SteadyPoint mMessageStartedAt;
+  std::size_t mHeldBytes = 0;
+  std::size_t mWritingBytes = 0;
   bool mReading = false;
   bool mWriting = false;
   bool mClosed = false;
--- a/http/server.h
+++ b/http/server.h
@@ -49,6 +49,9 @@
   Duration idleTimeout = seconds(30);
   /// Connections at a time; further ones are closed at once.
   std::size_t connections = 65536;
+  /// Bytes of requests and answers in memory, of all connections; beyond it, whoever sends a large
+  /// body is answered 503 and closed.
+  std::size_t heldBytes = std::size_t{ 64 } << 20;
 };
 
 /// Listens on one address. Everything runs on the thread of the given context.
@@ -70,6 +73,8 @@
   void StopAccepting();
   /// Number of requests that wait for their answers.
   std::size_t Unanswered() const;
+  /// Bytes of requests and answers in memory.
+  std::size_t HeldBytes() const { return mHeldBytes; }
   /// Closes everything.
   void Stop();
 
@@ -84,6 +89,7 @@
   Handler& mHandler;
   ServerLimits mLimits;
   bool mDraining = false;
+  std::size_t mHeldBytes = 0;
   std::unordered_set<std::shared_ptr<Connection>> mConnections;
 };
 
--- a/limits/shared_retry_budget.h
+++ b/limits/shared_retry_budget.h
@@ -26,6 +26,7 @@
   {
   }
 
+  void SetAllowance(const RetryAllowance& aAllowance) { mAllowance = aAllowance; }
   /// A request of a caller.
   void OnRequest(Instant aNow);
   /// Takes one retry; false if there is none left. @p aDaemons: how many share the slack.
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -1,6 +1,7 @@
 #include "main/route_command.h"
 
 #include "adapters/asio_timers.h"
+#include "adapters/json_spans.h"
 #include "adapters/zmq_peers.h"
 #include "http/server.h"
 #include "main/serve_command.h"
@@ -29,6 +30,8 @@
 constexpr Duration kServeOn = milliseconds(2600);
 /// This long before the platform ends the process it ends by itself.
 constexpr Duration kStopMargin = milliseconds(400);
+/// Requests and answers in memory may take one part in this many of it.
+constexpr std::size_t kHeldPart = 4;
 constexpr Duration kStopPoll = milliseconds(50);
 
 /// Flags of the command.
@@ -36,6 +39,8 @@
 {
   std::string settingsPath;
   int metricsPort = 0;
+  std::string spanFile;
+  double traceSample = 0.0;
 };
 
 std::string FromEnvironment(const char* aName, const char* aDefault)
@@ -64,16 +69,38 @@
       std::atoi(FromEnvironment("HAWTHORNLUG_METRICS_PORT", "0").c_str()),
       "port",
       line);
+    TCLAP::ValueArg<std::string> spans(
+      "",
+      "trace-file",
+      "Where spans go, '-' for standard output (HAWTHORNLUG_TRACE_FILE).",
+      false,
+      FromEnvironment("HAWTHORNLUG_TRACE_FILE", ""),
+      "path",
+      line);
+    TCLAP::ValueArg<double> sample(
+      "",
+      "trace-sample",
+      "Share of new traces that are kept (HAWTHORNLUG_TRACE_SAMPLE).",
+      false,
+      std::atof(FromEnvironment("HAWTHORNLUG_TRACE_SAMPLE", "0.01").c_str()),
+      "share",
+      line);
     line.setExceptionHandling(false);
     line.parse(aArgs);
     aFlags.settingsPath = settings.getValue();
     aFlags.metricsPort = metrics.getValue();
+    aFlags.spanFile = spans.getValue();
+    aFlags.traceSample = sample.getValue();
   } catch (const TCLAP::ArgException& aError) {
     std::cerr << "hawthornlug route: " << aError.error() << ' ' << aError.argId() << '\n';
     return false;
   } catch (const TCLAP::ExitException&) {
     return false;
   }
+  if (!(aFlags.traceSample >= 0.0 && aFlags.traceSample <= 1.0)) {
+    std::cerr << "hawthornlug route: --trace-sample must be a share from 0 to 1\n";
+    return false;
+  }
   if (aFlags.settingsPath.empty()) {
     std::cerr << "hawthornlug route: --settings or " << kSettingsVariable << " is needed\n";
     return false;
@@ -142,6 +169,7 @@
     : mFlags(std::move(aFlags))
     , mHost(std::move(aHost))
     , mLog(mHost.daemonId)
+    , mSpans(mFlags.spanFile)
     , mTimers(mContext)
     , mStore(mContext, mHost.storeAddress, mLog, mMetrics)
     , mReader(mLog)
@@ -152,7 +180,13 @@
 
   int Run()
   {
-    const RouterSettings settings = MakeRouterSettings(mHost);
+    RouterSettings settings = MakeRouterSettings(mHost);
+    // Nobody would read what is not written anywhere.
+    settings.traceSample = mFlags.spanFile.empty() ? 0.0 : mFlags.traceSample;
+    if (!mSpans.IsOpen()) {
+      mLog.Write(EventId::kSpanLost, { { "file", mFlags.spanFile } });
+      return kExitRefused;
+    }
     try {
       mPeers = std::make_unique<ZmqPeers>(settings.meshEndpoint);
     } catch (const zmq::error_t&) {
@@ -160,7 +194,8 @@
     }
     mDaemon = std::make_unique<RouterDaemon>(
       settings,
-      RouterServices{ mStore, mReader, mBackends, mHeaders, *mPeers, mTimers, mLog, mMetrics });
+      RouterServices{
+        mStore, mReader, mBackends, mHeaders, *mPeers, mTimers, mLog, mMetrics, mSpans });
     mSide = std::make_unique<SideHandler>(*mDaemon, mMetrics, mLog);
     if (!Listen(mCallers, mHost.callerAddress, mDaemon->Requests()) ||
         !Listen(mReadiness, mHost.readinessAddress, *mSide)) {
@@ -234,11 +269,21 @@
     leaf::try_handle_all(
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(host, platform::ReadHostSettings(mFlags.settingsPath));
-        const bool changed = host.seeds != mHost.seeds || host.stopGrace != mHost.stopGrace;
-        mHost.seeds = host.seeds;
-        mHost.stopGrace = host.stopGrace;
+        const bool changed = !(host == mHost);
+        const bool needsRestart = host.callerAddress != mHost.callerAddress ||
+                                  host.readinessAddress != mHost.readinessAddress ||
+                                  host.meshAddress != mHost.meshAddress ||
+                                  host.storeAddress != mHost.storeAddress ||
+                                  host.longestHold != mHost.longestHold ||
+                                  host.daemonId != mHost.daemonId || host.domain != mHost.domain;
         if (changed || aAsked) {
-          mLog.Write(EventId::kSettingsReloaded, { { "asked", aAsked }, { "changed", changed } });
+          mLog.Write(
+            EventId::kSettingsReloaded,
+            { { "asked", aAsked }, { "changed", changed }, { "needs-restart", needsRestart } });
+        }
+        if (changed) {
+          mHost = std::move(host);
+          mDaemon->ApplySettings(MakeRouterSettings(mHost));
         }
         return {};
       },
@@ -261,6 +306,7 @@
     limits.read = { bounds->headerBytes, bounds->bodyBytes };
     limits.headerTimeout = bounds->headerTimeout;
     limits.idleTimeout = bounds->idleTimeout;
+    limits.heldBytes = mHost.memoryBytes / kHeldPart;
     mCallers->SetLimits(limits);
   }
 
@@ -286,6 +332,7 @@
   RouteFlags mFlags;
   platform::HostSettings mHost;
   DecisionLog mLog;
+  JsonSpans mSpans;
   Metrics mMetrics;
   asio::io_context mContext{ 1 };
   LoopTimers mTimers;
--- a/ports/backend_port.h
+++ b/ports/backend_port.h
@@ -34,6 +34,8 @@
   Duration timeLeft = Duration::zero();
   /// Kept connections that were idle for longer are not used.
   Duration maxIdle = Duration::zero();
+  /// Connections to the server that are kept when they are idle.
+  unsigned keep = 1;
 };
 
 /// A server's answer to a health check.
--- a/routing/server_board.cpp
+++ b/routing/server_board.cpp
@@ -34,6 +34,10 @@
 constexpr double kFailureCost = 2.0;
 /// After so long without a sample, failures count half.
 constexpr Duration kFailureHalfLife = seconds(2);
+/// Part of the connections that a server takes that is used; the rest is for probes and orders.
+constexpr double kConnectionsUsed = 0.8;
+/// Connections to a server without a bound of its own.
+constexpr unsigned kUnboundedConnections = 16;
 /// Part of a cold server's bound that is used, since daemons don't know each other's sends.
 constexpr double kWarmUpUsed = 0.6;
 
@@ -139,6 +143,31 @@
   return it != mServers.end() && aNow < it->second.avoidUntil;
 }
 
+unsigned ServerBoard::ConnectionsTo(const Server& aServer) const
+{
+  const auto rule = mRules.find(aServer.entry.service);
+  if (rule == mRules.end() || rule->second.maxConnections == 0) {
+    return kUnboundedConnections;
+  }
+  const double share = kConnectionsUsed * rule->second.maxConnections / std::max(1U, Daemons());
+  return std::max(1U, static_cast<unsigned>(share));
+}
+
+unsigned ServerBoard::ConnectionsTo(const std::string& aId) const
+{
+  const auto it = mServers.find(aId);
+  return it == mServers.end() ? 0 : ConnectionsTo(it->second);
+}
+
+unsigned ServerBoard::Daemons() const
+{
+  unsigned daemons = 0;
+  for (const auto& [domain, count] : mDaemons) {
+    daemons += count;
+  }
+  return daemons;
+}
+
 unsigned ServerBoard::Outstanding(const Server& aServer, Instant aNow) const
 {
   unsigned n = *aServer.inFlight;
@@ -194,15 +223,9 @@
   }
   // Only daemons of the server's own domain send to it while it is cold, if there are any;
   // keys leave no choice, so all daemons share a keyed server's pace.
-  unsigned daemons = 0;
   const auto own = mDaemons.find(aServer.entry.domain);
-  if (!rule->second.keyed && own != mDaemons.end() && own->second > 0) {
-    daemons = own->second;
-  } else {
-    for (const auto& [domain, count] : mDaemons) {
-      daemons += count;
-    }
-  }
+  const bool ownOnly = !rule->second.keyed && own != mDaemons.end() && own->second > 0;
+  const unsigned daemons = ownOnly ? own->second : Daemons();
   const double bound = rule->second.warmUpPerSecond * mWarmUpOvershoot +
                        (rule->second.keyed ? mWarmUpSlack : mWarmUpSlack / 4);
   const double rate = kWarmUpUsed * bound / std::max(1U, daemons);
@@ -234,7 +257,8 @@
       return ServerBar::kCold;
     }
   }
-  if (Outstanding(aServer, aNow) >= aServer.entry.slots + kWaitingAhead) {
+  const bool connected = *aServer.inFlight >= ConnectionsTo(aServer);
+  if (connected || Outstanding(aServer, aNow) >= aServer.entry.slots + kWaitingAhead) {
     return ServerBar::kFull;
   }
   return ServerBar::kNone;
--- a/routing/server_board.h
+++ b/routing/server_board.h
@@ -125,6 +125,8 @@
   const ServerEntry* Find(const std::string& aId) const;
   /// Whether new requests may go to the server, its room left aside.
   bool IsOpen(const std::string& aId) const;
+  /// Connections that this daemon may have to a server: its part of what the server takes.
+  unsigned ConnectionsTo(const std::string& aId) const;
   /// How long the server takes for work, relative to one of normal speed, at present.
   double PaceOf(const std::string& aId, Instant aNow) const;
   bool IsCold(const std::string& aId, Instant aNow) const;
@@ -161,6 +163,9 @@
 
   ServerBar BarOf(const Server& aServer, const ServerNeed& aNeed, Instant aNow) const;
   bool IsOpen(const Server& aServer) const;
+  unsigned ConnectionsTo(const Server& aServer) const;
+  /// Live daemons of all failure domains.
+  unsigned Daemons() const;
   unsigned Outstanding(const Server& aServer, Instant aNow) const;
   /// Share of failures; the older the last sample, the less it counts.
   static double Failures(const Server& aServer, Instant aNow);
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -17,6 +17,10 @@
 constexpr unsigned kHedgeRoom = 2;
 /// Callers that a stopping daemon rejects find another one at once.
 constexpr Duration kRetryElsewhere = milliseconds(20);
+constexpr const char* kTraceHeader = "traceparent";
+constexpr std::uint64_t kSampleSteps = 1000000;
+/// Shorter waits in the queue get no span.
+constexpr Duration kShortestWait = milliseconds(1);
 /// Spreads rejected callers evenly: the fractional part of n times the golden ratio.
 constexpr double kGoldenRatio = 0.6180339887498949;
 
@@ -71,6 +75,9 @@
   /// A server may have run it: nothing may be promised any more.
   bool mayHaveRun = false;
   bool done = false;
+  TraceContext trace;
+  /// The span of the caller, 0 if it has none.
+  std::uint64_t parentSpan = 0;
 };
 
 Forwarder::Forwarder(ForwarderServices aServices, const RetryAllowance& aRetries)
@@ -81,6 +88,60 @@
 
 Forwarder::~Forwarder() = default;
 
+void Forwarder::SetRetryAllowance(const RetryAllowance& aAllowance)
+{
+  mAllowance = aAllowance;
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetAllowance(aAllowance);
+  }
+}
+
+void Forwarder::BeginTrace(Flow& aFlow) const
+{
+  const auto caller = TraceContext::Parse(aFlow.exchange->Received().headers.Get(kTraceHeader));
+  if (caller) {
+    aFlow.trace = caller->Child();
+    aFlow.parentSpan = caller->span;
+  } else if (mTraceSample > 0.0) {
+    const double draw = static_cast<double>(RandomId() % kSampleSteps);
+    aFlow.trace = TraceContext::Make(draw < mTraceSample * static_cast<double>(kSampleSteps));
+  }
+}
+
+void Forwarder::Record(const Flow& aFlow, Span aSpan) const
+{
+  aSpan.service = aFlow.service;
+  aSpan.requestId = aFlow.terms.requestId;
+  mServices.spans.Record(aSpan);
+}
+
+void Forwarder::RecordSpan(const Flow& aFlow,
+                           const char* aName,
+                           Instant aStart,
+                           Instant aEnd,
+                           std::string_view aOutcome) const
+{
+  if (aFlow.trace.sampled) {
+    Record(aFlow,
+           { aFlow.trace.Child(),
+             aFlow.trace.span,
+             aName,
+             aStart,
+             aEnd,
+             {},
+             {},
+             std::string(aOutcome) });
+  }
+}
+
+void Forwarder::RecordEntry(const Flow& aFlow, Instant aEnd, const std::string& aOutcome) const
+{
+  if (aFlow.trace.sampled) {
+    Record(aFlow,
+           { aFlow.trace, aFlow.parentSpan, "entry", aFlow.receivedAt, aEnd, {}, {}, aOutcome });
+  }
+}
+
 SharedRetryBudget& Forwarder::BudgetOf(const std::string& aService)
 {
   return mBudgets.try_emplace(aService, mAllowance).first->second;
@@ -101,6 +162,7 @@
   flow->exchange = std::move(aExchange);
   flow->receivedAt = mServices.timers.Now();
   flow->waitingSince = flow->receivedAt;
+  BeginTrace(*flow);
   if (!Admit(flow)) {
     return;
   }
@@ -285,6 +347,9 @@
 {
   Flow& flow = *aFlow;
   const ServerEntry& server = *aChoice.server;
+  if (aNow - flow.waitingSince > kShortestWait) {
+    RecordSpan(flow, "queue", flow.waitingSince, aNow, "sent");
+  }
   flow.server = server.id;
   flow.outstanding = aChoice.outstanding;
   flow.sentAt = aNow;
@@ -299,6 +364,7 @@
   terms.address = server.address;
   terms.instance = server.id;
   terms.timeLeft = std::max(flow.giveUpAt - aNow, Duration(milliseconds(1)));
+  terms.keep = mServices.board.ConnectionsTo(server.id);
   terms.maxIdle = flow.route.idempotent ? kIdleForIdempotent : kIdleForUnsafe;
   attempt.call = mServices.backends.Forward(
     flow.exchange->Received(), terms, [this, aFlow, id = server.id](ForwardOutcome aOutcome) {
@@ -349,6 +415,7 @@
   ended.slot.Release();
   const Instant now = mServices.timers.Now();
   flow.lastResult = aOutcome.result;
+  RecordSpan(flow, "server", ended.sentAt, now, NameOf(kForwardResultNames, aOutcome.result));
   mServices.metrics.Count("forwards_total{result=\"" +
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
   Learn(aFlow, ended, aOutcome, now);
@@ -464,6 +531,7 @@
       { "last-result", flow.attempts > 0 ? NameOf(kForwardResultNames, flow.lastResult) : "none" },
       { "status", aResponse.status },
       { "reason", aWhy } });
+  RecordEntry(flow, now, std::to_string(aResponse.status));
   flow.exchange->Respond(std::move(aResponse));
 }
 
@@ -481,12 +549,14 @@
                         { "server", flow.server },
                         { "elapsed-ms", Millis(mServices.timers.Now() - flow.receivedAt) } });
   CancelAttempts(flow);
+  RecordEntry(flow, mServices.timers.Now(), "abandoned");
 }
 
 void Forwarder::CancelAttempts(Flow& aFlow)
 {
   for (const Attempt& it : aFlow.open) {
     it.call->Cancel();
+    RecordSpan(aFlow, "server", it.sentAt, mServices.timers.Now(), "cancelled");
   }
   aFlow.open.clear();
 }
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -12,6 +12,7 @@
 #include "limits/waiting_policy.h"
 #include "ports/backend_port.h"
 #include "ports/caller_headers.h"
+#include "ports/span_port.h"
 #include "routing/route_table.h"
 #include "routing/server_board.h"
 #include "runtime/range_runner.h"
@@ -43,6 +44,7 @@
   TimerService& timers;
   DecisionLog& log;
   Metrics& metrics;
+  SpanPort& spans;
 };
 
 /// The path of a request: route, server, attempts, answer. Runs on the daemon's loop.
@@ -61,6 +63,9 @@
   /// From @p aFrom on, new requests are rejected: the process ends soon.
   void RefuseFrom(Instant aFrom) { mRefuseFrom = aFrom; }
   void SetDaemons(unsigned aDaemons) { mDaemons = aDaemons; }
+  /// Share of the requests without a trace of their caller's whose spans are recorded.
+  void SetTraceSample(double aShare) { mTraceSample = aShare; }
+  void SetRetryAllowance(const RetryAllowance& aAllowance);
   std::size_t Waiting() const { return mWaiting.size(); }
 
 private:
@@ -77,7 +82,17 @@
              const ForwardOutcome& aOutcome,
              Instant aNow);
   void TryHedge(const FlowPtr& aFlow, Instant aNow);
-  static void CancelAttempts(Flow& aFlow);
+  void CancelAttempts(Flow& aFlow);
+  void BeginTrace(Flow& aFlow) const;
+  /// Records a span below the request's own.
+  void RecordSpan(const Flow& aFlow,
+                  const char* aName,
+                  Instant aStart,
+                  Instant aEnd,
+                  std::string_view aOutcome) const;
+  /// Records the span of the whole request.
+  void RecordEntry(const Flow& aFlow, Instant aEnd, const std::string& aOutcome) const;
+  void Record(const Flow& aFlow, Span aSpan) const;
   static ServerNeed NeedOf(const Flow& aFlow, Instant aNow);
   /// Tries once more if that is allowed; false if the request must be answered now.
   bool Retry(const FlowPtr& aFlow, ForwardResult aResult, Instant aNow);
@@ -105,6 +120,7 @@
   std::uint64_t mRequests = 0;
   bool mDispatching = false;
   Instant mRefuseFrom = Instant::max();
+  double mTraceSample = 0.0;
 };
 
 } // namespace hawthornlug
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -47,11 +47,22 @@
                  *this,
                  aServices.timers,
                  aServices.log,
-                 aServices.metrics },
+                 aServices.metrics,
+                 aServices.spans },
                aSettings.retries)
 {
   mMesh.SetListener(*this);
   mBoard.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
+  mForwarder.SetTraceSample(aSettings.traceSample);
+}
+
+void RouterDaemon::ApplySettings(const RouterSettings& aSettings)
+{
+  for (const std::string& it : aSettings.seeds) {
+    mMesh.AddEndpoint(it);
+  }
+  mForwarder.SetRetryAllowance(aSettings.retries);
+  mBoard.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
 }
 
 void RouterDaemon::Start()
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -28,6 +28,7 @@
   double warmUpOvershoot = 1.0;
   double warmUpSlack = 0.0;
   GrantTiming grants;
+  double traceSample = 0.0;
 };
 
 /// What a routing daemon works with. Everything runs on one loop.
@@ -41,6 +42,7 @@
   TimerService& timers;
   DecisionLog& log;
   Metrics& metrics;
+  SpanPort& spans;
 };
 
 /// Follows the store and the other daemons, and keeps the forwarder informed.
@@ -57,6 +59,9 @@
   void Take(const wire::Envelope& aMessage) { mMesh.Take(aMessage); }
   http::Handler& Requests() { return mForwarder; }
 
+  /// Puts changed settings in force: seeds, retries, warm-up; the others hold until the process
+  /// ends.
+  void ApplySettings(const RouterSettings& aSettings);
   /// Whether callers may be sent here.
   bool IsReady() const { return !mLeaving && !mRoutes.IsEmpty(); }
   /// Leaves: others are to take over what this daemon does. New requests are taken for
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -397,3 +397,36 @@
   context.run_for(std::chrono::milliseconds(50));
   CHECK_FALSE(done);
 }
+
+TEST_CASE("large bodies beyond the memory for them are refused, small requests served", "[http]")
+{
+  constexpr std::size_t kLarge = 100000;
+  asio::io_context context;
+  Keeper keeper;
+  const Tcp::endpoint endpoint = FreeEndpoint(context);
+  Server server(context, endpoint, keeper);
+  ServerLimits limits;
+  limits.heldBytes = kLarge + kLarge / 2;
+  server.SetLimits(limits);
+  const std::string head = "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: ";
+  const std::string large = head + std::to_string(kLarge) + "\r\n\r\n" + std::string(kLarge, 'a');
+  Raw first(context, endpoint);
+  first.Write(large);
+  REQUIRE(RunUntil(context, [&] { return keeper.exchanges.size() == 1; }));
+  CHECK(server.HeldBytes() >= kLarge);
+  Raw second(context, endpoint);
+  second.Write(large);
+  CHECK(RunUntil(context, [&] { return second.Read().find("HTTP/1.1 503") == 0; }));
+  CHECK(keeper.exchanges.size() == 1);
+  Raw third(context, endpoint);
+  third.Write("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(RunUntil(context, [&] { return keeper.exchanges.size() == 2; }));
+  keeper.Answer(1, "small");
+  CHECK(RunUntil(context, [&] { return third.Read().find("small") != std::string::npos; }));
+  keeper.Answer(0, "done");
+  CHECK(RunUntil(context, [&] { return first.Read().find("done") != std::string::npos; }));
+  first.Close();
+  second.Close();
+  third.Close();
+  CHECK(RunUntil(context, [&] { return server.HeldBytes() == 0; }));
+}
--- a/tests/routing/server_board_test.cpp
+++ b/tests/routing/server_board_test.cpp
@@ -228,3 +228,37 @@
   board.Put(next, kStart);
   CHECK_FALSE(board.IsFailing("a", kStart));
 }
+
+TEST_CASE("all daemons together stay within the connections that a server takes", "[routing]")
+{
+  struct Row
+  {
+    unsigned bound;
+    unsigned daemons;
+    unsigned part;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 0, 4, 16 },
+    { 110, 9, 9 },
+    { 51, 8, 5 },
+    { 10, 4, 2 },
+    { 130, 91, 1 },
+    { 3, 100, 1 },
+  }));
+  ServerBoard board = Board();
+  board.SetDaemons({ { "home", row.daemons } });
+  ServiceRule rule;
+  rule.name = "s";
+  rule.maxConnections = row.bound;
+  board.SetRule(rule);
+  CHECK(board.ConnectionsTo("near") == row.part);
+  CHECK(board.ConnectionsTo("unknown") == 0);
+  // More requests at a time would need more connections.
+  std::vector<InFlightSlot> slots;
+  const unsigned most = std::min(row.part, 3U);
+  for (unsigned n = 0; n < most; ++n) {
+    CHECK(Chosen(board, Need()) == "near");
+    slots.push_back(board.Take("near", kStart));
+  }
+  CHECK(Chosen(board, Need()) == "far");
+}
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -82,6 +82,14 @@
   RangeRunner* FindRanges(const std::string&) override { return nullptr; }
 };
 
+class KeptSpans : public SpanPort
+{
+public:
+  void Record(const Span& aSpan) override { spans.push_back(aSpan); }
+
+  std::vector<Span> spans;
+};
+
 RouteRule Rule(const std::string& aName, bool aIdempotent)
 {
   RouteRule rule;
@@ -144,7 +152,8 @@
   ManualTimers timers;
   DecisionLog log{ "test" };
   Metrics metrics;
-  Forwarder forwarder{ { routes, board, backends, headers, ranges, timers, log, metrics },
+  KeptSpans spans;
+  Forwarder forwarder{ { routes, board, backends, headers, ranges, timers, log, metrics, spans },
                        { 0.2, seconds(10), 58.0 } };
   unsigned asked = 0;
 };
@@ -326,3 +335,71 @@
   bench.routes = RouteTable();
   CHECK(StatusOf(bench.Ask("safe")) == 503);
 }
+
+TEST_CASE("each hop of a sampled request has a span in its caller's trace", "[runtime][forwarder]")
+{
+  Bench bench;
+  const TraceContext caller = TraceContext::Make(true);
+  const auto ask = [&] {
+    auto exchange = std::make_shared<FakeExchange>();
+    exchange->request.method = "GET";
+    exchange->request.target = "/safe/x";
+    exchange->request.headers.Add("Host", "h");
+    exchange->request.headers.Add("X-Hawthornlug-Attempt-Id", "traced");
+    exchange->request.headers.Add("traceparent", caller.Header());
+    bench.forwarder.OnRequest(exchange);
+    return exchange;
+  };
+  // All four slots are taken, so that the request waits.
+  for (int n = 0; n < 4; ++n) {
+    bench.Ask("unsafe");
+  }
+  const auto exchange = ask();
+  bench.Pass(milliseconds(20));
+  bench.backends.End(0, ForwardResult::kAnswered);
+  bench.Pass(milliseconds(30));
+  bench.backends.End(4, ForwardResult::kAnswered);
+  REQUIRE(StatusOf(exchange) == 200);
+  REQUIRE(bench.spans.spans.size() == 3);
+  const Span& queue = bench.spans.spans[0];
+  const Span& server = bench.spans.spans[1];
+  const Span& entry = bench.spans.spans[2];
+  CHECK(queue.name == "queue");
+  CHECK(queue.end - queue.start == milliseconds(20));
+  CHECK(server.name == "server");
+  CHECK(server.outcome == "answered");
+  CHECK(server.end - server.start == milliseconds(30));
+  CHECK(entry.name == "entry");
+  CHECK(entry.outcome == "200");
+  CHECK(entry.parent == caller.span);
+  CHECK(queue.parent == entry.context.span);
+  CHECK(server.parent == entry.context.span);
+  for (const Span& it : bench.spans.spans) {
+    CHECK(it.context.TraceId() == caller.TraceId());
+    CHECK(it.requestId == "traced");
+    CHECK(it.service == "s");
+  }
+}
+
+TEST_CASE("of requests without a trace the wanted share is recorded", "[runtime][forwarder]")
+{
+  Bench bench;
+  const auto [share, spans] = GENERATE(table<double, std::size_t>({ { 0.0, 0 }, { 1.0, 2 } }));
+  bench.forwarder.SetTraceSample(share);
+  bench.Ask("safe");
+  bench.backends.End(0, ForwardResult::kAnswered);
+  CHECK(bench.spans.spans.size() == spans);
+}
+
+TEST_CASE("a changed retry allowance holds at once", "[runtime][forwarder]")
+{
+  Bench bench;
+  bench.forwarder.SetRetryAllowance({ 0.0, seconds(10), 0.0 });
+  bench.Ask("safe");
+  bench.backends.End(0, ForwardResult::kBroken);
+  CHECK(bench.backends.sent.size() == 1);
+  bench.forwarder.SetRetryAllowance({ 0.2, seconds(10), 58.0 });
+  bench.Ask("safe");
+  bench.backends.End(1, ForwardResult::kBroken);
+  CHECK(bench.backends.sent.size() == 3);
+}
