--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -4,6 +4,7 @@
 #include "tests/support/fleet.h"
 
 #include <catch2/catch.hpp>
+#include <httplib.h>
 #include <set>
 
 using namespace hawthornlug::testing;
@@ -65,6 +66,50 @@
   }
 }
 
+namespace {
+
+/// Orders that the servers were told to drop.
+std::size_t Cancelled(Fleet& aFleet)
+{
+  std::size_t n = 0;
+  for (const Process& it : aFleet.Servers()) {
+    n += aFleet.Get(it.url, "/counters").value("cancelled", std::size_t{ 0 });
+  }
+  return n;
+}
+
+/// Asks a daemon and leaves before it has answered.
+void AskAndLeave(const Process& aDaemon, const std::string& aMethod)
+{
+  httplib::Client client(aDaemon.url);
+  client.set_read_timeout(std::chrono::milliseconds(400));
+  httplib::Request request;
+  request.method = aMethod;
+  request.path = "/bookings/wedding";
+  CHECK_FALSE(client.send(request));
+}
+
+} // namespace
+
+TEST_CASE("a caller that leaves stops work that may be repeated, and no other", "[process]")
+{
+  FleetShape shape;
+  shape.workUs = 1500000;
+  Fleet fleet(shape);
+  std::size_t expected = 0;
+  // One of the daemons is attached to the owner's cell, the others forward to it.
+  for (const Process& it : fleet.Daemons()) {
+    AskAndLeave(it, "GET");
+    ++expected;
+    INFO(it.id);
+    CHECK(WaitUntil(std::chrono::milliseconds(500), [&] { return Cancelled(fleet) == expected; }));
+  }
+  AskAndLeave(fleet.Daemons()[0], "POST");
+  CHECK_FALSE(
+    WaitUntil(std::chrono::milliseconds(500), [&] { return Cancelled(fleet) != expected; }));
+  CHECK(WaitUntil(std::chrono::seconds(3), [&] { return fleet.Ledger().size() == 1; }));
+}
+
 TEST_CASE("the operators' commands tell what was done", "[process]")
 {
   Fleet fleet(FleetShape{});
--- a/tests/standins/server.cpp
+++ b/tests/standins/server.cpp
@@ -348,6 +348,7 @@
     doc["incarnation"] = mIncarnation;
     doc["cold"] = mColdLeft > 0;
     doc["grants"] = mGrants.size();
+    doc["cancelled"] = mCancelled.size();
     aResponse.set_content(doc.dump(), "application/json");
   });
   aServer.Get("/health", [this](const httplib::Request&, httplib::Response& aResponse) {
