One name, one type: the two ownership cores no longer share names; route's flags are checked like serve's

Cause: ServerSample, ServerLoad and GrantServer each named two types of one namespace, one for each core; no file had included both, and the linker merges their templates' code: undefined behaviour that no test would have shown. Found when main/route_command.cpp came to include both. They are ForwardSample, LoadReport and GrantableServer now; that file is the check that it stays so.

route's flags stood beside FlagBuilder a second time and read bad numbers as 0: ParseRoute, with a table of wrong settings (tests/main).

--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -5,6 +5,7 @@
 #include "adapters/zmq_peers.h"
 #include "http/server.h"
 #include "main/serve_command.h"
+#include "main/settings.h"
 #include "platform/backend_calls.h"
 #include "platform/host_settings.h"
 #include "platform/object_reader.h"
@@ -13,15 +14,12 @@
 
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
-#include <tclap/CmdLine.h>
 
 namespace hawthornlug {
 
 namespace {
 
-constexpr const char* kSettingsVariable = "HAWTHORNLUG_CONFIG";
 constexpr const char* kMetricsPath = "/metrics";
 constexpr Duration kReloadInterval = seconds(1);
 /// The balancer needs so long to see that this daemon is not ready any more.
@@ -34,80 +32,6 @@
 constexpr std::size_t kHeldPart = 4;
 constexpr Duration kStopPoll = milliseconds(50);
 
-/// Flags of the command.
-struct RouteFlags
-{
-  std::string settingsPath;
-  int metricsPort = 0;
-  std::string spanFile;
-  double traceSample = 0.0;
-};
-
-std::string FromEnvironment(const char* aName, const char* aDefault)
-{
-  // Nothing changes the environment while flags are read.
-  const char* const value = std::getenv(aName); // NOLINT(concurrency-mt-unsafe)
-  return value == nullptr ? aDefault : value;
-}
-
-bool ParseFlags(std::vector<std::string> aArgs, RouteFlags& aFlags)
-{
-  try {
-    TCLAP::CmdLine line("Routes callers' requests on the users' platform.", ' ', "0.1.0");
-    TCLAP::ValueArg<std::string> settings("",
-                                          "settings",
-                                          "The settings file (HAWTHORNLUG_CONFIG).",
-                                          false,
-                                          FromEnvironment(kSettingsVariable, ""),
-                                          "path",
-                                          line);
-    TCLAP::ValueArg<int> metrics(
-      "",
-      "metrics-port",
-      "Port of /metrics, 0 for none (HAWTHORNLUG_METRICS_PORT).",
-      false,
-      std::atoi(FromEnvironment("HAWTHORNLUG_METRICS_PORT", "0").c_str()),
-      "port",
-      line);
-    TCLAP::ValueArg<std::string> spans(
-      "",
-      "trace-file",
-      "Where spans go, '-' for standard output (HAWTHORNLUG_TRACE_FILE).",
-      false,
-      FromEnvironment("HAWTHORNLUG_TRACE_FILE", ""),
-      "path",
-      line);
-    TCLAP::ValueArg<double> sample(
-      "",
-      "trace-sample",
-      "Share of new traces that are kept (HAWTHORNLUG_TRACE_SAMPLE).",
-      false,
-      std::atof(FromEnvironment("HAWTHORNLUG_TRACE_SAMPLE", "0.01").c_str()),
-      "share",
-      line);
-    line.setExceptionHandling(false);
-    line.parse(aArgs);
-    aFlags.settingsPath = settings.getValue();
-    aFlags.metricsPort = metrics.getValue();
-    aFlags.spanFile = spans.getValue();
-    aFlags.traceSample = sample.getValue();
-  } catch (const TCLAP::ArgException& aError) {
-    std::cerr << "hawthornlug route: " << aError.error() << ' ' << aError.argId() << '\n';
-    return false;
-  } catch (const TCLAP::ExitException&) {
-    return false;
-  }
-  if (!(aFlags.traceSample >= 0.0 && aFlags.traceSample <= 1.0)) {
-    std::cerr << "hawthornlug route: --trace-sample must be a share from 0 to 1\n";
-    return false;
-  }
-  if (aFlags.settingsPath.empty()) {
-    std::cerr << "hawthornlug route: --settings or " << kSettingsVariable << " is needed\n";
-    return false;
-  }
-  return true;
-}
-
 /// Answers the platform's balancer and shows the metrics.
 class SideHandler : public http::Handler
 {
@@ -165,11 +89,11 @@
 class RouteProcess
 {
 public:
-  RouteProcess(RouteFlags aFlags, platform::HostSettings aHost)
-    : mFlags(std::move(aFlags))
+  RouteProcess(RouteSettings aSettings, platform::HostSettings aHost)
+    : mSettings(std::move(aSettings))
     , mHost(std::move(aHost))
     , mLog(mHost.daemonId)
-    , mSpans(mFlags.spanFile)
+    , mSpans(mSettings.spanFile)
     , mTimers(mContext)
     , mStore(mContext, mHost.storeAddress, mLog, mMetrics)
     , mReader(mLog)
@@ -182,9 +106,9 @@
   {
     RouterSettings settings = MakeRouterSettings(mHost);
     // Nobody would read what is not written anywhere.
-    settings.traceSample = mFlags.spanFile.empty() ? 0.0 : mFlags.traceSample;
+    settings.traceSample = mSettings.spanFile.empty() ? 0.0 : mSettings.traceSample;
     if (!mSpans.IsOpen()) {
-      mLog.Write(EventId::kSpanLost, { { "file", mFlags.spanFile } });
+      mLog.Write(EventId::kSpanLost, { { "file", mSettings.spanFile } });
       return kExitRefused;
     }
     try {
@@ -201,9 +125,10 @@
         !Listen(mReadiness, mHost.readinessAddress, *mSide)) {
       return kExitRefused;
     }
-    if (mFlags.metricsPort != 0 &&
-        !Listen(
-          mMetricsServer, mHost.hostAddress + ":" + std::to_string(mFlags.metricsPort), *mSide)) {
+    if (mSettings.metricsPort != 0 &&
+        !Listen(mMetricsServer,
+                mHost.hostAddress + ":" + std::to_string(mSettings.metricsPort),
+                *mSide)) {
       return kExitRefused;
     }
     mPeers->SetReceiver([this](wire::Envelope aMessage) {
@@ -268,7 +193,7 @@
   {
     leaf::try_handle_all(
       [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(host, platform::ReadHostSettings(mFlags.settingsPath));
+        BOOST_LEAF_AUTO(host, platform::ReadHostSettings(mSettings.settingsPath));
         const bool changed = !(host == mHost);
         const bool needsRestart = host.callerAddress != mHost.callerAddress ||
                                   host.readinessAddress != mHost.readinessAddress ||
@@ -329,7 +254,7 @@
     });
   }
 
-  RouteFlags mFlags;
+  RouteSettings mSettings;
   platform::HostSettings mHost;
   DecisionLog mLog;
   JsonSpans mSpans;
@@ -357,14 +282,19 @@
 
 int RunRoute(const std::vector<std::string>& aArgs)
 {
-  RouteFlags flags;
-  if (!ParseFlags(aArgs, flags)) {
-    return kExitUsage;
+  RouteSettings settings;
+  switch (ParseRoute(aArgs, settings)) {
+    case ParseResult::kHelpShown:
+      return kExitDone;
+    case ParseResult::kUsageError:
+      return kExitUsage;
+    case ParseResult::kRun:
+      break;
   }
   return leaf::try_handle_all(
     [&]() -> Result<int> {
-      BOOST_LEAF_AUTO(host, platform::ReadHostSettings(flags.settingsPath));
-      return RouteProcess(std::move(flags), std::move(host)).Run();
+      BOOST_LEAF_AUTO(host, platform::ReadHostSettings(settings.settingsPath));
+      return RouteProcess(std::move(settings), std::move(host)).Run();
     },
     [](const SettingError& aError) {
       std::cerr << "hawthornlug route: " << aError.setting << ": " << aError.reason << '\n';
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -15,6 +15,7 @@
 constexpr const char* kEnvironmentPrefix = "HAWTHORNLUG_";
 constexpr int kMaxPort = 65535;
 constexpr std::size_t kMaxThreads = 4096;
+constexpr const char* kShareReason = "must be a share from 0 to 1";
 constexpr std::size_t kMaxConnections = 65536;
 constexpr const char* kDefaultPlatform = "http://127.0.0.1:7070";
 constexpr const char* kDefaultDaemon = "http://127.0.0.1:8080";
@@ -156,6 +157,21 @@
   return static_cast<Incarnation>(std::chrono::duration_cast<microseconds>(now).count());
 }
 
+/// Reads a flag that must be a number from 0; notes what is wrong.
+template<typename T>
+void ReadFlag(const FlagBuilder::Text& aFlag, T& aValue, std::vector<SettingError>& aErrors)
+{
+  const std::string& text = aFlag.getValue();
+  if (text.rfind('-', 0) == 0 || !ReadNumber(text, aValue)) {
+    aErrors.push_back({ aFlag.getName(), "'" + text + "' is not a number from 0" });
+  }
+}
+
+bool IsShare(double aValue)
+{
+  return aValue >= 0.0 && aValue <= 1.0;
+}
+
 ParseResult Report(const std::vector<SettingError>& aErrors)
 {
   for (const SettingError& it : aErrors) {
@@ -185,8 +201,7 @@
   const std::set<std::string> levels = { "debug", "info", "warning", "error" };
   check(
     levels.count(aSettings.logLevel) != 0, "log-level", "must be debug, info, warning or error");
-  const double sample = aSettings.daemon.traceSample;
-  check(sample >= 0.0 && sample <= 1.0, "trace-sample", "must be a share from 0 to 1");
+  check(IsShare(aSettings.daemon.traceSample), "trace-sample", kShareReason);
   const std::size_t connections = aSettings.callerLimits.maxConnections;
   check(connections > 0 && connections <= kMaxConnections,
         "max-connections",
@@ -240,10 +255,7 @@
   }
   std::vector<SettingError> errors;
   const auto number = [&](const FlagBuilder::Text& aFlag, auto& aValue) {
-    const bool negative = aFlag.getValue().rfind('-', 0) == 0;
-    if (negative || !ReadNumber(aFlag.getValue(), aValue)) {
-      errors.push_back({ aFlag.getName(), "'" + aFlag.getValue() + "' is not a number from 0" });
-    }
+    ReadFlag(aFlag, aValue, errors);
   };
   Member& self = aSettings.daemon.self;
   self.id = id->getValue();
@@ -275,6 +287,39 @@
   return Report(errors);
 }
 
+ParseResult ParseRoute(std::vector<std::string> aArgs, RouteSettings& aSettings)
+{
+  TCLAP::CmdLine line("Routes callers' requests on the users' platform.", ' ', "", true);
+  FlagBuilder flags(line);
+  // The platform itself names this variable.
+  const char* const path = std::getenv("HAWTHORNLUG_CONFIG"); // NOLINT(concurrency-mt-unsafe)
+  const auto file = flags.Add("settings",
+                              "The platform's settings file, also HAWTHORNLUG_CONFIG",
+                              path == nullptr ? "" : path);
+  const auto metrics = flags.Add("metrics-port", "Port of /metrics, 0 for none", "0");
+  const auto spans = flags.Add("trace-file", "Where spans go, '-' for standard output", "");
+  const auto sample = flags.Add("trace-sample", "Share of new traces that are kept", "0.01");
+  const ParseResult parsed = Parse(line, aArgs);
+  if (parsed != ParseResult::kRun) {
+    return parsed;
+  }
+  std::vector<SettingError> errors;
+  ReadFlag(*metrics, aSettings.metricsPort, errors);
+  ReadFlag(*sample, aSettings.traceSample, errors);
+  aSettings.settingsPath = file->getValue();
+  aSettings.spanFile = spans->getValue();
+  if (aSettings.settingsPath.empty()) {
+    errors.push_back({ "settings", "must name a file" });
+  }
+  if (aSettings.metricsPort > kMaxPort) {
+    errors.push_back({ "metrics-port", "must be a port" });
+  }
+  if (!IsShare(aSettings.traceSample)) {
+    errors.push_back({ "trace-sample", kShareReason });
+  }
+  return Report(errors);
+}
+
 ParseResult ParseTool(const ToolShape& aShape,
                       std::vector<std::string> aArgs,
                       ToolSettings& aSettings)
--- a/main/settings.h
+++ b/main/settings.h
@@ -35,6 +35,18 @@
   Duration drainWait = Duration::zero();
 };
 
+/// Settings of `route` that are not in the platform's file.
+struct RouteSettings
+{
+  /// The file that the platform lays out.
+  std::string settingsPath;
+  /// Port of the metrics on the host's address; 0 for none.
+  int metricsPort = 0;
+  /// Where spans go, empty for nowhere.
+  std::string spanFile;
+  double traceSample = 0.0;
+};
+
 /// Settings of the operators' commands.
 struct ToolSettings
 {
@@ -62,6 +74,8 @@
 
 /// Reads the settings of `serve`; all that is wrong is named on the standard error stream.
 ParseResult ParseServe(std::vector<std::string> aArgs, ServeSettings& aSettings);
+/// Reads the settings of `route`, as ParseServe() does.
+ParseResult ParseRoute(std::vector<std::string> aArgs, RouteSettings& aSettings);
 /// Reads the settings of a tool.
 ParseResult ParseTool(const ToolShape& aShape,
                       std::vector<std::string> aArgs,
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -15,7 +15,7 @@
 constexpr Instant kNever{};
 
 RangeRecord FirstRecord(const std::vector<std::string>& aOwners,
-                        const std::map<std::string, GrantServer>& aServers)
+                        const std::map<std::string, GrantableServer>& aServers)
 {
   RangeRecord record;
   const std::uint64_t keys = static_cast<std::uint64_t>(kLastKey) + 1;
@@ -89,7 +89,7 @@
   mToldVersion = 0;
 }
 
-void RangeGranter::SetServers(std::map<std::string, GrantServer> aServers)
+void RangeGranter::SetServers(std::map<std::string, GrantableServer> aServers)
 {
   // A server that is not registered any more may still hold keys: its address is kept.
   for (auto& [id, server] : mServers) {
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -38,7 +38,7 @@
 };
 
 /// A server as the granting daemon sees it.
-struct GrantServer
+struct GrantableServer
 {
   Incarnation incarnation = 0;
   std::string address;
@@ -128,7 +128,7 @@
   bool IsIdle() const { return mState == State::kIdle; }
   std::uint64_t Term() const { return mRecord.term; }
 
-  void SetServers(std::map<std::string, GrantServer> aServers);
+  void SetServers(std::map<std::string, GrantableServer> aServers);
   /// The earlier holder is known to have stopped: what it granted lapses from now on.
   void OnEarlierHolderStopped(Instant aNow);
   /// The record was read, and @p aRecord is what the store has.
@@ -218,7 +218,7 @@
   RangeRecord mRecord;
   Version mRevision = 0;
   std::map<RangeKey, Range> mRanges;
-  std::map<std::string, GrantServer> mServers;
+  std::map<std::string, GrantableServer> mServers;
   std::map<std::uint64_t, Pending> mPending;
   std::uint64_t mNextOrder = 1;
   std::uint64_t mWriteNumber = 0;
--- a/ports/backend_port.h
+++ b/ports/backend_port.h
@@ -19,7 +19,7 @@
 {
   ForwardResult result = ForwardResult::kUnreachable;
   http::Response response;
-  std::optional<ServerLoad> load;
+  std::optional<LoadReport> load;
   /// The connection had been used before.
   bool reused = false;
 };
@@ -46,7 +46,7 @@
   bool refusedPort = false;
   bool healthy = false;
   std::string instance;
-  std::optional<ServerLoad> load;
+  std::optional<LoadReport> load;
   /// How much longer it is cold, if it says so.
   std::optional<Duration> warmUpLeft;
 };
--- a/routing/forward_result.h
+++ b/routing/forward_result.h
@@ -7,7 +7,7 @@
 namespace hawthornlug {
 
 /// Load that a server tells of itself.
-struct ServerLoad
+struct LoadReport
 {
   unsigned running = 0;
   unsigned waiting = 0;
--- a/routing/server_board.cpp
+++ b/routing/server_board.cpp
@@ -357,7 +357,7 @@
   return InFlightSlot(server.inFlight);
 }
 
-void ServerBoard::OnSample(const std::string& aId, const ServerSample& aSample, Instant aNow)
+void ServerBoard::OnSample(const std::string& aId, const ForwardSample& aSample, Instant aNow)
 {
   const auto it = mServers.find(aId);
   if (it == mServers.end()) {
--- a/routing/server_board.h
+++ b/routing/server_board.h
@@ -79,7 +79,7 @@
 };
 
 /// What was seen of a request at a server.
-struct ServerSample
+struct ForwardSample
 {
   ForwardResult result = ForwardResult::kUnreachable;
   /// The server answered with a failure of its own.
@@ -88,7 +88,7 @@
   Duration work = Duration::zero();
   /// Requests known to be there when it was sent, itself not counted.
   unsigned outstanding = 0;
-  std::optional<ServerLoad> load;
+  std::optional<LoadReport> load;
 };
 
 /// Keeps the servers and chooses among them. It answers normal load by the expected completion,
@@ -112,7 +112,7 @@
   ServerChoice Choose(const ServerNeed& aNeed, Instant aNow) const;
   /// Counts a request that is about to be sent.
   InFlightSlot Take(const std::string& aId, Instant aNow);
-  void OnSample(const std::string& aId, const ServerSample& aSample, Instant aNow);
+  void OnSample(const std::string& aId, const ForwardSample& aSample, Instant aNow);
   /// What another daemon has in flight; replaces what it told before.
   void SetOthers(const std::string& aDaemon,
                  const std::map<std::uint32_t, unsigned>& aCounts,
@@ -149,7 +149,7 @@
     ServerEntry entry;
     std::shared_ptr<unsigned> inFlight = std::make_shared<unsigned>(0);
     std::map<std::string, Others> others;
-    std::optional<ServerLoad> load;
+    std::optional<LoadReport> load;
     Instant loadAt;
     unsigned sentSinceLoad = 0;
     /// Service time relative to the route's usual work, without momentary slowness.
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -100,7 +100,7 @@
     Collect(effects);
     RouteHeld(effects);
   }
-  Carry(std::move(effects));
+  Carry(effects);
 }
 
 void CellRunner::Configure(const CellConfig& aCell, const ServiceConfig& aService, bool aDomainOut)
@@ -216,7 +216,7 @@
       }
     }
   }
-  Carry(std::move(effects));
+  Carry(effects);
 }
 
 // --- Orders ---------------------------------------------------------------------------------
@@ -232,7 +232,7 @@
     Route(aOrder, effects);
     Collect(effects);
   }
-  Carry(std::move(effects));
+  Carry(effects);
 }
 
 void CellRunner::Abandon(const PendingPtr& aOrder)
@@ -254,7 +254,7 @@
       call = aOrder->call;
     }
   }
-  Carry(std::move(effects));
+  Carry(effects);
   if (call) {
     call->Cancel();
   }
@@ -476,7 +476,7 @@
     }
     Collect(effects);
   }
-  Carry(std::move(effects));
+  Carry(effects);
 }
 
 bool CellRunner::MayRetry(const PendingOrder& aOrder, Instant aNow, SendResult aResult)
@@ -540,7 +540,7 @@
   }
 }
 
-void CellRunner::Carry(Effects aEffects)
+void CellRunner::Carry(const Effects& aEffects)
 {
   for (const CellAction& it : aEffects.actions) {
     Perform(it);
--- a/runtime/cell_runner.h
+++ b/runtime/cell_runner.h
@@ -159,7 +159,7 @@
   void Hold(const PendingPtr& aOrder, Effects& aEffects);
   void StartTickets(const std::string& aServer, std::vector<TicketId> aTickets, Effects& aEffects);
   void Collect(Effects& aEffects);
-  void Carry(Effects aEffects);
+  void Carry(const Effects& aEffects);
   void Perform(const CellAction& aAction);
   void PerformWrite(const WriteCell& aAction);
   void PerformRead();
--- a/runtime/entry_request.cpp
+++ b/runtime/entry_request.cpp
@@ -37,17 +37,19 @@
 void EntryRequest::TryOnce()
 {
   const auto route = mParts.routes.Find(mOrder.service, mShard);
-  if (!route) {
-    Conclude(OrderAnswer::NotRun(Refusal::kNoRoute));
-  } else if (route->attached == mParts.directory.Self()) {
+  if (route && route->attached == mParts.directory.Self()) {
     RunHere();
-  } else if (mParts.directory.IsCutOff(route->domain)) {
+    return;
+  }
+  if (route && mParts.directory.IsCutOff(route->domain)) {
     Conclude(OrderAnswer::NotRun(Refusal::kDomainCutOff, seconds(1)));
-  } else if (!mParts.directory.IsLive(route->attached)) {
+    return;
+  }
+  if (!route || !mParts.directory.IsLive(route->attached)) {
     Conclude(OrderAnswer::NotRun(Refusal::kNoRoute));
-  } else {
-    Forward(route->attached);
+    return;
   }
+  Forward(route->attached);
 }
 
 void EntryRequest::RunHere()
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -381,7 +381,7 @@
                       Instant aNow)
 {
   Flow& flow = *aFlow;
-  ServerSample sample;
+  ForwardSample sample;
   sample.result = aOutcome.result;
   const bool served = IsGood(aOutcome);
   sample.failed = aOutcome.result == ForwardResult::kAnswered && !served;
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -261,7 +261,7 @@
 
 void RangeRunner::FeedServers()
 {
-  std::map<std::string, GrantServer> servers;
+  std::map<std::string, GrantableServer> servers;
   for (const ServerEntry& it : mServices.board.ServersOf(mService)) {
     servers[it.id] = { it.incarnation, it.address, true, mServices.board.IsOpen(it.id) };
   }
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -82,6 +82,30 @@
   ::unsetenv("HAWTHORNLUG_DOMAIN");
 }
 
+TEST_CASE("wrong settings of route are refused", "[main]")
+{
+  using Words = std::vector<std::string>;
+  struct Row
+  {
+    Words words;
+    ParseResult result;
+  };
+  const auto row = GENERATE(values<Row>({
+    { { "route", "--settings", "f" }, ParseResult::kRun },
+    { { "route", "--settings", "f", "--metrics-port", "9464" }, ParseResult::kRun },
+    { { "route", "--settings", "f", "--trace-file", "-", "--trace-sample", "1" },
+      ParseResult::kRun },
+    { { "route" }, ParseResult::kUsageError },
+    { { "route", "--settings", "f", "--metrics-port", "70000" }, ParseResult::kUsageError },
+    { { "route", "--settings", "f", "--metrics-port", "x" }, ParseResult::kUsageError },
+    { { "route", "--settings", "f", "--trace-sample", "2" }, ParseResult::kUsageError },
+    { { "route", "--settings", "f", "--trace-sample", "much" }, ParseResult::kUsageError },
+    { { "route", "--settings", "f", "--nonsense" }, ParseResult::kUsageError },
+  }));
+  RouteSettings settings;
+  CHECK(ParseRoute(row.words, settings) == row.result);
+}
+
 TEST_CASE("the catalogue lists every event once", "[core]")
 {
   const std::string page = Read("docs/EVENTS.md");
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -34,7 +34,7 @@
 
   void SetServers(const std::vector<std::string>& aIds)
   {
-    std::map<std::string, GrantServer> servers;
+    std::map<std::string, GrantableServer> servers;
     for (const std::string& it : aIds) {
       servers[it] = { 1, "address-" + it, true, true };
     }
--- a/tests/routing/server_board_test.cpp
+++ b/tests/routing/server_board_test.cpp
@@ -33,9 +33,9 @@
   return need;
 }
 
-ServerSample Sample(ForwardResult aResult, Duration aElapsed = milliseconds(200))
+ForwardSample Sample(ForwardResult aResult, Duration aElapsed = milliseconds(200))
 {
-  ServerSample sample;
+  ForwardSample sample;
   sample.result = aResult;
   sample.elapsed = aElapsed;
   sample.work = milliseconds(200);
--- a/tests/support/range_world.cpp
+++ b/tests/support/range_world.cpp
@@ -79,7 +79,7 @@
 
 void RangeWorld::Feed(Daemon& aDaemon)
 {
-  std::map<std::string, GrantServer> servers;
+  std::map<std::string, GrantableServer> servers;
   for (const Server& it : mServers) {
     // A server that is down is still registered: silence proves nothing.
     servers[it.id] = { it.incarnation, it.id, true, true };
