A request's lock is held during no call to the directory

Cause: EntryRequest asked the directory for this daemon's own name under its lock; the thread sanitizer saw the order of the two locks both ways in the unit tests (6 reports). The name is taken at construction now. After: unit tests and the three [sanitized] process tests clean under the thread sanitizer.

--- a/runtime/entry_request.cpp
+++ b/runtime/entry_request.cpp
@@ -28,6 +28,7 @@
                            ShardId aShard,
                            RequestHandler::Done aDone)
   : mParts(aParts)
+  , mSelf(aParts.directory.Self())
   , mOrder(std::move(aOrder))
   , mShard(aShard)
   , mDone(std::move(aDone))
@@ -37,7 +38,7 @@
 void EntryRequest::TryOnce()
 {
   const auto route = mParts.routes.Find(mOrder.service, mShard);
-  if (route && route->attached == mParts.directory.Self()) {
+  if (route && route->attached == mSelf) {
     RunHere();
     return;
   }
@@ -76,8 +77,8 @@
 wire::Envelope EntryRequest::MakeEnvelope() const
 {
   wire::Envelope envelope;
-  envelope.mutable_from()->set_id(mParts.directory.Self().id);
-  envelope.mutable_from()->set_incarnation(mParts.directory.Self().incarnation);
+  envelope.mutable_from()->set_id(mSelf.id);
+  envelope.mutable_from()->set_incarnation(mSelf.incarnation);
   // Only the run that is meant may take an order, or say that it did not.
   envelope.set_to_incarnation(mTo.incarnation);
   return envelope;
--- a/runtime/entry_request.h
+++ b/runtime/entry_request.h
@@ -74,6 +74,7 @@
   void RecordForward(const OrderAnswer& aAnswer) const;
 
   EntryParts mParts;
+  const DaemonRef mSelf;
   const Order mOrder;
   const ShardId mShard;
   RequestHandler::Done mDone;
