--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -1,5 +1,6 @@
 #include "core/metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -26,14 +27,45 @@
   mGauges[aName] = aValue;
 }
 
+Metrics::Distribution::Distribution()
+  : summary(acc::tag::extended_p_square::probabilities = kQuantiles)
+{
+}
+
 void Metrics::Observe(const std::string& aName, Duration aValue)
 {
+  const double value = static_cast<double>(aValue.count()) / kMicrosPerSecond;
+  const auto bound = std::lower_bound(kBounds.begin(), kBounds.end(), value);
   const std::lock_guard lock(mMutex);
-  std::unique_ptr<Summary>& summary = mSummaries[aName];
-  if (!summary) {
-    summary = std::make_unique<Summary>(acc::tag::extended_p_square::probabilities = kQuantiles);
+  Distribution& distribution = mDistributions[aName];
+  distribution.summary(value);
+  ++distribution.buckets.at(static_cast<std::size_t>(bound - kBounds.begin()));
+}
+
+void Metrics::WriteSummary(std::ostream& aStream, const std::string& aName, const Summary& aSummary)
+{
+  for (const double it : kQuantiles) {
+    aStream << "hawthornlug_" << aName << "{quantile=\"" << it << "\"} "
+            << acc::quantile(aSummary, acc::quantile_probability = it) << '\n';
+  }
+  aStream << "hawthornlug_" << aName << "_sum " << acc::sum(aSummary) << '\n';
+  aStream << "hawthornlug_" << aName << "_count " << acc::count(aSummary) << '\n';
+}
+
+void Metrics::WriteHistogram(std::ostream& aStream,
+                             const std::string& aName,
+                             const Distribution& aDistribution)
+{
+  const std::string name = "hawthornlug_" + aName + "_histogram";
+  std::uint64_t upTo = 0;
+  for (std::size_t n = 0; n < kBounds.size(); ++n) {
+    upTo += aDistribution.buckets.at(n);
+    aStream << name << "_bucket{le=\"" << kBounds.at(n) << "\"} " << upTo << '\n';
   }
-  (*summary)(static_cast<double>(aValue.count()) / kMicrosPerSecond);
+  upTo += aDistribution.buckets.back();
+  aStream << name << "_bucket{le=\"+Inf\"} " << upTo << '\n';
+  aStream << name << "_sum " << acc::sum(aDistribution.summary) << '\n';
+  aStream << name << "_count " << upTo << '\n';
 }
 
 std::string Metrics::Text() const
@@ -46,13 +78,9 @@
   for (const auto& [name, value] : mGauges) {
     buf << "hawthornlug_" << name << ' ' << value << '\n';
   }
-  for (const auto& [name, summary] : mSummaries) {
-    for (const double it : kQuantiles) {
-      buf << "hawthornlug_" << name << "{quantile=\"" << it << "\"} "
-          << acc::quantile(*summary, acc::quantile_probability = it) << '\n';
-    }
-    buf << "hawthornlug_" << name << "_sum " << acc::sum(*summary) << '\n';
-    buf << "hawthornlug_" << name << "_count " << acc::count(*summary) << '\n';
+  for (const auto& [name, distribution] : mDistributions) {
+    WriteSummary(buf, name, distribution.summary);
+    WriteHistogram(buf, name, distribution);
   }
   return buf.str();
 }
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -11,9 +11,11 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <array>
+#include <cstdint>
 #include <map>
-#include <memory>
 #include <mutex>
+#include <ostream>
 #include <string>
 
 namespace hawthornlug {
@@ -26,7 +28,9 @@
   void Count(const std::string& aName, std::uint64_t aDelta = 1);
   /// Sets a gauge.
   void Set(const std::string& aName, double aValue);
-  /// Adds a sample to a summary, which is shown in seconds.
+  /// Adds a sample, which is shown in seconds: in a summary, and in a histogram of the same name
+  /// with
+  /// "_histogram" behind it, which can be added up over daemons.
   void Observe(const std::string& aName, Duration aValue);
 
   /// Everything in Prometheus' text format.
@@ -40,10 +44,30 @@
                                boost::accumulators::tag::max,
                                boost::accumulators::tag::extended_p_square_quantile>>;
 
+  /// Upper bounds of the histograms' buckets, in seconds.
+  static constexpr std::array<double, 12> kBounds = { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                                      0.4,   0.6,  1.0,   2.0,  4.0, 8.0 };
+
+  struct Distribution
+  {
+    Distribution();
+
+    Summary summary;
+    /// Samples up to each bound and above the one before it; the last counts those above all.
+    std::array<std::uint64_t, kBounds.size() + 1> buckets{};
+  };
+
+  static void WriteSummary(std::ostream& aStream,
+                           const std::string& aName,
+                           const Summary& aSummary);
+  static void WriteHistogram(std::ostream& aStream,
+                             const std::string& aName,
+                             const Distribution& aDistribution);
+
   mutable std::mutex mMutex;
   std::map<std::string, std::uint64_t> mCounters;
   std::map<std::string, double> mGauges;
-  std::map<std::string, std::unique_ptr<Summary>> mSummaries;
+  std::map<std::string, Distribution> mDistributions;
 };
 
 } // namespace hawthornlug
--- a/tests/adapters/http_callers_test.cpp
+++ b/tests/adapters/http_callers_test.cpp
@@ -117,10 +117,8 @@
     asio::error_code ec;
     asio::write(aSocket, asio::buffer(aBytes), ec);
     std::string answer;
-    asio::async_read_until(aSocket,
-                           asio::dynamic_buffer(answer),
-                           aUntil,
-                           [](const asio::error_code&, std::size_t) {});
+    asio::async_read_until(
+      aSocket, asio::dynamic_buffer(answer), aUntil, [](const asio::error_code&, std::size_t) {});
     context.restart();
     context.run_for(kLongest);
     return answer;
