--- a/tests/adapters/http_callers_test.cpp
+++ b/tests/adapters/http_callers_test.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr int kPort = 16981;
 constexpr std::size_t kMaxBody = 100;
 constexpr std::size_t kMaxKey = 8;
 constexpr std::size_t kMaxConnections = 2;
@@ -102,12 +101,12 @@
 
 struct Fixture
 {
-  Fixture() { REQUIRE(callers.Listen("127.0.0.1", kPort)); }
+  Fixture() { REQUIRE(callers.Listen("127.0.0.1", endpoint.port())); }
 
   std::unique_ptr<tcp::socket> Connect()
   {
     auto socket = std::make_unique<tcp::socket>(context);
-    socket->connect({ asio::ip::make_address("127.0.0.1"), kPort });
+    socket->connect(endpoint);
     return socket;
   }
 
@@ -124,7 +123,14 @@
     return answer;
   }
 
+  /// An address that nothing listens at.
+  static tcp::endpoint FreeEndpoint(asio::io_context& aContext)
+  {
+    return tcp::acceptor(aContext, { asio::ip::address_v4::loopback(), 0 }).local_endpoint();
+  }
+
   asio::io_context context;
+  const tcp::endpoint endpoint = FreeEndpoint(context);
   HoldingRequests requests;
   QuietOperators operators;
   HttpLoop loop;
