HttpLoop: what a waiter waits for outlives the waiter

Cause: DispatchAndWait kept its promise on the waiter's stack; the waiter may go on and destroy it while the loop's thread is still inside set_value(). Found by reading; neither sanitizer had met it. The promise is shared with the task now. Unit tests, a graceful shutdown as processes, formatter and linter on the file: passed.

--- a/adapters/http_loop.cpp
+++ b/adapters/http_loop.cpp
@@ -23,12 +23,14 @@
 
 void HttpLoop::DispatchAndWait(const std::function<void()>& aTask)
 {
-  std::promise<void> done;
-  Dispatch([&] {
+  // Shared, since the loop may still be inside set_value() when the waiter goes on.
+  const auto done = std::make_shared<std::promise<void>>();
+  std::future<void> finished = done->get_future();
+  Dispatch([&aTask, done] {
     aTask();
-    done.set_value();
+    done->set_value();
   });
-  done.get_future().wait();
+  finished.wait();
 }
 
 void HttpLoop::Stop()
