Names that are no UTF-8 harm no daemon

Found by the fuzzer of messages between daemons (protobuf's complaint about invalid UTF-8), and by looking for the same fault elsewhere. One request of a caller with such bytes in its Idempotency-Key or in the key asked of /-/explain ended every daemon that saw it: the JSON library throws when it writes such a string (spans, explain, the order to drop work). An order with such bytes that another daemon had to run was not readable there, and its caller got no answer in time. Ruled out: the decision log of route, which replaces such bytes.

--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http_server.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace hawthornlug {
@@ -202,14 +204,14 @@
   const json body = { { "token", aCall.token },
                       { "number", aCall.number },
                       { "daemon", aDaemon.id } };
-  Control("/_/fence", body.dump(), aCall.number, std::move(aDone));
+  Control("/_/fence", JsonText(body), aCall.number, std::move(aDone));
 }
 
 void HttpServer::Grant(const GrantServer& aCall, ReplyDone aDone)
 {
   if (!mAddress.checked) {
     const json body = { { "incarnation", aCall.incarnation } };
-    Control("/_/probe", body.dump(), aCall.number, std::move(aDone));
+    Control("/_/probe", JsonText(body), aCall.number, std::move(aDone));
     return;
   }
   const json body = { { "token", aCall.token },
@@ -218,7 +220,7 @@
                       { "until_us", aCall.until },
                       { "add", EncodeGrants(aCall.add) },
                       { "remove", aCall.remove } };
-  Control("/_/grants", body.dump(), aCall.number, std::move(aDone));
+  Control("/_/grants", JsonText(body), aCall.number, std::move(aDone));
 }
 
 http::Request HttpServer::MakeRequest(const Order& aOrder, const SendTerms& aTerms) const
@@ -267,7 +269,7 @@
 void HttpServer::Cancel(const std::string& aRequestId)
 {
   const json body = { { "request_id", aRequestId } };
-  Control("/_/cancel", body.dump(), 0, nullptr);
+  Control("/_/cancel", JsonText(body), 0, nullptr);
 }
 
 std::unique_ptr<ServerPort> HttpServerFactory::Make(const ServerAddress& aAddress)
--- a/adapters/json_spans.cpp
+++ b/adapters/json_spans.cpp
@@ -1,5 +1,7 @@
 #include "adapters/json_spans.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace hawthornlug {
@@ -34,7 +36,7 @@
                                { "service", aSpan.service },
                                { "request_id", aSpan.requestId },
                                { "outcome", aSpan.outcome } };
-  const std::string line = doc.dump() + "\n";
+  const std::string line = JsonText(doc) + "\n";
   const std::lock_guard lock(mMutex);
   (void)std::fwrite(line.data(), 1, line.size(), mFile);
   (void)std::fflush(mFile);
--- a/config/configuration.cpp
+++ b/config/configuration.cpp
@@ -1,5 +1,7 @@
 #include "config/configuration.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 #include <yaml-cpp/yaml.h>
 
@@ -462,7 +464,7 @@
     { "services", std::move(services) },
     { "placement", { { "churn_percent_per_minute", aConfig.placement.churnPercentPerMinute } } }
   };
-  return doc.dump();
+  return JsonText(doc);
 }
 
 Result<Configuration> SucceedConfiguration(const Configuration& aCurrent, Configuration aNext)
--- a/config/stored_config.cpp
+++ b/config/stored_config.cpp
@@ -1,6 +1,7 @@
 #include "config/stored_config.h"
 
 #include "core/hashing.h"
+#include "core/json_text.h"
 #include "core/trace_context.h"
 #include "ownership/cell_object.h"
 
@@ -16,7 +17,7 @@
   const json doc = { { "hash", Hex(HashOf(content)) },
                      { "apply_id", aApplyId },
                      { "content", content } };
-  return doc.dump();
+  return JsonText(doc);
 }
 
 Result<StoredConfig> DecodeStoredConfig(const std::string& aText)
@@ -68,7 +69,7 @@
   for (const auto& [cell, range] : aLayout) {
     doc[cell] = json::array({ range.first, range.second });
   }
-  return doc.dump();
+  return JsonText(doc);
 }
 
 Result<ServiceLayout> DecodeLayout(const std::string& aText)
--- a/core/decision_log.cpp
+++ b/core/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "core/decision_log.h"
 
+#include "core/json_text.h"
+
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
@@ -85,7 +87,7 @@
     line["left-out"] = allowance.leftOut;
     allowance.leftOut = 0;
   }
-  mLogger->info(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  mLogger->info(JsonText(line));
 }
 
 } // namespace hawthornlug
--- a/main/tool_commands.cpp
+++ b/main/tool_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http_platform.h"
 #include "config/stored_config.h"
+#include "core/json_text.h"
 #include "core/trace_context.h"
 #include "main/serve_command.h"
 #include "main/settings.h"
@@ -226,7 +227,7 @@
                                 "source" }) {
     if (aDoc.contains(it)) {
       const json& value = aDoc[it];
-      std::cout << it << ": " << (value.is_string() ? value.get<std::string>() : value.dump())
+      std::cout << it << ": " << (value.is_string() ? value.get<std::string>() : JsonText(value))
                 << '\n';
     }
   }
@@ -322,7 +323,7 @@
       return Unreachable(aSettings.daemonUrl);
     }
     if (aSettings.json) {
-      std::cout << status->dump(2) << '\n';
+      std::cout << JsonText(*status, 2) << '\n';
     } else {
       PrintStatus(*status);
     }
@@ -354,7 +355,7 @@
       doc = better ? better : doc;
     }
     if (aSettings.json) {
-      std::cout << doc->dump(2) << '\n';
+      std::cout << JsonText(*doc, 2) << '\n';
     } else {
       PrintExplanation(*doc);
     }
--- a/ownership/cell_object.cpp
+++ b/ownership/cell_object.cpp
@@ -1,5 +1,7 @@
 #include "ownership/cell_object.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -121,7 +123,7 @@
                      { "servers", EncodeServers(aCell) },       { "names", names.Names() },
                      { "shards", std::move(shards) },           { "outs", std::move(outs) },
                      { "arrivals", std::move(arrivals) } };
-  return doc.dump();
+  return JsonText(doc);
 }
 
 Result<CellObject> DecodeCell(const std::string& aText)
--- a/ownership/key_range.cpp
+++ b/ownership/key_range.cpp
@@ -1,5 +1,7 @@
 #include "ownership/key_range.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace hawthornlug {
@@ -33,7 +35,7 @@
                         { "term", aRecord.term },
                         { "write", aRecord.writeNumber },
                         { "ranges", std::move(ranges) } };
-  return record.dump();
+  return JsonText(record);
 }
 
 bool DecodeRangeRecord(const std::string& aJson, RangeRecord& aRecord)
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -1,6 +1,7 @@
 #include "runtime/daemon.h"
 
 #include "core/hashing.h"
+#include "core/json_text.h"
 #include "runtime/wire_codec.h"
 
 #include <nlohmann/json.hpp>
@@ -837,7 +838,7 @@
                              { "held", view.held },
                              { "servers", servers } });
   }
-  return doc.dump(2) + "\n";
+  return JsonText(doc, 2) + "\n";
 }
 
 std::string Daemon::Explain(const std::string& aService, const std::string& aKey) const
@@ -852,7 +853,7 @@
   const auto route = mRoutes.Find(aService, shard);
   if (!route) {
     doc["reason"] = "no cell is known to hold the shard";
-    return doc.dump(2) + "\n";
+    return JsonText(doc, 2) + "\n";
   }
   doc["cell"] = route->cell;
   doc["domain"] = route->domain;
@@ -897,7 +898,7 @@
     doc["epoch"] = record->epoch;
     doc["heir"] = record->heir;
   }
-  return doc.dump(2) + "\n";
+  return JsonText(doc, 2) + "\n";
 }
 
 std::string Daemon::Metrics() const
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -1,6 +1,7 @@
 #include "runtime/router_daemon.h"
 
 #include "core/hashing.h"
+#include "core/json_text.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -124,7 +125,7 @@
     ObjectKind::kDaemon,
     mSettings.self.id,
     mAnnouncedRevision,
-    value.dump(),
+    JsonText(value),
     [this](const StoreWrite& aWrite) {
       mAnnouncing = false;
       if (aWrite.result == StoreResult::kConflict && aWrite.object) {
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -66,6 +66,26 @@
   }
 }
 
+TEST_CASE("names that are no UTF-8 harm no daemon", "[process]")
+{
+  FleetShape shape;
+  shape.traceSample = 1.0;
+  Fleet fleet(shape);
+  const std::string bytes = "b\xff\x80";
+  for (std::size_t n = 0; n < fleet.Daemons().size(); ++n) {
+    const std::string& url = fleet.Daemons()[n].url;
+    INFO(url);
+    const json explained = fleet.Get(url, "/-/explain?service=bookings&key=%FF");
+    CHECK(explained.contains("shard"));
+    const CallerAnswer answer = fleet.Call(n, "POST", "wed%FFding", bytes + std::to_string(n));
+    CHECK(answer.outcome == "done");
+    CHECK(answer.requestId == bytes + std::to_string(n));
+  }
+  for (std::size_t n = 0; n < fleet.Daemons().size(); ++n) {
+    CHECK(fleet.Call(n, "POST", "wedding", "plain" + std::to_string(n)).outcome == "done");
+  }
+}
+
 namespace {
 
 /// Orders that the servers were told to drop.
--- a/tests/standins/server.cpp
+++ b/tests/standins/server.cpp
@@ -40,6 +40,12 @@
   return text.empty() ? 0 : std::stoull(text);
 }
 
+/// The document as text; what is no UTF-8 in it is replaced.
+std::string Text(const json& aDocument)
+{
+  return aDocument.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 class BackendServer
 {
 public:
@@ -277,7 +283,7 @@
   if (!read) {
     mLedger.push_back(entry);
     if (mLedgerFile != nullptr) {
-      const std::string line = entry.dump() + "\n";
+      const std::string line = Text(entry) + "\n";
       std::fwrite(line.data(), 1, line.size(), mLedgerFile);
       std::fflush(mLedgerFile);
     }
@@ -290,7 +296,7 @@
                         { "method", aRequest.method },
                         { "echo", aRequest.body.size() },
                         { "request_id", id } };
-  aResponse.set_content(answer.dump() + "\n", "application/json");
+  aResponse.set_content(Text(answer) + "\n", "application/json");
 }
 
 void BackendServer::Leave()
