--- /dev/null
+++ b/tests/fuzz/stored_objects.cpp
@@ -0,0 +1,126 @@
+/// @file
+/// Fuzzes what is read from stores and files: answers, entries, configurations, settings, records.
+/// Each reader gives a value or a typed error. The first byte chooses the reader.
+
+#include "config/stored_config.h"
+#include "ownership/cell_object.h"
+#include "ownership/key_range.h"
+#include "platform/host_settings.h"
+#include "platform/object_reader.h"
+#include "platform/store_answers.h"
+#include "routing/route_table.h"
+#include "tests/fuzz/fuzz.h"
+
+using namespace hawthornlug;
+using namespace hawthornlug::platform;
+
+namespace {
+
+/// Runs @p aRead, whose errors must be of one of the types given.
+template<typename... Errors, typename Read>
+void ReadTyped(Read aRead)
+{
+  leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_CHECK(aRead());
+      return {};
+    },
+    [](const Errors&) {}...,
+    [] { CHECK_ALWAYS(!"an error of another type"); });
+}
+
+void ReadObjects(const StorePage& aPage)
+{
+  static DecisionLog log("fuzz");
+  PlatformObjectReader reader(log);
+  for (const StoredObject& it : aPage.objects) {
+    reader.ReadServer(it);
+    reader.ReadConfiguration(it);
+  }
+}
+
+Result<void> ReadPages(const std::string& aText)
+{
+  BOOST_LEAF_AUTO(page, ReadListAnswer(aText));
+  ReadObjects(page);
+  return {};
+}
+
+Result<void> ReadEvents(const std::string& aText)
+{
+  BOOST_LEAF_AUTO(page, ReadWatchAnswer(aText));
+  ReadObjects(page);
+  return {};
+}
+
+/// A cell that was read, written and read again is the same.
+Result<void> ReadCell(const std::string& aText)
+{
+  BOOST_LEAF_AUTO(cell, DecodeCell(aText));
+  BOOST_LEAF_AUTO(again, DecodeCell(EncodeCell(cell)));
+  CHECK_ALWAYS(cell == again);
+  return {};
+}
+
+/// The ranges of a record that was accepted cover all keys, each once.
+void ReadRanges(const std::string& aText)
+{
+  RangeRecord record;
+  if (!DecodeRangeRecord(aText, record)) {
+    return;
+  }
+  RangeKey next = 0;
+  for (const OwnedRange& it : record.ranges) {
+    CHECK_ALWAYS(it.keys.from == next && it.keys.to >= it.keys.from);
+    CHECK_ALWAYS(it.keys.to <= kLastKey);
+    next = it.keys.to + 1;
+  }
+  CHECK_ALWAYS(record.ranges.empty() || next == kLastKey + 1);
+  RangeRecord again;
+  CHECK_ALWAYS(DecodeRangeRecord(EncodeRangeRecord(record), again));
+  CHECK_ALWAYS(EncodeRangeRecord(again) == EncodeRangeRecord(record));
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  if (aSize == 0) {
+    return 0;
+  }
+  const std::string text(TextFrom(aData + 1, aSize - 1));
+  static DecisionLog log("fuzz");
+  PlatformObjectReader reader(log);
+  switch (aData[0] % 10) {
+    case 0:
+      ReadTyped<AnswerError>([&] { return ReadPages(text); });
+      break;
+    case 1:
+      ReadTyped<AnswerError>([&] { return ReadEvents(text); });
+      break;
+    case 2:
+      ReadTyped<AnswerError>([&] { return ReadObjectAnswer(text); });
+      break;
+    case 3:
+      reader.ReadServer({ "name", 1, false, text });
+      break;
+    case 4:
+      reader.ReadConfiguration({ "main", 1, false, text });
+      break;
+    case 5:
+      ReadTyped<SettingError>([&] { return ParseHostSettings(text); });
+      break;
+    case 6:
+      ReadTyped<PlatformError>([&] { return ReadCell(text); });
+      break;
+    case 7:
+      ReadTyped<PlatformError>([&] { return DecodeStoredConfig(text); });
+      break;
+    case 8:
+      ReadTyped<PlatformError>([&] { return DecodeLayout(text); });
+      break;
+    default:
+      ReadRanges(text);
+  }
+  return 0;
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/backend_calls.h"
 #include "platform/host_settings.h"
 #include "platform/object_reader.h"
+#include "platform/store_answers.h"
 
 #include <catch2/catch.hpp>
 
@@ -109,11 +110,24 @@
     { "GraceS = 6", "GraceS = \"six\"", "ContractBounds.GraceS" },
     { "GraceS = 6", "GraceS = -6", "ContractBounds.GraceS" },
     { "[Bind]", "[Bind", "file" },
+    { "[Bind]", "\xc7\x90 = 1\n[Bind]", "file" },
+    { "[Bind]", "x = \"\\\"\" \xc7\x90\n[Bind]", "file" },
   }));
   INFO(row.part << " -> " << row.with);
   CHECK(Refusal(Without(kSettings, row.part, row.with)) == row.setting);
 }
 
+TEST_CASE("strings and comments of the settings may hold any character", "[platform]")
+{
+  const auto edit = GENERATE(values<Edit>({
+    { "\"north\"", "\"Mure\xc8\x99 # \\\" \xc7\x90\"" },
+    { "\"north\"", "'\xc7\x90\\' # \xc7\x90 \"" },
+    { "\"north\"", "\"\"\"\n\xc7\x90\"\"\"" },
+  }));
+  INFO(edit.with);
+  CHECK(Refusal(Without(kSettings, edit.part, edit.with)).empty());
+}
+
 TEST_CASE("a configuration is read into routes, services and bounds", "[platform]")
 {
   DecisionLog log("test");
@@ -221,3 +235,59 @@
   CHECK(response.headers.Get("Retry-After") == "0.250");
   CHECK_FALSE(headers.Answer(404, terms, Duration::zero()).headers.Find("Retry-After"));
 }
+
+TEST_CASE("an object that is nested without end costs no other of its page", "[platform]")
+{
+  constexpr std::size_t kDepth = 300000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string page = R"({"At":9,"HasMore":true,"items":[)"
+                           R"({"Metadata":{"Name":"deep","Revision":7},"Spec":{"Service":)" +
+                           deep + R"(}},{"Metadata":{"Name":"good","Revision":8},"Spec":)" +
+                           kServer + "}]}";
+  leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(read, ReadListAnswer(page));
+      REQUIRE(read.objects.size() == 2);
+      CHECK(read.at == 9);
+      CHECK(read.more);
+      DecisionLog log("test");
+      PlatformObjectReader reader(log);
+      CHECK_FALSE(reader.ReadServer(read.objects[0]));
+      CHECK(reader.ReadServer(read.objects[1]));
+      return {};
+    },
+    [] { FAIL("the page can't be read"); });
+}
+
+TEST_CASE("answers of the store that are no answers are a typed error", "[platform]")
+{
+  const auto body = GENERATE(values<std::string>({
+    "",
+    "[]",
+    "{",
+    R"({"items":[]})",
+    R"({"At":-1,"items":3})",
+    R"({"At":3,"items":[{"Metadata":{"Name":"a"}}]})",
+    R"({"At":3,"items":[{"Metadata":{"Name":7,"Revision":1}}]})",
+  }));
+  INFO(body);
+  const bool refused = leaf::try_handle_all(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(ReadListAnswer(body));
+      return false;
+    },
+    [](const AnswerError&) { return true; },
+    [] { return false; });
+  CHECK(refused);
+}
+
+TEST_CASE("a version that is no version makes a configuration unreadable", "[platform]")
+{
+  const auto version =
+    GENERATE(values<std::string>({ "", "r", "7", "r-1", "r7 ", "r99999999999999999999" }));
+  INFO(version);
+  DecisionLog log("test");
+  PlatformObjectReader reader(log);
+  const std::string text = Without(kConfiguration, "\"r7\"", "\"" + version + "\"");
+  CHECK_FALSE(reader.ReadConfiguration({ "main", 12, false, text }));
+}
