--- a/tests/ownership/cell_machine_test.cpp
+++ b/tests/ownership/cell_machine_test.cpp
@@ -3,13 +3,11 @@
 /// manual clock. Each session's transcript is kept in tests/golden and must not change.
 /// HAWTHORNLUG_UPDATE_GOLDEN=1 writes the transcripts anew.
 
+#include "tests/support/golden.h"
 #include "tests/support/world.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <fstream>
 #include <functional>
-#include <sstream>
 
 using namespace hawthornlug;
 using namespace hawthornlug::testing;
@@ -564,14 +562,6 @@
   return kSessions;
 }
 
-std::string ReadGolden(const std::string& aFile)
-{
-  std::ifstream file(aFile);
-  std::ostringstream buf;
-  buf << file.rdbuf();
-  return buf.str();
-}
-
 } // namespace
 
 TEST_CASE("whole sessions keep one owner and their transcripts", "[ownership]")
@@ -592,11 +582,7 @@
     INFO(text);
     CHECK_THAT(world.Broken(), Catch::Equals(std::string()));
     CHECK(world.ServedShards() == session.served);
-    const std::string file = std::string(HAWTHORNLUG_GOLDEN) + "/" + session.name + ".txt";
-    if (std::getenv("HAWTHORNLUG_UPDATE_GOLDEN") != nullptr) {
-      std::ofstream(file) << text;
-    }
-    CHECK(ReadGolden(file) == text);
+    CHECK(KeptTranscript(session.name, text) == text);
   }
 }
 
--- /dev/null
+++ b/tests/support/golden.cpp
@@ -0,0 +1,21 @@
+#include "tests/support/golden.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace hawthornlug::testing {
+
+std::string KeptTranscript(const std::string& aName, const std::string& aText)
+{
+  const std::string path = std::string(HAWTHORNLUG_GOLDEN) + "/" + aName + ".txt";
+  if (std::getenv("HAWTHORNLUG_UPDATE_GOLDEN") != nullptr) {
+    std::ofstream(path) << aText;
+  }
+  std::ifstream file(path);
+  std::ostringstream buf;
+  buf << file.rdbuf();
+  return buf.str();
+}
+
+} // namespace hawthornlug::testing
--- a/tests/support/range_world.cpp
+++ b/tests/support/range_world.cpp
@@ -17,6 +17,11 @@
   return aKey / kBucketWidth;
 }
 
+KeyRange KeysOf(unsigned aBucket)
+{
+  return { aBucket * kBucketWidth, (aBucket + 1) * kBucketWidth - 1 };
+}
+
 GrantTiming Timing()
 {
   return {};
@@ -132,17 +137,8 @@
   Feed(daemon);
   const bool storeReached = mNow >= daemon.storeCutUntil;
   if (granter.IsIdle()) {
-    if (storeReached && !daemon.reading && Chance(0.004)) {
-      // The record is read a moment before the takeover: it may have changed by then.
-      daemon.reading = true;
-      const std::optional<StoredObject> record = mRecord;
-      Answer(aDaemon, daemon.ref.incarnation, [this, record](Daemon& aWho) {
-        aWho.reading = false;
-        RangeRecord stored;
-        aWho.earlier =
-          record && DecodeRangeRecord(record->value, stored) ? stored.holder : DaemonRef();
-        aWho.granter->TakeOver(record, { "s0", "s1", "s2", "s3" }, mNow);
-      });
+    if (storeReached && !daemon.reading && Chance(mTroubles.takeovers)) {
+      TakeOver(aDaemon);
     }
     return;
   }
@@ -166,12 +162,10 @@
         }
       });
     }
-    if (Chance(0.02)) {
-      const auto bucket =
-        static_cast<RangeKey>(std::uniform_int_distribution<unsigned>(0, kBuckets - 1)(mRandom));
+    if (Chance(mTroubles.moves)) {
+      const auto bucket = std::uniform_int_distribution<unsigned>(0, kBuckets - 1)(mRandom);
       const auto to = std::uniform_int_distribution<unsigned>(0, kServers - 1)(mRandom);
-      granter.Move({ { bucket * kBucketWidth, (bucket + 1) * kBucketWidth - 1 }, mServers[to].id },
-                   mNow);
+      granter.Move({ KeysOf(bucket), mServers[to].id }, mNow);
     }
   }
   for (const GranterAction& it : granter.Tick(mNow)) {
@@ -336,7 +330,7 @@
     answer(OrderResult::kNoAnswer, timeout);
     return;
   }
-  const bool answerLost = Chance(mTroubles.lostOrders);
+  const bool answerLost = Chance(mTroubles.lostReleaseAnswers);
   const ReleaseOrder release = aAction.release;
   At(Between(milliseconds(1), milliseconds(30)), [=, this] {
     for (unsigned b = BucketOf(release.range.from); b <= BucketOf(release.range.to); ++b) {
@@ -401,7 +395,39 @@
   }
 }
 
-void RangeWorld::Restart(unsigned aDaemon)
+void RangeWorld::TakeOver(unsigned aDaemon)
+{
+  Daemon& daemon = mDaemons[aDaemon];
+  // The record is read a moment before the takeover: it may have changed by then.
+  daemon.reading = true;
+  const std::optional<StoredObject> record = mRecord;
+  Answer(aDaemon, daemon.ref.incarnation, [this, record](Daemon& aWho) {
+    aWho.reading = false;
+    RangeRecord stored;
+    aWho.earlier = record && DecodeRangeRecord(record->value, stored) ? stored.holder : DaemonRef();
+    aWho.granter->TakeOver(record, { "s0", "s1", "s2", "s3" }, mNow);
+  });
+}
+
+void RangeWorld::FreezeDaemon(unsigned aDaemon, Duration aFor)
+{
+  mDaemons[aDaemon].frozenUntil = mNow + aFor;
+  Say("freeze " + mDaemons[aDaemon].ref.id);
+}
+
+void RangeWorld::CutFromStore(unsigned aDaemon, Duration aFor)
+{
+  mDaemons[aDaemon].storeCutUntil = mNow + aFor;
+  Say("cut " + mDaemons[aDaemon].ref.id + " from the store");
+}
+
+void RangeWorld::CutFromServer(unsigned aDaemon, unsigned aServer, Duration aFor)
+{
+  mDaemons[aDaemon].serverCutUntil[aServer] = mNow + aFor;
+  Say("cut " + mDaemons[aDaemon].ref.id + " from " + mServers[aServer].id);
+}
+
+void RangeWorld::RestartDaemon(unsigned aDaemon)
 {
   Daemon& daemon = mDaemons[aDaemon];
   ++daemon.ref.incarnation;
@@ -409,57 +435,88 @@
   daemon.tickedAt = mNow;
   daemon.reading = false;
   daemon.earlier = DaemonRef();
+  Say("restart " + daemon.ref.id);
+}
+
+void RangeWorld::RestartAllDaemons()
+{
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    RestartDaemon(n);
+  }
+}
+
+void RangeWorld::RestartServer(unsigned aServer)
+{
+  Server& server = mServers[aServer];
+  ++server.incarnation;
+  std::fill(server.highest.begin(), server.highest.end(), 0);
+  std::fill(server.holds.begin(), server.holds.end(), Hold());
+  Say("restart " + server.id);
+}
+
+void RangeWorld::StopServer(unsigned aServer)
+{
+  mServers[aServer].up = false;
+  Say("stop " + mServers[aServer].id);
+}
+
+void RangeWorld::MoveBucket(unsigned aBucket, unsigned aServer)
+{
+  Say("move " + std::to_string(aBucket) + " to " + mServers[aServer].id);
+  mDaemons[Holder()].granter->Move({ KeysOf(aBucket), mServers[aServer].id }, mNow);
+}
+
+unsigned RangeWorld::Holder() const
+{
+  const auto rank = [](const Daemon& aDaemon) {
+    return aDaemon.granter->IsHolder() ? aDaemon.granter->Term() : 0;
+  };
+  const auto it = std::max_element(
+    mDaemons.begin(), mDaemons.end(), [&](const Daemon& aLeft, const Daemon& aRight) {
+      return rank(aLeft) < rank(aRight);
+    });
+  return static_cast<unsigned>(it - mDaemons.begin());
 }
 
 void RangeWorld::Trouble()
 {
   const auto d = std::uniform_int_distribution<unsigned>(0, kDaemons - 1)(mRandom);
   const auto s = std::uniform_int_distribution<unsigned>(0, kServers - 1)(mRandom);
-  Daemon& daemon = mDaemons[d];
   switch (std::uniform_int_distribution<unsigned>(0, 6)(mRandom)) {
     case 0:
-      daemon.frozenUntil = mNow + Between(milliseconds(300), seconds(8));
-      Say("freeze " + daemon.ref.id);
+      FreezeDaemon(d, Between(milliseconds(300), seconds(8)));
       break;
     case 1:
-      daemon.storeCutUntil = mNow + Between(seconds(1), seconds(20));
-      Say("cut " + daemon.ref.id + " from the store");
+      CutFromStore(d, Between(seconds(1), seconds(20)));
       break;
     case 2:
-      daemon.serverCutUntil[s] = mNow + Between(seconds(1), seconds(20));
-      Say("cut " + daemon.ref.id + " from " + mServers[s].id);
+      CutFromServer(d, s, Between(seconds(1), seconds(20)));
       break;
     case 3:
-      Restart(d);
-      Say("restart " + daemon.ref.id);
+      RestartDaemon(d);
       break;
-    case 4: {
-      Server& server = mServers[s];
-      ++server.incarnation;
-      std::fill(server.highest.begin(), server.highest.end(), 0);
-      std::fill(server.holds.begin(), server.holds.end(), Hold());
-      Say("restart " + server.id);
+    case 4:
+      RestartServer(s);
       break;
-    }
     case 5:
-      // The holder loses the store but not a server that all others lose.
-      for (unsigned n = 0; n < kDaemons; ++n) {
-        const Instant until = mNow + Between(seconds(25), seconds(45));
-        if (mDaemons[n].granter->IsHolder()) {
-          mDaemons[n].storeCutUntil = until;
-        } else {
-          mDaemons[n].serverCutUntil[s] = until;
-        }
-      }
-      Say("split around " + mServers[s].id);
+      Split(s);
       break;
     default:
-      for (unsigned n = 0; n < kDaemons; ++n) {
-        Restart(n);
-      }
-      Say("restart all daemons");
+      RestartAllDaemons();
       break;
   }
 }
 
+void RangeWorld::Split(unsigned aServer)
+{
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    const Duration length = Between(seconds(25), seconds(45));
+    if (mDaemons[n].granter->IsHolder()) {
+      CutFromStore(n, length);
+    } else {
+      CutFromServer(n, aServer, length);
+    }
+  }
+}
+
 } // namespace hawthornlug::test
--- a/tests/support/range_world.h
+++ b/tests/support/range_world.h
@@ -22,8 +22,14 @@
   double lateOrders = 0.03;
   /// Parts of all orders and answers that are lost.
   double lostOrders = 0.03;
+  /// Parts of all releases that are carried out and not answered.
+  double lostReleaseAnswers = 0.03;
   /// Parts of all writes that are done without an answer, or done seconds later.
   double lostWrites = 0.05;
+  /// How often the holder moves a bucket of its own accord, per tick.
+  double moves = 0.02;
+  /// How often a daemon that is no holder tries to become it of its own accord, per tick.
+  double takeovers = 0.004;
   /// Number of cuts, freezes and restarts, spread over the run.
   unsigned events = 12;
   Duration length = seconds(90);
@@ -33,9 +39,32 @@
 class RangeWorld
 {
 public:
+  static constexpr unsigned kBuckets = 16;
+  static constexpr unsigned kServers = 4;
+  static constexpr unsigned kDaemons = 3;
+
   RangeWorld(std::uint64_t aSeed, RangeTroubles aTroubles);
 
   std::string Run();
+
+  /// Calls @p aRun so long from now; for sessions that are written down.
+  void At(Duration aDelay, std::function<void()> aRun);
+  void SetTroubles(const RangeTroubles& aTroubles) { mTroubles = aTroubles; }
+  /// Has a daemon read the record and try to become the holder.
+  void TakeOver(unsigned aDaemon);
+  void FreezeDaemon(unsigned aDaemon, Duration aFor);
+  void CutFromStore(unsigned aDaemon, Duration aFor);
+  void CutFromServer(unsigned aDaemon, unsigned aServer, Duration aFor);
+  void RestartDaemon(unsigned aDaemon);
+  void RestartAllDaemons();
+  void RestartServer(unsigned aServer);
+  /// Ends a server's run for good; the registry goes on showing it.
+  void StopServer(unsigned aServer);
+  /// Has the holder move a bucket of keys.
+  void MoveBucket(unsigned aBucket, unsigned aServer);
+  /// The latest of the daemons that take themselves for the holder; the first if none does.
+  unsigned Holder() const;
+
   /// Lines that tell what happened.
   const std::vector<std::string>& Log() const { return mLog; }
   /// Orders that moved keys, so that a run without any is noticed.
@@ -45,10 +74,6 @@
   unsigned HeldAtTheEnd() const;
 
 private:
-  static constexpr unsigned kBuckets = 16;
-  static constexpr unsigned kServers = 4;
-  static constexpr unsigned kDaemons = 3;
-
   struct Hold
   {
     FencingToken token = 0;
@@ -86,7 +111,6 @@
     }
   };
 
-  void At(Duration aDelay, std::function<void()> aRun);
   bool Chance(double aShare);
   Duration Between(Duration aLeast, Duration aMost);
   void Say(const std::string& aLine);
@@ -109,8 +133,10 @@
              const GrantOrder& aOrder,
              Instant aArrived);
   void Check();
+  /// Something that goes wrong, drawn.
   void Trouble();
-  void Restart(unsigned aDaemon);
+  /// The holder loses the store but not a server that all others lose.
+  void Split(unsigned aServer);
   void Feed(Daemon& aDaemon);
   unsigned ServerNumber(const std::string& aId) const;
 
