A release that another server answers proves the owner's end

Cause: a server that isn't ours answers a release, which is never refused, by 400 (100 times in 4 s); that was read as 'can't read the order', and even 'other server' counted only as the answer to a grant, not to a release. Ruled out: the same servers in a new life (their addresses are registered by others, H640 at 7.03 s). Before: 3.5 s in the granter's test, red; release of 400 'rejected', red.

--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -462,7 +462,6 @@
         range.lapseAt = std::max(range.lapseAt, range.unansweredUntil);
         break;
       case OrderResult::kOtherServer:
-        // An address is used again only after the server that had it has ended.
         range.ownerEnded = true;
         break;
       case OrderResult::kRejected:
@@ -494,6 +493,10 @@
     range.handover = aOutcome.handover;
     return;
   }
+  if (aOutcome.result == OrderResult::kOtherServer) {
+    range.ownerEnded = true;
+    return;
+  }
   range.retryAt = aNow + kOrderRetry;
 }
 
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -174,7 +174,8 @@
     Instant phaseSince;
     Instant retryAt;
     bool releaseAnswered = false;
-    /// Another server was met at the owner's address.
+    /// Another server was met at the owner's address, which is used again only after the server
+    /// that had it has ended.
     bool ownerEnded = false;
   };
   /// All ranges by first key.
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -220,6 +220,19 @@
   CHECK(*took < milliseconds(500));
 }
 
+TEST_CASE("another server that answers a release proves the owner's end", "[ownership][ranges]")
+{
+  Session session;
+  session.granter.TakeOver(std::nullopt, { "a", "b" }, session.now);
+  session.Run(seconds(1));
+  // The release meets the other server before any renewal does.
+  session.results["a"] = OrderResult::kOtherServer;
+  session.granter.Move({ { 0, 32767 }, "b" }, session.now);
+  const auto took = session.RunUntilOwned(0, "b", seconds(10));
+  REQUIRE(took);
+  CHECK(*took < milliseconds(500));
+}
+
 TEST_CASE("a holder that is refused for a higher token stops at once", "[ownership][ranges]")
 {
   Session session;
--- /dev/null
+++ b/tests/platform/backend_calls_test.cpp
@@ -0,0 +1,77 @@
+/// @file
+/// How answers of backend servers to orders are understood.
+
+#include "http/server.h"
+#include "platform/backend_calls.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornlug;
+using namespace hawthornlug::platform;
+
+namespace {
+
+/// A backend server that answers all orders alike.
+class OneAnswer : public http::Handler
+{
+public:
+  explicit OneAnswer(int aStatus)
+    : mStatus(aStatus)
+  {
+  }
+  void OnRequest(std::shared_ptr<http::Exchange> aExchange) override
+  {
+    http::Response response;
+    response.status = mStatus;
+    aExchange->Respond(response);
+  }
+  void OnBadRequest(int, http::ReadState) override {}
+
+private:
+  int mStatus;
+};
+
+struct Row
+{
+  int status;
+  OrderResult grant;
+  OrderResult release;
+};
+
+} // namespace
+
+TEST_CASE("answers to orders are translated; a release is refused only by another server",
+          "[platform]")
+{
+  const auto row = GENERATE(values<Row>({
+    { 200, OrderResult::kDone, OrderResult::kDone },
+    { 400, OrderResult::kRejected, OrderResult::kOtherServer },
+    { 409, OrderResult::kSuperseded, OrderResult::kSuperseded },
+    { 421, OrderResult::kOtherServer, OrderResult::kOtherServer },
+    { 500, OrderResult::kNoAnswer, OrderResult::kNoAnswer },
+    { 503, OrderResult::kNoAnswer, OrderResult::kNoAnswer },
+  }));
+  INFO(row.status);
+  asio::io_context context;
+  OneAnswer server(row.status);
+  asio::ip::tcp::acceptor probe(context, { asio::ip::address_v4::loopback(), 0 });
+  const auto endpoint = probe.local_endpoint();
+  probe.close();
+  http::Server listener(context, endpoint, server);
+  Metrics metrics;
+  BackendCalls calls(context, metrics);
+  const std::string address = "127.0.0.1:" + std::to_string(endpoint.port());
+  std::optional<OrderResult> granted;
+  std::optional<OrderResult> released;
+  const auto grantDone = [&](const OrderOutcome& aOutcome) { granted = aOutcome.result; };
+  const auto releaseDone = [&](const OrderOutcome& aOutcome) { released = aOutcome.result; };
+  calls.Grant({ address, { "a", 1 }, {}, 3, seconds(4), "" }, seconds(2), grantDone);
+  calls.Release({ address, { "a", 1 }, {}, 3 }, seconds(2), releaseDone);
+  const auto end = std::chrono::steady_clock::now() + seconds(5);
+  while (!(granted && released) && std::chrono::steady_clock::now() < end) {
+    context.restart();
+    context.run_for(milliseconds(5));
+  }
+  CHECK(granted == row.grant);
+  CHECK(released == row.release);
+}
