--- a/tests/adapters/http_callers_test.cpp
+++ b/tests/adapters/http_callers_test.cpp
@@ -2,6 +2,7 @@
 /// The interface for callers over real connections, with the daemon as a fake.
 
 #include "adapters/http_callers.h"
+#include "tests/support/loopback.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,6 +10,7 @@
 #include <mutex>
 
 using namespace hawthornlug;
+using namespace hawthornlug::testing;
 using asio::ip::tcp;
 
 namespace {
@@ -16,7 +18,6 @@
 constexpr std::size_t kMaxBody = 100;
 constexpr std::size_t kMaxKey = 8;
 constexpr std::size_t kMaxConnections = 2;
-constexpr std::chrono::seconds kLongest{ 5 };
 
 /// Keeps each order until the test answers it.
 class HoldingRequests : public RequestHandler
@@ -123,12 +124,6 @@
     return answer;
   }
 
-  /// An address that nothing listens at.
-  static tcp::endpoint FreeEndpoint(asio::io_context& aContext)
-  {
-    return tcp::acceptor(aContext, { asio::ip::address_v4::loopback(), 0 }).local_endpoint();
-  }
-
   asio::io_context context;
   const tcp::endpoint endpoint = FreeEndpoint(context);
   HoldingRequests requests;
--- a/tests/fuzz/stored_objects.cpp
+++ b/tests/fuzz/stored_objects.cpp
@@ -29,27 +29,21 @@
     [] { CHECK_ALWAYS(!"an error of another type"); });
 }
 
-void ReadObjects(const StorePage& aPage)
+DecisionLog& Log()
 {
   static DecisionLog log("fuzz");
-  PlatformObjectReader reader(log);
-  for (const StoredObject& it : aPage.objects) {
-    reader.ReadServer(it);
-    reader.ReadConfiguration(it);
-  }
+  return log;
 }
 
-Result<void> ReadPages(const std::string& aText)
+/// Reads a page as @p aRead does, and each object in it.
+Result<void> ReadPage(Result<StorePage> (*aRead)(const std::string&), const std::string& aText)
 {
-  BOOST_LEAF_AUTO(page, ReadListAnswer(aText));
-  ReadObjects(page);
-  return {};
-}
-
-Result<void> ReadEvents(const std::string& aText)
-{
-  BOOST_LEAF_AUTO(page, ReadWatchAnswer(aText));
-  ReadObjects(page);
+  BOOST_LEAF_AUTO(page, aRead(aText));
+  PlatformObjectReader reader(Log());
+  for (const StoredObject& it : page.objects) {
+    reader.ReadServer(it);
+    reader.ReadConfiguration(it);
+  }
   return {};
 }
 
@@ -89,14 +83,13 @@
     return 0;
   }
   const std::string text(TextFrom(aData + 1, aSize - 1));
-  static DecisionLog log("fuzz");
-  PlatformObjectReader reader(log);
+  PlatformObjectReader reader(Log());
   switch (aData[0] % 10) {
     case 0:
-      ReadTyped<AnswerError>([&] { return ReadPages(text); });
+      ReadTyped<AnswerError>([&] { return ReadPage(ReadListAnswer, text); });
       break;
     case 1:
-      ReadTyped<AnswerError>([&] { return ReadEvents(text); });
+      ReadTyped<AnswerError>([&] { return ReadPage(ReadWatchAnswer, text); });
       break;
     case 2:
       ReadTyped<AnswerError>([&] { return ReadObjectAnswer(text); });
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -3,17 +3,17 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/support/loopback.h"
 
 #include <catch2/catch.hpp>
 
 using namespace hawthornlug;
 using namespace hawthornlug::http;
+using namespace hawthornlug::testing;
 using Tcp = asio::ip::tcp;
 
 namespace {
 
-constexpr std::chrono::seconds kLongest{ 5 };
-
 /// Keeps requests until the test answers them.
 class Keeper : public Handler
 {
@@ -39,23 +39,6 @@
   std::vector<int> refused;
 };
 
-Tcp::endpoint FreeEndpoint(asio::io_context& aContext)
-{
-  Tcp::acceptor acceptor(aContext, { asio::ip::address_v4::loopback(), 0 });
-  return acceptor.local_endpoint();
-}
-
-template<typename F>
-bool RunUntil(asio::io_context& aContext, F aDone)
-{
-  const auto end = std::chrono::steady_clock::now() + kLongest;
-  while (!aDone() && std::chrono::steady_clock::now() < end) {
-    aContext.restart();
-    aContext.run_for(std::chrono::milliseconds(5));
-  }
-  return aDone();
-}
-
 /// A connection on which a test writes and reads bytes.
 class Raw
 {
--- a/tests/platform/backend_calls_test.cpp
+++ b/tests/platform/backend_calls_test.cpp
@@ -3,11 +3,13 @@
 
 #include "http/server.h"
 #include "platform/backend_calls.h"
+#include "tests/support/loopback.h"
 
 #include <catch2/catch.hpp>
 
 using namespace hawthornlug;
 using namespace hawthornlug::platform;
+using namespace hawthornlug::testing;
 
 namespace {
 
@@ -54,9 +56,7 @@
   INFO(row.status);
   asio::io_context context;
   OneAnswer server(row.status);
-  asio::ip::tcp::acceptor probe(context, { asio::ip::address_v4::loopback(), 0 });
-  const auto endpoint = probe.local_endpoint();
-  probe.close();
+  const auto endpoint = FreeEndpoint(context);
   http::Server listener(context, endpoint, server);
   Metrics metrics;
   BackendCalls calls(context, metrics);
@@ -67,11 +67,7 @@
   const auto releaseDone = [&](const OrderOutcome& aOutcome) { released = aOutcome.result; };
   calls.Grant({ address, { "a", 1 }, {}, 3, seconds(4), "" }, seconds(2), grantDone);
   calls.Release({ address, { "a", 1 }, {}, 3 }, seconds(2), releaseDone);
-  const auto end = std::chrono::steady_clock::now() + seconds(5);
-  while (!(granted && released) && std::chrono::steady_clock::now() < end) {
-    context.restart();
-    context.run_for(milliseconds(5));
-  }
+  CHECK(RunUntil(context, [&] { return granted && released; }));
   CHECK(granted == row.grant);
   CHECK(released == row.release);
 }
