--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Indexed by EventId.
-constexpr std::array<EventInfo, 54> kCatalogue = { {
+constexpr std::array<EventInfo, 56> kCatalogue = { {
   { 100, 'i', "started" },           { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },           { 103, 'e', "listen-failed" },
   { 200, 'i', "config-in-force" },   { 201, 'w', "config-refused" },
@@ -38,6 +38,7 @@
   { 800, 'i', "request-done" },      { 801, 'w', "request-refused" },
   { 802, 'w', "request-failed" },    { 803, 'i', "request-retried" },
   { 804, 'i', "request-abandoned" }, { 805, 'w', "request-malformed" },
+  { 106, 'w', "loop-delayed" },       { 642, 'i', "cold-forward" },
 } };
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -71,6 +71,8 @@
   kRequestRetried,
   kRequestAbandoned,
   kRequestMalformed,
+  kLoopDelayed,
+  kColdForward,
 };
 
 /// Number, level and name of an event.
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -389,6 +389,7 @@
   attempt.pace = mServices.selector.RelativeServiceTimeOf(server.id, aNow);
   attempt.outstanding = aChoice.outstanding;
   attempt.sentAt = aNow;
+  LogIfCold(request, server.id, aNow);
   attempt.slot = mServices.selector.Take(server.id, aNow);
   ForwardTerms terms;
   terms.address = server.address;
@@ -405,6 +406,22 @@
   }
 }
 
+void Forwarder::LogIfCold(const RoutedRequest& aRequest,
+                          const std::string& aServer,
+                          Instant aNow) const
+{
+  if (!mServices.selector.IsCold(aServer, aNow)) {
+    return;
+  }
+  mServices.metrics.Count("cold_forwards_total");
+  mServices.log.Write(EventId::kColdForward,
+                      { { "request", aRequest.terms.requestId },
+                        { "service", aRequest.service },
+                        { "server", aServer },
+                        { "attempt", aRequest.attempts },
+                        { "daemons", mDaemons } });
+}
+
 void Forwarder::UpdateStatistics(const RoutedRequestPtr& aRequest,
                                  const Attempt& aAttempt,
                                  const ForwardOutcome& aOutcome,
@@ -585,6 +602,8 @@
                       { { "request", request.terms.requestId },
                         { "service", request.service },
                         { "server", request.lastServer },
+                        { "attempts", request.attempts },
+                        { "open-attempts", request.openAttempts.size() },
                         { "elapsed-ms", Millis(mServices.timers.Now() - request.receivedAt) } });
   CancelAttempts(request);
   RecordRequestSpan(request, mServices.timers.Now(), "abandoned");
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -82,6 +82,8 @@
   /// Sends the request if a server has room for it; otherwise stores why none has.
   bool TrySend(const RoutedRequestPtr& aRequest, Instant aNow);
   void SendTo(const RoutedRequestPtr& aRequest, const ServerChoice& aChoice, Instant aNow);
+  /// Logs and counts a request that is about to be sent to a server that is warming up.
+  void LogIfCold(const RoutedRequest& aRequest, const std::string& aServer, Instant aNow) const;
   void OnOutcome(const RoutedRequestPtr& aRequest,
                  const std::string& aServer,
                  ForwardOutcome aOutcome);
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kTickInterval = milliseconds(20);
+/// A tick that is later than this is logged: requests and callers that leave are noticed as late.
+constexpr Duration kLongLoopDelay = milliseconds(100);
 /// Number of daemons that watch the store for all: the first by rendezvous weight for
 /// kWatchersItem.
 constexpr unsigned kStoreWatchers = 3;
@@ -76,8 +78,31 @@
   mTimer = mServices.timers.Every(kTickInterval, [this](Instant aNow) { Tick(aNow); });
 }
 
+void RouterDaemon::Take(const wire::Envelope& aMessage)
+{
+  ++mMessagesSinceTick;
+  mServices.metrics.Count("peer_messages_total");
+  mMesh.Receive(aMessage);
+}
+
+void RouterDaemon::ObserveLoopDelay(Instant aNow)
+{
+  const Duration delay =
+    mTickedAt == Instant() ? Duration::zero() : aNow - mTickedAt - kTickInterval;
+  mTickedAt = aNow;
+  mServices.metrics.Observe("loop_delay_seconds", std::max(delay, Duration::zero()));
+  if (delay > kLongLoopDelay) {
+    mServices.log.Write(EventId::kLoopDelayed,
+                        { { "delay-ms", Millis(delay) },
+                          { "peer-messages", mMessagesSinceTick },
+                          { "waiting", mForwarder.Waiting() } });
+  }
+  mMessagesSinceTick = 0;
+}
+
 void RouterDaemon::Tick(Instant aNow)
 {
+  ObserveLoopDelay(aNow);
   mStoreFollower.Tick(aNow, MustWatchStore());
   if (mStoreFollower.IsFailing() != mReportedFailing) {
     // Other daemons must start to watch the store in this daemon's place, or can stop.
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -60,7 +60,7 @@
   /// Starts to follow the store and to send heartbeats; the event loop must run afterwards.
   void Start();
   /// Processes a message of another daemon; to be called on the event loop.
-  void Take(const wire::Envelope& aMessage) { mMesh.Receive(aMessage); }
+  void Take(const wire::Envelope& aMessage);
   /// The handler of callers' requests.
   http::Handler& Requests() { return mForwarder; }
 
@@ -84,6 +84,8 @@
 
 private:
   void Tick(Instant aNow);
+  /// Records by how much the event loop is behind, and logs it if that is much.
+  void ObserveLoopDelay(Instant aNow);
   void OnObjects(ObjectKind aKind, const std::vector<StoredObject>& aObjects);
   void OnServer(const StoredObject& aObject);
   void RemoveServer(const std::string& aId);
@@ -119,6 +121,10 @@
   bool mRegistered = false;
   bool mRegistering = false;
   Version mRegisteredRevision = 0;
+  /// When Tick() was last called; the epoch before the first call.
+  Instant mTickedAt;
+  /// Messages of other daemons that were received since then.
+  unsigned mMessagesSinceTick = 0;
   std::unique_ptr<TimerSubscription> mTimer;
 };
 
