Give each cold server one issuer of permits, instead of a first request from every daemon

A failure domain has 17 daemons, and all 69 send to a keyed server. Class of fault: a limit that is split over the daemons, with a least share of one for each. Change: for each cold server one daemon issues permits, chosen by rendezvous weight among all that are known, silent ones too, so that a daemon that is cut off does not issue for itself. Without keys only the issuer sends; to a cold owner of keys the others send with permits they ask for.

--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -48,9 +48,6 @@
 constexpr double kUsableConnectionShare = 0.8;
 /// Connections of this daemon to a server whose service sets no limit.
 constexpr unsigned kDefaultConnections = 16;
-/// Share of a cold server's request limit that is used. It leaves a margin because a daemon doesn't
-/// know what the others are sending at the same moment.
-constexpr double kUsableWarmUpShare = 0.6;
 
 bool IsUnreachable(ForwardResult aResult)
 {
@@ -255,22 +252,56 @@
   return FromSeconds(serviceTime / std::max(1U, aServer.entry.slots));
 }
 
-Duration ServerSelector::WarmUpInterval(const Server& aServer) const
+double ServerSelector::WarmUpLimitOf(const Server& aServer) const
 {
   const auto rule = mServiceRules.find(aServer.entry.service);
   if (rule == mServiceRules.end() || rule->second.warmUpPerSecond <= 0.0) {
-    return Duration::zero();
+    return 0.0;
   }
-  // While a server is cold, only the daemons of its own domain send to it, if there are any. A key
-  // can be served by its owner only, so all daemons send to a keyed server and share its limit.
-  const auto own = mDaemonsByDomain.find(aServer.entry.domain);
-  const bool ownDomainOnly =
-    !rule->second.keyed && own != mDaemonsByDomain.end() && own->second > 0;
-  const unsigned daemons = ownDomainOnly ? own->second : DaemonCount();
-  const double bound = rule->second.warmUpPerSecond * mWarmUpOvershoot +
-                       (rule->second.keyed ? mWarmUpSlack : mWarmUpSlack / 4);
-  const double rate = kUsableWarmUpShare * bound / std::max(1U, daemons);
-  return Duration(static_cast<Duration::rep>(1e6 / rate));
+  return rule->second.warmUpPerSecond * mWarmUpOvershoot + mWarmUpSlack;
+}
+
+double ServerSelector::WarmUpLimitOf(const std::string& aId) const
+{
+  const auto it = mServers.find(aId);
+  return it == mServers.end() ? 0.0 : WarmUpLimitOf(it->second);
+}
+
+bool ServerSelector::NeedsPermit(const Server& aServer, Instant aNow) const
+{
+  return aNow < aServer.coldUntil && WarmUpLimitOf(aServer) > 0.0;
+}
+
+void ServerSelector::SetPermits(const std::string& aId, unsigned aCount, Instant aUntil)
+{
+  const auto it = mServers.find(aId);
+  if (it != mServers.end()) {
+    it->second.permits = aCount;
+    it->second.permitsUntil = aUntil;
+  }
+}
+
+bool ServerSelector::HasPermit(const std::string& aId, Instant aNow) const
+{
+  const auto it = mServers.find(aId);
+  return it != mServers.end() && it->second.permits > 0 && aNow < it->second.permitsUntil;
+}
+
+std::vector<const ServerEntry*> ServerSelector::ColdServers(Instant aNow) const
+{
+  std::vector<const ServerEntry*> cold;
+  for (const auto& [id, server] : mServers) {
+    if (NeedsPermit(server, aNow) && IsOpen(server)) {
+      cold.push_back(&server.entry);
+    }
+  }
+  return cold;
+}
+
+bool ServerSelector::IsKeyed(const std::string& aService) const
+{
+  const auto rule = mServiceRules.find(aService);
+  return rule != mServiceRules.end() && rule->second.keyed;
 }
 
 ServerUnavailability ServerSelector::UnavailabilityOf(const Server& aServer,
@@ -291,16 +322,8 @@
   if (aNow < aServer.circuitOpenUntil && (aNow < aServer.nextTrialAt || !aNeed.idempotent)) {
     return ServerUnavailability::kFailing;
   }
-  if (aNow < aServer.coldUntil) {
-    const auto own = mDaemonsByDomain.find(aServer.entry.domain);
-    const bool domainHasDaemons = own != mDaemonsByDomain.end() && own->second > 0;
-    const bool otherDomain = aServer.entry.domain != mDomain;
-    if (aNeed.owner.empty() && otherDomain && domainHasDaemons) {
-      return ServerUnavailability::kCold;
-    }
-    if (aNow - aServer.lastSentAt < WarmUpInterval(aServer)) {
-      return ServerUnavailability::kCold;
-    }
+  if (NeedsPermit(aServer, aNow) && (aServer.permits == 0 || aNow >= aServer.permitsUntil)) {
+    return ServerUnavailability::kCold;
   }
   const bool mayWait = aCapacityLimit == CapacityLimit::kOneWaiting &&
                        SlotInterval(aServer, aNeed.work, aNow) < kFreeSlotReportDelay;
@@ -394,7 +417,7 @@
   }
   Server& server = it->second;
   ++server.sentSinceLoadReport;
-  server.lastSentAt = aNow;
+  server.permits -= std::min(1U, server.permits);
   if (aNow < server.circuitOpenUntil) {
     server.nextTrialAt = aNow + kTrialInterval;
   }
@@ -477,8 +500,7 @@
 {
   std::map<std::uint32_t, unsigned> counts;
   for (const auto& [id, server] : mServers) {
-    const auto rule = mServiceRules.find(server.entry.service);
-    const bool keyed = rule != mServiceRules.end() && rule->second.keyed;
+    const bool keyed = IsKeyed(server.entry.service);
     if (*server.inFlight > 0 && (keyed || server.entry.domain != mDomain)) {
       counts[HashedIdOf(id)] = *server.inFlight;
     }
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -64,7 +64,7 @@
   kLeaving,   ///< It is draining.
   kDomainOut, ///< Its failure domain has been taken out of service.
   kFailing,   ///< Its recent answers were failures, or it could not be reached.
-  kCold,      ///< It is warming up and may not get another request from this daemon yet.
+  kCold,      ///< It is warming up, and this daemon has no permit to send it a request.
   kFull,      ///< All its slots, or all connections to it, are in use.
   kTried,     ///< The request was sent to it before.
 };
@@ -128,6 +128,16 @@
   /// Sets how far the requests to a cold server may exceed its warm-up rate: in any second, the
   /// rate times @p aOvershoot, plus @p aSlack requests.
   void SetWarmUpAllowance(double aOvershoot, double aSlack);
+  /// Requests that a cold server may get in any second from all daemons together; 0 if it is not
+  /// registered or its service has no limit.
+  double WarmUpLimitOf(const std::string& aId) const;
+  /// Sets how many requests this daemon may send to a cold server until @p aUntil; replaces what it
+  /// had before.
+  void SetPermits(const std::string& aId, unsigned aCount, Instant aUntil);
+  /// Whether this daemon may send a request to the server though it is cold.
+  bool HasPermit(const std::string& aId, Instant aNow) const;
+  /// The servers that are warming up and get requests with permits only.
+  std::vector<const ServerEntry*> ColdServers(Instant aNow) const;
 
   /// Chooses a server with room for the request. Take() must be called to count the request.
   ServerChoice Choose(const ServerRequirements& aNeed, Instant aNow) const;
@@ -148,6 +158,8 @@
   std::map<std::uint32_t, unsigned> InFlightAtSharedServers() const;
   /// The registered servers of a service.
   std::vector<ServerEntry> ServersOf(const std::string& aService) const;
+  /// Whether the servers of a service own keys.
+  bool IsKeyed(const std::string& aService) const;
   /// Null if the server is not registered.
   const ServerEntry* Find(const std::string& aId) const;
   /// Whether the server may get new requests: it is ready and its failure domain is in service.
@@ -195,8 +207,9 @@
     /// When the next trial request is due.
     Instant nextTrialAt;
     Instant coldUntil;
-    /// When this daemon last sent it a request; spaces the requests to a cold server.
-    Instant lastSentAt;
+    /// Requests that this daemon may send while the server is cold, and until when.
+    unsigned permits = 0;
+    Instant permitsUntil;
   };
 
   /// Up to which number of outstanding requests a server may be chosen.
@@ -229,8 +242,9 @@
   double ReportedSlowness(const Server& aServer, Instant aNow) const;
   /// Expected time until a request that is sent now is answered.
   Duration ExpectedCompletion(const Server& aServer, Duration aWork, Instant aNow) const;
-  /// Shortest interval between two requests of this daemon to a cold server.
-  Duration WarmUpInterval(const Server& aServer) const;
+  /// Whether requests to the server need permits.
+  bool NeedsPermit(const Server& aServer, Instant aNow) const;
+  double WarmUpLimitOf(const Server& aServer) const;
   /// Cost in seconds by which servers are compared: the lowest is chosen.
   double CostOf(const Server& aServer, const ServerRequirements& aNeed, Instant aNow) const;
 
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -199,6 +199,8 @@
     case wire::Envelope::kStoredObjectsQuestion:
     case wire::Envelope::kRangeTable:
     case wire::Envelope::kRangeTableQuestion:
+    case wire::Envelope::kWarmUpQuestion:
+    case wire::Envelope::kWarmUpAnswer:
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -81,6 +81,8 @@
   ForwardResult lastResult = ForwardResult::kUnreachable;
   /// Why the last choice of a server found none.
   ServerUnavailability unavailability = ServerUnavailability::kNone;
+  /// Owner of its key when a server was last chosen; empty if its service has no keys.
+  std::string owner;
   /// A server's error response, passed on to the caller if no later attempt succeeds.
   std::optional<http::Response> failureResponse;
   /// A server may have executed it, so the caller must not be told that it was not executed.
@@ -290,6 +292,17 @@
   mDispatching = false;
 }
 
+std::map<std::string, unsigned> Forwarder::WaitingForCold() const
+{
+  std::map<std::string, unsigned> byServer;
+  for (const RoutedRequestPtr& it : mWaiting) {
+    if (it->keyed && it->unavailability == ServerUnavailability::kCold) {
+      ++byServer[it->owner];
+    }
+  }
+  return byServer;
+}
+
 ServerRequirements Forwarder::NeedOf(const RoutedRequest& aRequest, Instant aNow)
 {
   ServerRequirements need;
@@ -319,6 +332,7 @@
     }
     need.owner = range->server;
     need.triedServers.clear();
+    request.owner = range->server;
   }
   const ServerChoice choice = mServices.selector.Choose(need, aNow);
   request.unavailability = choice.unavailability;
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -71,6 +71,8 @@
   void SetTraceSample(double aShare) { mTraceSample = aShare; }
   void SetRetryAllowance(const RetryAllowance& aAllowance);
   std::size_t Waiting() const { return mWaiting.size(); }
+  /// Requests that wait for an owner that is warming up, by server.
+  std::map<std::string, unsigned> WaitingForCold() const;
 
 private:
   struct Attempt;
--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -70,6 +70,17 @@
   return peers;
 }
 
+std::vector<const MeshPeer*> Mesh::KnownPeers(Instant aNow) const
+{
+  std::vector<const MeshPeer*> peers;
+  for (const auto& [id, peer] : mPeers) {
+    if (aNow - peer.heartbeatAt < kForgetAfter) {
+      peers.push_back(&peer);
+    }
+  }
+  return peers;
+}
+
 std::map<std::string, unsigned> Mesh::DaemonsByDomain() const
 {
   std::map<std::string, unsigned> daemons = { { mDomain, 1 } };
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -95,6 +95,8 @@
   bool IsLive(const std::string& aDaemon) const;
   /// All live daemons except this one.
   std::vector<const MeshPeer*> LivePeers() const;
+  /// All daemons that have been heard lately, also those that are silent now.
+  std::vector<const MeshPeer*> KnownPeers(Instant aNow) const;
   /// Number of live daemons by failure domain, this one included.
   std::map<std::string, unsigned> DaemonsByDomain() const;
   const DaemonRef& Self() const { return mSelf; }
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -35,6 +35,7 @@
           aSettings.domain,
           aSettings.meshEndpoint)
   , mLoadReporter(mSelector, mMesh)
+  , mWarmUpPermits(mSelector, mMesh, aServices.timers.Now())
   , mStoreFollower(aServices.store,
                    mMirror,
                    aServices.timers,
@@ -124,6 +125,9 @@
       aNow, mStoreFollower.Watches() ? mStoreFollower.Age(aNow) : Duration::zero(), mLeaving);
   }
   mForwarder.Dispatch();
+  if (mWarmUpPermits.Tick(mForwarder.WaitingForCold(), mLeaving, aNow)) {
+    mForwarder.Dispatch();
+  }
   mForwarder.Hedge();
   mLoadReporter.Tick(aNow);
 }
@@ -404,6 +408,12 @@
     if (RangeRunner* const ranges = FindRanges(aMessage.range_table_question().service())) {
       ranges->OnRangeTableRequest(aPeer.ref.id);
     }
+  } else if (aMessage.has_warm_up_question()) {
+    mWarmUpPermits.OnQuestion(aPeer.ref.id, aMessage.warm_up_question(), now);
+  } else if (aMessage.has_warm_up_answer()) {
+    if (mWarmUpPermits.OnAnswer(aMessage.warm_up_answer(), now)) {
+      mForwarder.Dispatch();
+    }
   } else if (aMessage.has_stored_objects_question()) {
     SendStoredObjects(aPeer.ref.id, aMessage.stored_objects_question());
   } else if (aMessage.has_stored_objects()) {
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -10,6 +10,7 @@
 #include "runtime/mesh.h"
 #include "runtime/range_runner.h"
 #include "runtime/store_follower.h"
+#include "runtime/warm_up_permits.h"
 
 #include <map>
 #include <memory>
@@ -109,6 +110,7 @@
   ServerSelector mSelector;
   Mesh mMesh;
   LoadReporter mLoadReporter;
+  WarmUpPermits mWarmUpPermits;
   StoreFollower mStoreFollower;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
   Forwarder mForwarder;
