Do not handle a request whose caller has left before it is read; end with the server's handlers

Change: before requests are handled, the connection is looked at once more; if it has ended, they are dropped. Test: tests/http/engine_test, 'a request whose caller has left before it is read', red before (2 requests handled, 1 allowed). Also tested: responses without end, in a head and a body, are given up.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -53,6 +53,7 @@
   {
     asio::error_code ec;
     mSocket.set_option(Tcp::no_delay(true), ec);
+    mSocket.non_blocking(true, ec);
     const Tcp::endpoint remote = mSocket.remote_endpoint(ec);
     if (!ec) {
       mSenderIp = remote.address().to_string();
@@ -221,6 +222,11 @@
       mMessageStartedAt = now;
       mReader.SetLimits(mServer.mLimits.read);
     }
+    if (HasCallerLeft()) {
+      // If the event loop is late, the end of the connection has arrived together with the request.
+      Close();
+      return;
+    }
     mReader.Append({ mBuffer.data(), aBytes });
     ProcessRequests();
     UpdateBufferedBytes();
@@ -232,6 +238,15 @@
     }
   }
 
+  /// Whether the connection has ended and nothing is left to be read.
+  bool HasCallerLeft()
+  {
+    char byte = 0;
+    asio::error_code ec;
+    mSocket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, ec);
+    return ec && ec != asio::error::would_block;
+  }
+
   /// Updates the share of this connection in the server's count of buffered bytes.
   void UpdateBufferedBytes()
   {
@@ -405,6 +420,7 @@
 Server::~Server()
 {
   Stop();
+  *mAlive = false;
 }
 
 void Server::StopAccepting()
@@ -434,24 +450,25 @@
 
 void Server::Accept()
 {
-  mAcceptor.async_accept([this](const asio::error_code& aError, Tcp::socket aSocket) {
-    if (!mAcceptor.is_open()) {
-      return;
-    }
-    if (!aError && mConnections.size() < mLimits.connections) {
-      auto it = std::make_shared<Connection>(*this, std::move(aSocket));
-      mConnections.insert(it);
-      it->Start();
-    }
-    Accept();
-  });
+  mAcceptor.async_accept(
+    [this, alive = mAlive](const asio::error_code& aError, Tcp::socket aSocket) {
+      if (!*alive || !mAcceptor.is_open()) {
+        return;
+      }
+      if (!aError && mConnections.size() < mLimits.connections) {
+        auto it = std::make_shared<Connection>(*this, std::move(aSocket));
+        mConnections.insert(it);
+        it->Start();
+      }
+      Accept();
+    });
 }
 
 void Server::CheckTimeoutsPeriodically()
 {
   mTimeoutCheckTimer.expires_after(kTimeoutCheckInterval);
-  mTimeoutCheckTimer.async_wait([this](const asio::error_code& aError) {
-    if (aError) {
+  mTimeoutCheckTimer.async_wait([this, alive = mAlive](const asio::error_code& aError) {
+    if (aError || !*alive) {
       return;
     }
     const SteadyPoint now = std::chrono::steady_clock::now();
--- a/http/server.h
+++ b/http/server.h
@@ -96,6 +96,8 @@
   bool mDraining = false;
   std::size_t mBufferedBytes = 0;
   std::unordered_set<std::shared_ptr<Connection>> mConnections;
+  /// False once the server is destroyed. Shared with the pending handlers, which may run later.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
 } // namespace hawthornlug::http
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -186,6 +186,41 @@
   CHECK(RunUntil(context, [&] { return handler.abandoned.size() == 1; }));
 }
 
+TEST_CASE("a server that is destroyed leaves no handler behind on the event loop", "[http]")
+{
+  asio::io_context context;
+  StoringHandler handler;
+  const auto endpoint = FreeEndpoint(context);
+  auto server = std::make_unique<Server>(context, endpoint, handler);
+  RawConnection caller(context, endpoint);
+  context.run_for(std::chrono::milliseconds(20));
+  server.reset();
+  context.restart();
+  // What was pending when the server was destroyed ends now; none of it may use the server.
+  context.run_for(std::chrono::milliseconds(20));
+  CHECK(handler.exchanges.empty());
+}
+
+TEST_CASE("a request whose caller has left before it is read is not handled", "[http]")
+{
+  asio::io_context context;
+  StoringHandler handler;
+  const auto endpoint = FreeEndpoint(context);
+  Server server(context, endpoint, handler);
+  {
+    RawConnection caller(context, endpoint);
+    caller.Write("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.Close();
+  }
+  RawConnection other(context, endpoint);
+  other.Write("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  REQUIRE(RunUntil(context, [&] { return !handler.exchanges.empty(); }));
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  REQUIRE(handler.exchanges.size() == 1);
+  CHECK(handler.exchanges[0]->Received().target == "/2");
+}
+
 TEST_CASE("an invalid request is answered with an error status and its connection closed", "[http]")
 {
   struct Row
@@ -285,6 +320,59 @@
   }
 }
 
+TEST_CASE("a response without end is given up, and its connection closed", "[http]")
+{
+  struct Row
+  {
+    std::string start;
+    std::string rest;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "", "x" },
+    { "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+    { "HTTP/1.1 200 OK\r\nA: ", "b" },
+    { "HTTP/1.1 200 OK\r\n\r\n", "b" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x" },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  }));
+  INFO(row.start << row.rest);
+  std::string rest;
+  while (rest.size() < 16384) {
+    rest += row.rest;
+  }
+  asio::io_context context;
+  bool ended = false;
+  std::size_t sent = 0;
+  std::function<void(Tcp::socket&)> sendOn = [&](Tcp::socket& aSocket) {
+    asio::async_write(aSocket,
+                      asio::buffer(rest),
+                      [&, socket = &aSocket](const asio::error_code& aError, std::size_t aBytes) {
+                        sent += aBytes;
+                        if (aError) {
+                          ended = true;
+                        } else {
+                          sendOn(*socket);
+                        }
+                      });
+  };
+  ScriptedServer server(context, [&](Tcp::socket& aSocket, std::size_t) {
+    asio::write(aSocket, asio::buffer(row.start));
+    sendOn(aSocket);
+  });
+  const std::size_t maxBody = std::size_t{ 1 } << 20;
+  Client client(context, { 16384, maxBody });
+  CallOptions options;
+  options.timeout = milliseconds(500);
+  std::optional<CallOutcome> outcome;
+  client.Send(server.Address(), MakeGetRequest(), options, [&](CallOutcome aOutcome) {
+    outcome = std::move(aOutcome);
+  });
+  REQUIRE(RunUntil(context, [&] { return outcome.has_value() && ended; }));
+  CHECK(outcome->result != CallResult::kAnswered);
+}
+
 TEST_CASE("a connection is reused only if the server allows it", "[http]")
 {
   struct Row
