Let daemons prefer different servers, and report to their own domain up to 200 times a second

Cause: with fewer load reports the daemons of a domain all chose the server that looked cheapest to each, until the next report. Ruled out: the permits for cold servers; none is cold in that time. Change: a daemon adds up to 0.3 of the expected service time to a server's cost, by rendezvous weight of server and daemon, so the same knowledge leads to different choices and connections are reused; 200 messages a second to the own domain (85 ms with 17 peers) instead of 100. Test: routing 'daemons that know nothing of each other's requests', red without the preference (all 17 choose one server).

--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -34,6 +34,10 @@
 /// in a row have failed.
 constexpr double kFailingThreshold = 0.6;
 constexpr unsigned kMinConsecutiveFailures = 2;
+/// Cost of a server that this daemon prefers least, as a multiple of the expected service time.
+/// What daemons know of each other's requests is some time old: without it, all would choose the
+/// same server until the next report.
+constexpr double kReserveCost = 0.3;
 /// Interval between the trial requests by which a failing server can show that it has recovered.
 constexpr Duration kTrialInterval = milliseconds(700);
 /// How long the circuit breaker of a failing server stays open: until then the server gets nothing
@@ -49,6 +53,12 @@
 /// Connections of this daemon to a server whose service sets no limit.
 constexpr unsigned kDefaultConnections = 16;
 
+/// Maps a hash to a number from 0 to 1.
+double UnitInterval(std::uint64_t aHash)
+{
+  return static_cast<double>(aHash) / static_cast<double>(UINT64_MAX);
+}
+
 bool IsUnreachable(ForwardResult aResult)
 {
   return aResult == ForwardResult::kUnreachable || aResult == ForwardResult::kConnectionRefused;
@@ -84,8 +94,9 @@
   }
 }
 
-ServerSelector::ServerSelector(std::string aDomain)
+ServerSelector::ServerSelector(std::string aDomain, std::string aDaemon)
   : mDomain(std::move(aDomain))
+  , mDaemon(std::move(aDaemon))
 {
 }
 
@@ -122,6 +133,7 @@
     mServersByService[aEntry.service][aEntry.id] = &server;
   }
   server.entry = aEntry;
+  server.reserve = mDaemon.empty() ? 0.0 : UnitInterval(RendezvousWeight(aEntry.id, mDaemon));
   mServersByNumber[HashedIdOf(aEntry.id)] = &server;
 }
 
@@ -347,6 +359,7 @@
   const double late = std::max(0.0, completion - InSeconds(aNeed.timeToTarget));
   double cost = completion + kOverTargetCost * late;
   cost += kFailureCost * FailureShare(aServer, aNow) * InSeconds(aNeed.work);
+  cost += kReserveCost * aServer.reserve * InSeconds(aNeed.work);
   if (aServer.entry.domain != mDomain) {
     cost += kOtherDomainCost * InSeconds(aNeed.targetLatency);
   }
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -104,8 +104,9 @@
 class ServerSelector
 {
 public:
-  /// @p aDomain: the daemon's own failure domain.
-  explicit ServerSelector(std::string aDomain);
+  /// @p aDomain: the daemon's own failure domain. @p aDaemon: its id, by which daemons that know
+  /// the same prefer different servers.
+  explicit ServerSelector(std::string aDomain, std::string aDaemon = {});
   ServerSelector(ServerSelector&&) = default;
   ServerSelector& operator=(ServerSelector&&) = default;
   ServerSelector(const ServerSelector&) = delete;
@@ -188,6 +189,8 @@
   struct Server
   {
     ServerEntry entry;
+    /// How much this daemon prefers other servers to it, from 0 to 1.
+    double reserve = 0.0;
     std::shared_ptr<unsigned> inFlight = std::make_shared<unsigned>(0);
     /// By daemon id.
     std::map<std::string, PeerCount> peerCounts;
@@ -249,6 +252,7 @@
   double CostOf(const Server& aServer, const ServerRequirements& aNeed, Instant aNow) const;
 
   std::string mDomain;
+  std::string mDaemon;
   std::map<std::string, Server> mServers;
   /// The servers of each service, by id; they point into mServers.
   std::map<std::string, std::map<std::string, const Server*>> mServersByService;
--- a/runtime/load_reporter.cpp
+++ b/runtime/load_reporter.cpp
@@ -12,7 +12,7 @@
 constexpr Duration kRefreshInterval = milliseconds(700);
 /// Limits of the messages that a daemon sends to its own domain and to the others, so that this
 /// traffic, and the processor time for it, does not grow with the number of daemons.
-constexpr unsigned kOwnDomainMessagesPerSecond = 100;
+constexpr unsigned kOwnDomainMessagesPerSecond = 200;
 constexpr unsigned kForeignMessagesPerSecond = 150;
 
 } // namespace
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -27,7 +27,7 @@
 RouterDaemon::RouterDaemon(const RouterSettings& aSettings, RouterServices aServices)
   : mSettings(aSettings)
   , mServices(aServices)
-  , mSelector(aSettings.domain)
+  , mSelector(aSettings.domain, aSettings.self.id)
   , mMesh(aServices.peers,
           aServices.timers,
           aServices.log,
--- a/tests/routing/server_selector_test.cpp
+++ b/tests/routing/server_selector_test.cpp
@@ -182,6 +182,27 @@
   CHECK(ChosenServer(selector, Need()) == "slow");
 }
 
+TEST_CASE("daemons that know nothing of each other's requests choose different servers",
+          "[routing]")
+{
+  constexpr unsigned kDaemons = 17;
+  std::map<std::string, unsigned> requests;
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    ServerSelector selector("home", "daemon-" + std::to_string(n));
+    for (unsigned m = 0; m < 21; ++m) {
+      selector.Put(Entry("server-" + std::to_string(m), "home"), kStart);
+    }
+    selector.Put(Entry("far", "away"), kStart);
+    ++requests[ChosenServer(selector, Need())];
+  }
+  CHECK(requests["far"] == 0);
+  for (const auto& [server, n] : requests) {
+    INFO(server);
+    // A server has three slots, and one request may wait there.
+    CHECK(n <= 4);
+  }
+}
+
 TEST_CASE("a cold server gets a request for each unexpired permit, and none without", "[routing]")
 {
   ServerSelector selector("home");
