A cold server in a failure domain without daemons gets requests from the others again

Cause: only daemons of the server's domain could be its issuer, so without any there was none, and the server got nothing until it was warm. Change: if no daemon of the domain is known, the issuer is chosen among all.

--- a/runtime/warm_up_permits.cpp
+++ b/runtime/warm_up_permits.cpp
@@ -2,6 +2,8 @@
 
 #include "core/hashing.h"
 
+#include <algorithm>
+
 namespace hawthornlug {
 
 namespace {
@@ -22,7 +24,12 @@
 
 std::string WarmUpPermits::IssuerOf(const ServerEntry& aServer, bool aLeaving, Instant aNow) const
 {
-  const bool anyDomain = mSelector.IsKeyed(aServer.service);
+  const std::vector<const MeshPeer*> peers = mMesh.KnownPeers(aNow);
+  const bool domainHasDaemons = mMesh.Domain() == aServer.domain ||
+                                std::any_of(peers.begin(), peers.end(), [&](const MeshPeer* aPeer) {
+                                  return aPeer->domain == aServer.domain;
+                                });
+  const bool anyDomain = mSelector.IsKeyed(aServer.service) || !domainHasDaemons;
   std::string issuer;
   std::uint64_t highest = 0;
   const auto consider = [&](const std::string& aDaemon, const std::string& aDomain) {
@@ -38,7 +45,7 @@
   if (!aLeaving) {
     consider(mMesh.Self().id, mMesh.Domain());
   }
-  for (const MeshPeer* it : mMesh.KnownPeers(aNow)) {
+  for (const MeshPeer* it : peers) {
     if (!it->leaving) {
       consider(it->ref.id, it->domain);
     }
--- a/tests/routing/server_selector_test.cpp
+++ b/tests/routing/server_selector_test.cpp
@@ -228,7 +228,9 @@
   CHECK(sent == 2);
   selector.SetPermits("cold", 2, kStart + milliseconds(250));
   CHECK_FALSE(selector.Choose(Need(), kStart + milliseconds(250)).server.has_value());
-  // A server that is out of service or warm needs none.
+  CHECK(selector.IsCold("cold", kStart + seconds(2)));
+  CHECK_FALSE(selector.IsCold("cold", kStart + seconds(4)));
+  // A server that is warm needs none.
   CHECK(selector.ColdServers(kStart + seconds(4)).empty());
   CHECK(selector.Choose(Need(), kStart + seconds(4)).server.has_value());
 }
--- a/tests/runtime/warm_up_permits_test.cpp
+++ b/tests/runtime/warm_up_permits_test.cpp
@@ -32,7 +32,7 @@
 class ColdServerFleet
 {
 public:
-  ColdServerFleet(unsigned aDaemons, bool aKeyed)
+  ColdServerFleet(unsigned aDaemons, bool aKeyed, const std::string& aDomain = "north")
     : simulation(aDaemons)
     , keyed(aKeyed)
   {
@@ -47,7 +47,7 @@
     ServerEntry entry;
     entry.id = "cold";
     entry.service = "s";
-    entry.domain = "north";
+    entry.domain = aDomain;
     entry.slots = 1000;
     entry.warmUpLeft = seconds(60);
     for (const auto& it : daemons) {
@@ -85,6 +85,7 @@
   bool keyed;
   std::vector<std::unique_ptr<SendingDaemon>> daemons;
   std::vector<Instant> sentAt;
+  std::set<std::string> senderDomains;
 
 private:
   void Step(SendingDaemon& aDaemon)
@@ -104,6 +105,7 @@
     if (aDaemon.selector.Choose(need, now).server) {
       aDaemon.selector.Take("cold", now);
       sentAt.push_back(now);
+      senderDomains.insert(aDaemon.node.mesh.Domain());
     }
     aDaemon.permits->Tick({ { "cold", 1 } }, false, now);
   }
@@ -149,3 +151,15 @@
   fleet.Run(milliseconds(1900));
   CHECK(fleet.sentAt.empty());
 }
+
+TEST_CASE("daemons of other domains don't send to a cold server whose domain has daemons",
+          "[runtime][warm-up]")
+{
+  ColdServerFleet fleet(9, false);
+  fleet.Run(seconds(2));
+  CHECK(fleet.senderDomains == std::set<std::string>{ "north" });
+  ColdServerFleet without(9, false, "elsewhere");
+  without.Run(seconds(2));
+  CHECK_FALSE(without.sentAt.empty());
+  CHECK(static_cast<double>(without.MostInOneSecond()) <= kPerSecond);
+}
