--- a/tests/support/golden.cpp
+++ b/tests/support/golden.cpp
@@ -8,7 +8,8 @@
 
 std::string GoldenTranscript(const std::string& aName, const std::string& aText)
 {
-  const std::string path = std::string(HAWTHORNLUG_GOLDEN) + "/" + aName + ".txt";
+  std::string path = HAWTHORNLUG_GOLDEN;
+  path += "/" + aName + ".txt";
   if (std::getenv("HAWTHORNLUG_UPDATE_GOLDEN") != nullptr) {
     std::ofstream(path) << aText;
   }
