Confine exceptions to the task that threw, and outlive signals on the receiving thread

Operators' report: one malformed message or unexpected error took a whole process down. Here it could: - a signal (SIGHUP, SIGTERM) that the kernel delivers to the thread that receives peers' messages interrupted zmq::poll, which throws zmq::error_t: terminate (both commands). Keys that do not exist in a report of work, permits from the future and senders without a name are ignored.

Ruled out: catching everything around run() alone, since a timer whose callback threw would not be armed again and the daemon would look alive without doing anything.

--- a/adapters/asio_timers.cpp
+++ b/adapters/asio_timers.cpp
@@ -1,5 +1,7 @@
 #include "adapters/asio_timers.h"
 
+#include "adapters/event_loop.h"
+
 #include <ctime>
 #include <mutex>
 
@@ -42,14 +44,23 @@
 private:
   void Fire(const asio::error_code& aError)
   {
+    std::exception_ptr failure;
     {
       const std::lock_guard lock(mMutex);
       if (aError || !mCallback) {
         return;
       }
-      mCallback(mClock.Now());
+      try {
+        mCallback(mClock.Now());
+      } catch (...) {
+        // The timer must go on; the event loop reports the exception.
+        failure = std::current_exception();
+      }
     }
     Start();
+    if (failure) {
+      std::rethrow_exception(failure);
+    }
   }
 
   asio::steady_timer mTimer;
@@ -97,7 +108,7 @@
 
 AsioTimers::AsioTimers()
   : mGuard(asio::make_work_guard(mContext))
-  , mThread([this] { mContext.run(); })
+  , mThread([this] { RunEventLoop(mContext, WriteTaskError); })
 {
 }
 
@@ -141,7 +152,7 @@
 
 void AsioWorkers::Post(std::function<void()> aTask)
 {
-  asio::post(mPool, std::move(aTask));
+  asio::post(mPool, [task = std::move(aTask)] { RunGuarded(task, WriteTaskError); });
 }
 
 void AsioWorkers::Join()
--- a/adapters/http_loop.cpp
+++ b/adapters/http_loop.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http_loop.h"
 
+#include "adapters/event_loop.h"
+
 #include <future>
 
 namespace hawthornlug {
@@ -7,7 +9,7 @@
 HttpLoop::HttpLoop()
   : mGuard(asio::make_work_guard(mContext))
   , mClient(std::make_unique<http::Client>(mContext))
-  , mThread([this] { mContext.run(); })
+  , mThread([this] { RunEventLoop(mContext, WriteTaskError); })
 {
 }
 
--- a/adapters/zmq_peers.cpp
+++ b/adapters/zmq_peers.cpp
@@ -1,5 +1,7 @@
 #include "adapters/zmq_peers.h"
 
+#include "core/task_guard.h"
+
 #include <arpa/inet.h>
 #include <array>
 #include <asio.hpp>
@@ -93,14 +95,22 @@
                                              { nullptr, mWakeFd, ZMQ_POLLIN, 0 } } };
   bool hasQueued = false;
   while (!mStopping) {
-    zmq::poll(
-      items.data(), items.size(), hasQueued ? kRetryInterval : std::chrono::milliseconds(-1));
+    try {
+      zmq::poll(
+        items.data(), items.size(), hasQueued ? kRetryInterval : std::chrono::milliseconds(-1));
+    } catch (const zmq::error_t& error) {
+      if (error.num() == EINTR) {
+        // A signal was delivered to this thread.
+        continue;
+      }
+      throw;
+    }
     if ((items[1].revents & ZMQ_POLLIN) != 0) {
       std::uint64_t count = 0;
       [[maybe_unused]] const auto n = ::read(mWakeFd, &count, sizeof count);
     }
     if ((items[0].revents & ZMQ_POLLIN) != 0) {
-      ReceiveBatch();
+      RunGuarded([this] { ReceiveBatch(); }, WriteTaskError);
     }
     const std::lock_guard lock(mSendMutex);
     RetryQueuedMessages();
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -73,6 +73,8 @@
   kRequestMalformed,
   kLoopDelayed,
   kColdForward,
+  kTaskFailed,
+  kMessageMalformed,
 };
 
 /// Number, level and name of an event.
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{ 200 };
 /// How long a connection that is being closed is still read, so that its last response isn't lost.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
+constexpr int kInternalError = 500;
 constexpr int kServiceUnavailable = 503;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -294,13 +295,28 @@
       it->Received().senderIp = mSenderIp;
       mCloseRequested = !it->Received().keepAlive;
       mPending.push_back(it);
-      mServer.mHandler.OnRequest(it);
+      PassToHandler(it);
       if (!mReader.IsInMessage()) {
         return;
       }
     }
   }
 
+  /// If the handler fails, the request may still be in progress somewhere: the caller gets an
+  /// answer that promises nothing.
+  void PassToHandler(const std::shared_ptr<PendingExchange>& aExchange)
+  {
+    try {
+      mServer.mHandler.OnRequest(aExchange);
+    } catch (...) {
+      Response response;
+      response.status = kInternalError;
+      response.keepAlive = false;
+      aExchange->Respond(std::move(response));
+      throw;
+    }
+  }
+
   /// Answers a request that can't be read or accepted with an error status, after the responses
   /// that are still pending, and closes the connection.
   void Refuse(int aStatus, ReadState aState)
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -1,6 +1,7 @@
 #include "main/route_command.h"
 
 #include "adapters/asio_timers.h"
+#include "adapters/event_loop.h"
 #include "adapters/json_spans.h"
 #include "adapters/zmq_peers.h"
 #include "http/server.h"
@@ -143,7 +144,10 @@
                  { "domain", settings.domain },
                  { "callers", mHost.callerAddress },
                  { "mesh", settings.meshEndpoint } });
-    mContext.run();
+    RunEventLoop(mContext, [this](const char* aWhat) {
+      mMetrics.Count("task_failures_total");
+      mLog.Write(EventId::kTaskFailed, { { "what", aWhat } });
+    });
     mPeers->Stop();
     mLog.Write(EventId::kStopped, {});
     return kExitDone;
--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -179,7 +179,7 @@
 
 void Mesh::Receive(const wire::Envelope& aMessage)
 {
-  if (aMessage.from().id() == mSelf.id || mListener == nullptr) {
+  if (aMessage.from().id().empty() || aMessage.from().id() == mSelf.id || mListener == nullptr) {
     return;
   }
   if (aMessage.has_beat()) {
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -508,6 +508,9 @@
 {
   const Instant now = mServices.timers.Now();
   for (int n = 0; n < std::min(aWork.keys_size(), aWork.work_ms_size()); ++n) {
+    if (aWork.keys(n) > kLastKey) {
+      continue;
+    }
     mKeyLoad.Add(aWork.keys(n), milliseconds(aWork.work_ms(n)), now);
   }
 }
@@ -543,6 +546,11 @@
   update.version = aTable.version();
   update.whole = aTable.whole();
   for (const wire::RangeTable::Range& it : aTable.ranges()) {
+    if (it.from() > it.to() || it.to() > kLastKey) {
+      mServices.log.Write(EventId::kMessageMalformed,
+                          { { "message", "range-table" }, { "service", mService } });
+      return;
+    }
     update.ranges.push_back({ { it.from(), it.to() }, it.server(), it.moving() });
   }
   if (mDirectory.Apply(update)) {
--- a/runtime/warm_up_permits.cpp
+++ b/runtime/warm_up_permits.cpp
@@ -121,10 +121,11 @@
 {
   // The lifetime begins with the question, which was sent by this daemon's own clock: the issuer
   // counted the permits later than that.
-  const Instant until = Instant(Duration(aAnswer.asked_us())) + kPermitLifetime;
-  if (aNow >= until) {
+  const Instant askedAt{ Duration(aAnswer.asked_us()) };
+  if (askedAt > aNow || askedAt <= aNow - kPermitLifetime) {
     return false;
   }
+  const Instant until = askedAt + kPermitLifetime;
   mSelector.SetPermits(aAnswer.server(), aAnswer.granted(), until);
   return true;
 }
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -221,6 +221,44 @@
   CHECK(handler.exchanges[0]->Received().target == "/2");
 }
 
+TEST_CASE("a request whose handler throws is answered with 500, and later ones are served",
+          "[http][reports]")
+{
+  /// Throws at the first request.
+  class FailingHandler : public StoringHandler
+  {
+  public:
+    void OnRequest(std::shared_ptr<Exchange> aExchange) override
+    {
+      StoringHandler::OnRequest(aExchange);
+      if (exchanges.size() == 1) {
+        throw std::runtime_error("thrown on purpose");
+      }
+    }
+  };
+  asio::io_context context;
+  FailingHandler handler;
+  const auto endpoint = FreeEndpoint(context);
+  Server server(context, endpoint, handler);
+  RawConnection first(context, endpoint);
+  first.Write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  const auto run = [&](const auto& aDone) {
+    while (true) {
+      try {
+        return RunUntil(context, aDone);
+      } catch (const std::runtime_error&) {
+        // The daemon's event loop reports it and goes on, too.
+      }
+    }
+  };
+  CHECK(run([&] { return first.Read().starts_with("HTTP/1.1 500 ") && first.ended; }));
+  RawConnection second(context, endpoint);
+  second.Write("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(run([&] { return handler.exchanges.size() == 2; }));
+  handler.Answer(1, "ok");
+  CHECK(run([&] { return second.Read().ends_with("ok"); }));
+}
+
 TEST_CASE("an invalid request is answered with an error status and its connection closed", "[http]")
 {
   struct Row
--- a/tests/runtime/range_runner_test.cpp
+++ b/tests/runtime/range_runner_test.cpp
@@ -162,3 +162,49 @@
   CHECK(messages > 0);
   CHECK(messages <= 4 * 900 + daemons);
 }
+
+TEST_CASE("a range table or a work report that makes no sense is dropped", "[runtime][ranges][reports]")
+{
+  struct Row
+  {
+    std::string name;
+    std::uint32_t from;
+    std::uint32_t to;
+    bool taken;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "all keys", 0, 65535, true },
+    { "a key that does not exist", 0, 65536, false },
+    { "the largest number", 4294967295U, 4294967295U, false },
+    { "ends before it starts", 9, 3, false },
+  }));
+  INFO(row.name);
+  MeshSimulation simulation(1);
+  MemoryStore store;
+  WillingBackends backends;
+  Metrics metrics;
+  ServerSelector selector("north");
+  RangeRunner runner("s",
+                     GrantTiming(),
+                     { store,
+                       backends,
+                       simulation.nodes[0]->mesh,
+                       selector,
+                       simulation.timers,
+                       simulation.log,
+                       metrics },
+                     [] {});
+  wire::RangeTable table;
+  table.set_term(1);
+  table.set_version(1);
+  table.set_whole(true);
+  table.add_ranges()->set_from(row.from);
+  table.mutable_ranges(0)->set_to(row.to);
+  table.mutable_ranges(0)->set_server("a");
+  runner.OnRangeTable(table);
+  CHECK(runner.Directory().HasRanges() == row.taken);
+  wire::KeyWork work;
+  work.add_keys(row.to);
+  work.add_work_ms(4294967295U);
+  runner.OnKeyWorkReport(work);
+}
