Heed servers that say they leave or ask for a pause

- A server that states in any answer (request, grant, release, health check) that it leaves gets no new request from this daemon, whatever the registry says, until another incarnation is registered.
Waiting, retried and hedged requests are sent elsewhere, its keys are moved by the granting daemon, the own failure domain is told, a daemon that restarts there is told again.
What peers report never ends or repeats a request in progress.
- A server that turns a request away with 503 and Retry-After gets none from this daemon in that time, trial requests, hedges and warm-up permits included.
Fractions count, longer pauses are cut to 300 s, what is no number is no pause; both are logged (H645).
It says nothing about other daemons, nor about whether the request ran.
If all servers have asked for a pause that the caller can't outwait, it is told so at once with a Retry-After that is not before the first pause ends.
- A request for a key whose owner leaves waits for the new owner instead of being refused.

Decided in routing/server_notices, routing/server_selector and limits/waiting_policy, decoded once in platform/backend_calls, passed on by runtime/server_notice_relay. An answer counts only if it comes from the process that the call named, and for the incarnation that the request was sent to.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Indexed by EventId.
-constexpr std::array<EventInfo, 58> kCatalogue = { {
+constexpr std::array<EventInfo, 61> kCatalogue = { {
   { 100, 'i', "started" },
   { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },
@@ -69,6 +69,9 @@
   { 642, 'i', "cold-forward" },
   { 711, 'e', "task-failed" },
   { 701, 'w', "message-malformed" },
+  { 643, 'i', "server-said-leaving" },
+  { 644, 'i', "server-paused" },
+  { 645, 'w', "pause-adjusted" },
 } };
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -75,6 +75,9 @@
   kColdForward,
   kTaskFailed,
   kMessageMalformed,
+  kServerSaidLeaving,
+  kServerPaused,
+  kPauseAdjusted,
 };
 
 /// Number, level and name of an event.
--- a/core/ids.h
+++ b/core/ids.h
@@ -31,4 +31,13 @@
   auto operator<=>(const DaemonRef&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+/// Identifies one process of one backend server. An empty id means no server.
+struct ServerRef
+{
+  std::string id;
+  Incarnation incarnation = 0;
+
+  bool operator==(const ServerRef&) const = default;
+};
+
 } // namespace hawthornlug
--- a/limits/waiting_policy.cpp
+++ b/limits/waiting_policy.cpp
@@ -41,6 +41,9 @@
   if (aRequest.timeLeft < Scaled(aRequest.work, kMinServiceTimeShare)) {
     return WaitDecision::kTooLate;
   }
+  if (aQueue.pausedFor + Scaled(aRequest.work, kMinServiceTimeShare) > aRequest.timeLeft) {
+    return WaitDecision::kPaused;
+  }
   const double waited = Ratio(aRequest.waited, aRequest.targetLatency);
   if (aRequest.blockedAnswers > 0 && waited > kMaxWaitBlockingAnswers) {
     return WaitDecision::kBlocksAnswers;
@@ -73,6 +76,9 @@
 {
   const Duration base = std::max(aQueue.expectedWait / 2, aRequest.work / 4);
   const Duration spread = Scaled(aRequest.work, aSpread);
+  if (aQueue.pausedFor > Duration::zero()) {
+    return aQueue.pausedFor + spread;
+  }
   // A caller waits for at most a third of the time that it has left: a later retry could hardly be
   // answered in time.
   const Duration longest = aRequest.timeLeft / 3;
--- a/limits/waiting_policy.h
+++ b/limits/waiting_policy.h
@@ -36,6 +36,9 @@
   Duration expectedWait = Duration::zero();
   /// Whether the owner of the request's key is changing.
   bool moving = false;
+  /// No server wants a request from this daemon for this long; 0 if one does, or if that is not
+  /// known.
+  Duration pausedFor = Duration::zero();
 };
 
 /// Whether a request goes on waiting, or why it is rejected.
@@ -46,12 +49,10 @@
   kNoServer,      ///< No server may run it, and none is expected to become available in time.
   kOverload,      ///< It has waited too long in the queue, or is expected to.
   kBlocksAnswers, ///< It has blocked ready answers on its connection for too long.
+  kPaused,        ///< All servers have asked for a pause that ends too late for it.
 };
-inline constexpr EnumNames<5> kWaitDecisionNames = { "wait",
-                                                     "too-late",
-                                                     "no-server",
-                                                     "overload",
-                                                     "holds-back" };
+inline constexpr EnumNames<6> kWaitDecisionNames = { "wait",     "too-late",   "no-server",
+                                                     "overload", "holds-back", "paused" };
 
 /// Decides whether a request should go on waiting. This sheds load under overload: a request that
 /// can't be answered in time is rejected early enough for the caller to do something else.
@@ -62,9 +63,9 @@
 /// priority and the blocked answers. It falls while a request waits, so that none starves.
 double WaitingRank(const WaitingRequest& aRequest);
 
-/// Time after which a rejected caller should retry: when room is expected, spread so that callers
-/// that were rejected together don't retry together. @p aSpread: from 0 to 1, evenly
-/// distributed over requests.
+/// Time after which a rejected caller should retry: when room is expected, or not before servers
+/// that have asked for a pause accept requests again; spread so that callers that were rejected
+/// together don't retry together. @p aSpread: from 0 to 1, evenly distributed over requests.
 Duration RetryAfter(const WaitingRequest& aRequest, const WaitConditions& aQueue, double aSpread);
 
 } // namespace hawthornlug
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -98,7 +98,7 @@
     , mTimers(mContext)
     , mStore(mContext, mHost.storeAddress, mLog, mMetrics)
     , mReader(mLog)
-    , mBackends(mContext, mMetrics)
+    , mBackends(mContext, mLog, mMetrics)
     , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
   {
   }
--- a/ownership/grant_commands.h
+++ b/ownership/grant_commands.h
@@ -48,12 +48,14 @@
   FencingToken token = 0;
 };
 
-/// Result of a release.
+/// Outcome of a command.
 struct CommandOutcome
 {
   CommandResult result = CommandResult::kNotSent;
-  /// Data for the next owner; may be empty.
+  /// After a release: data for the next owner; may be empty.
   std::string handover;
+  /// The answer states that the server is about to stop.
+  bool serverLeaving = false;
 };
 
 } // namespace hawthornlug
--- a/ownership/key_range.h
+++ b/ownership/key_range.h
@@ -26,15 +26,6 @@
   std::uint32_t Width() const { return to - from + 1; }
 };
 
-/// One incarnation of one backend server. An empty id means no server.
-struct ServerRef
-{
-  std::string id;
-  Incarnation incarnation = 0;
-
-  bool operator==(const ServerRef&) const = default;
-};
-
 /// A key range, the server that owns it, and the fencing token that its grants carry.
 struct OwnedRange
 {
--- a/ports/backend_port.h
+++ b/ports/backend_port.h
@@ -8,6 +8,7 @@
 #include "http/message.h"
 #include "ownership/grant_commands.h"
 #include "routing/forward_result.h"
+#include "routing/server_notices.h"
 
 #include <functional>
 #include <memory>
@@ -23,6 +24,8 @@
   http::Response response;
   /// The server's load as the answer states it, if it does.
   std::optional<LoadReport> load;
+  /// What the answer states about the server; empty if there is no answer of this server.
+  ServerNotice notice;
   /// The request was sent over a connection that had carried earlier requests.
   bool reused = false;
 };
@@ -55,6 +58,8 @@
   std::optional<LoadReport> load;
   /// Time until the server has warmed up, if the answer states it.
   std::optional<Duration> warmUpLeft;
+  /// What the answer states about the server.
+  ServerNotice notice;
 };
 
 /// Asynchronous calls, made on the daemon's event loop. Each completion is called once, and not
--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -133,11 +133,12 @@
     mServersByService[aEntry.service][aEntry.id] = &server;
   }
   server.entry = aEntry;
+  ApplyNotices(server);
   server.preference = mDaemon.empty() ? 0.0 : UnitInterval(RendezvousWeight(aEntry.id, mDaemon));
   mServersByNumber[HashedIdOf(aEntry.id)] = &server;
 }
 
-void ServerSelector::Remove(const std::string& aId)
+void ServerSelector::Remove(const std::string& aId, Instant aNow)
 {
   const auto it = mServers.find(aId);
   if (it == mServers.end()) {
@@ -149,6 +150,24 @@
   }
   mServersByService[it->second.entry.service].erase(aId);
   mServers.erase(it);
+  mNotices.Forget([this](const std::string& aServer) { return mServers.contains(aServer); }, aNow);
+}
+
+bool ServerSelector::OnNotice(const ServerRef& aServer, const ServerNotice& aNotice, Instant aNow)
+{
+  const bool news = mNotices.Record(aServer, aNotice, aNow);
+  const auto it = mServers.find(aServer.id);
+  if (it != mServers.end()) {
+    ApplyNotices(it->second);
+  }
+  return news;
+}
+
+void ServerSelector::ApplyNotices(Server& aServer) const
+{
+  const ServerRef ref{ aServer.entry.id, aServer.entry.incarnation };
+  aServer.leaving = mNotices.IsLeaving(ref);
+  aServer.pausedUntil = mNotices.PausedUntil(ref);
 }
 
 const ServerEntry* ServerSelector::Find(const std::string& aId) const
@@ -159,7 +178,7 @@
 
 bool ServerSelector::IsOpen(const Server& aServer) const
 {
-  return aServer.entry.state == ServerState::kReady &&
+  return aServer.entry.state == ServerState::kReady && !aServer.leaving &&
          !mDomainsOutOfService.contains(aServer.entry.domain);
 }
 
@@ -321,7 +340,7 @@
                                                       CapacityLimit aCapacityLimit,
                                                       Instant aNow) const
 {
-  if (aServer.entry.state != ServerState::kReady) {
+  if (aServer.entry.state != ServerState::kReady || aServer.leaving) {
     return ServerUnavailability::kLeaving;
   }
   if (mDomainsOutOfService.contains(aServer.entry.domain)) {
@@ -331,6 +350,9 @@
       aNeed.triedServers.end()) {
     return ServerUnavailability::kTried;
   }
+  if (aNow < aServer.pausedUntil) {
+    return ServerUnavailability::kPaused;
+  }
   if (aNow < aServer.circuitOpenUntil && (aNow < aServer.nextTrialAt || !aNeed.idempotent)) {
     return ServerUnavailability::kFailing;
   }
@@ -387,8 +409,14 @@
   ServerChoice choice;
   const Server* best = nullptr;
   double bestCost = 0.0;
+  bool allPaused = true;
+  Instant firstPauseEnd = Instant::max();
   const auto consider = [&](const Server& aServer) {
     const ServerUnavailability reason = UnavailabilityOf(aServer, aNeed, aCapacityLimit, aNow);
+    if (IsOpen(aServer)) {
+      allPaused = allPaused && aNow < aServer.pausedUntil;
+      firstPauseEnd = std::min(firstPauseEnd, aServer.pausedUntil);
+    }
     if (reason != ServerUnavailability::kNone) {
       // Of several reasons, a full server is reported: it is the one that ends soonest.
       if (choice.unavailability == ServerUnavailability::kUnknown ||
@@ -418,6 +446,8 @@
     choice.unavailability = ServerUnavailability::kNone;
     choice.completion = ExpectedCompletion(*best, aNeed.work, aNow);
     choice.outstanding = Outstanding(*best, aNow);
+  } else if (allPaused && firstPauseEnd != Instant::max()) {
+    choice.pausedUntil = firstPauseEnd;
   }
   return choice;
 }
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -6,6 +6,7 @@
 #include "routing/forward_result.h"
 #include "routing/route_config.h"
 #include "routing/server_entry.h"
+#include "routing/server_notices.h"
 
 #include <map>
 #include <memory>
@@ -61,16 +62,17 @@
 {
   kNone,      ///< It can be chosen.
   kUnknown,   ///< It is not registered.
-  kLeaving,   ///< It is draining.
+  kLeaving,   ///< It is draining, or has announced that it leaves.
   kDomainOut, ///< Its failure domain has been taken out of service.
   kFailing,   ///< Its recent answers were failures, or it could not be reached.
   kCold,      ///< It is warming up, and this daemon has no permit to send it a request.
   kFull,      ///< All its slots, or all connections to it, are in use.
   kTried,     ///< The request was sent to it before.
+  kPaused,    ///< It has asked this daemon for a pause.
 };
-inline constexpr EnumNames<8> kServerUnavailabilityNames = { "none",       "unknown", "leaving",
+inline constexpr EnumNames<9> kServerUnavailabilityNames = { "none",       "unknown", "leaving",
                                                              "domain-out", "failing", "cold",
-                                                             "full",       "tried" };
+                                                             "full",       "tried",   "paused" };
 
 /// The chosen server, or the reason why there is none.
 struct ServerChoice
@@ -81,6 +83,9 @@
   Duration completion = Duration::zero();
   /// Requests of all daemons that are known to be at the server.
   unsigned outstanding = 0;
+  /// If no server was chosen, and every one that accepts requests at all has asked this daemon for
+  /// a pause: when the first of these pauses ends. Otherwise the epoch.
+  Instant pausedUntil;
 };
 
 /// The result of one request that was forwarded to a server.
@@ -114,7 +119,12 @@
 
   /// Adds or updates a server. A new incarnation starts without the samples of the earlier one.
   void Put(const ServerEntry& aEntry, Instant aNow);
-  void Remove(const std::string& aId);
+  void Remove(const std::string& aId, Instant aNow);
+  /// Records what one incarnation of a server has stated about itself, whether or not it is
+  /// registered. Returns whether it is news that this incarnation is leaving.
+  bool OnNotice(const ServerRef& aServer, const ServerNotice& aNotice, Instant aNow);
+  /// The notices of all servers.
+  const ServerNotices& Notices() const { return mNotices; }
   /// Sets the failure domains that have been taken out of service.
   void SetDomainsOutOfService(std::set<std::string> aDomains)
   {
@@ -163,8 +173,8 @@
   bool IsKeyed(const std::string& aService) const;
   /// Null if the server is not registered.
   const ServerEntry* Find(const std::string& aId) const;
-  /// Whether the server may get new requests: it is ready and its failure domain is in service.
-  /// Free slots are not considered.
+  /// Whether the server may get new requests: it is ready, has not announced that it leaves, and
+  /// its failure domain is in service. Free slots and pauses are not considered.
   bool IsOpen(const std::string& aId) const;
   /// Connections that this daemon may have to a server: its equal share of the server's limit.
   /// 0 if the server is not registered.
@@ -213,6 +223,10 @@
     /// Requests that this daemon may send while the server is cold, and until when.
     unsigned permits = 0;
     Instant permitsUntil;
+    /// The server has announced that it leaves.
+    bool leaving = false;
+    /// Until then it wants no requests from this daemon.
+    Instant pausedUntil;
   };
 
   /// Up to which number of outstanding requests a server may be chosen.
@@ -234,6 +248,8 @@
   /// Mean time between two slots that become free while all are taken.
   Duration SlotInterval(const Server& aServer, Duration aWork, Instant aNow) const;
   bool IsOpen(const Server& aServer) const;
+  /// Copies the notices that apply to the server's incarnation.
+  void ApplyNotices(Server& aServer) const;
   unsigned MaxConnectionsTo(const Server& aServer) const;
   /// Live daemons of all failure domains.
   unsigned DaemonCount() const;
@@ -263,6 +279,7 @@
   std::map<std::string, ServiceRule> mServiceRules;
   std::map<std::string, unsigned> mDaemonsByDomain;
   std::set<std::string> mDomainsOutOfService;
+  ServerNotices mNotices;
   double mWarmUpOvershoot = 1.0;
   double mWarmUpSlack = 0.0;
 };
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -201,6 +201,7 @@
     case wire::Envelope::kRangeTableQuestion:
     case wire::Envelope::kWarmUpQuestion:
     case wire::Envelope::kWarmUpAnswer:
+    case wire::Envelope::kServersLeaving:
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -1,5 +1,7 @@
 #include "runtime/forwarder.h"
 
+#include "runtime/range_runner.h"
+
 #include <algorithm>
 
 namespace hawthornlug {
@@ -39,6 +41,7 @@
 struct Forwarder::Attempt
 {
   std::string server;
+  Incarnation incarnation = 0;
   /// Time that the server takes for work, relative to a server of normal speed.
   double pace = 1.0;
   /// Requests known to be at the server when this one was sent, this one excluded.
@@ -81,6 +84,8 @@
   ForwardResult lastResult = ForwardResult::kUnreachable;
   /// Why the last choice of a server found none.
   ServerUnavailability unavailability = ServerUnavailability::kNone;
+  /// When the first of the pauses ends for which all servers had asked then; otherwise the epoch.
+  Instant pausedUntil;
   /// Owner of its key when a server was last chosen; empty if its service has no keys.
   std::string owner;
   /// A server's error response, passed on to the caller if no later attempt succeeds.
@@ -311,7 +316,10 @@
   need.targetLatency = aRequest.route.targetLatency;
   need.timeToTarget = aRequest.targetAt - aNow;
   need.idempotent = aRequest.route.idempotent;
-  need.triedServers = aRequest.triedServers;
+  need.owner = aRequest.owner;
+  if (!aRequest.keyed) {
+    need.triedServers = aRequest.triedServers;
+  }
   return need;
 }
 
@@ -321,7 +329,6 @@
   if (aNow < request.notBefore) {
     return false;
   }
-  ServerRequirements need = NeedOf(request, aNow);
   if (request.keyed) {
     RangeRunner* const ranges = mServices.ranges.FindRanges(request.service);
     const DirectoryRange* const range =
@@ -330,12 +337,11 @@
       request.unavailability = ServerUnavailability::kUnknown;
       return false;
     }
-    need.owner = range->server;
-    need.triedServers.clear();
     request.owner = range->server;
   }
-  const ServerChoice choice = mServices.selector.Choose(need, aNow);
+  const ServerChoice choice = mServices.selector.Choose(NeedOf(request, aNow), aNow);
   request.unavailability = choice.unavailability;
+  request.pausedUntil = choice.pausedUntil;
   if (!choice.server) {
     return false;
   }
@@ -343,15 +349,25 @@
   return true;
 }
 
-bool Forwarder::AnswerIfWaitFutile(const RoutedRequestPtr& aRequest, Instant aNow)
+WaitConditions Forwarder::DescribeQueue(const RoutedRequest& aRequest, Instant aNow)
 {
-  RoutedRequest& request = *aRequest;
   WaitConditions queue;
-  queue.moving = request.keyed && request.unavailability == ServerUnavailability::kUnknown;
-  const bool freesSoon = request.unavailability == ServerUnavailability::kFull ||
-                         request.unavailability == ServerUnavailability::kCold ||
-                         request.unavailability == ServerUnavailability::kNone;
+  const ServerUnavailability reason = aRequest.unavailability;
+  // The keys of an owner that is leaving are about to move.
+  queue.moving = aRequest.keyed && (reason == ServerUnavailability::kUnknown ||
+                                    reason == ServerUnavailability::kLeaving);
+  const bool freesSoon =
+    reason == ServerUnavailability::kFull || reason == ServerUnavailability::kCold ||
+    reason == ServerUnavailability::kPaused || reason == ServerUnavailability::kNone;
   queue.usableServers = freesSoon ? 1 : 0;
+  queue.pausedFor = std::max(aRequest.pausedUntil - aNow, Duration::zero());
+  return queue;
+}
+
+bool Forwarder::AnswerIfWaitFutile(const RoutedRequestPtr& aRequest, Instant aNow)
+{
+  RoutedRequest& request = *aRequest;
+  const WaitConditions queue = DescribeQueue(request, aNow);
   const WaitDecision verdict = DecideWait(DescribeWaiting(request, aNow), queue);
   if (verdict == WaitDecision::kWait) {
     return false;
@@ -400,6 +416,7 @@
   ++request.attempts;
   Attempt& attempt = request.openAttempts.emplace_back();
   attempt.server = server.id;
+  attempt.incarnation = server.incarnation;
   attempt.pace = mServices.selector.RelativeServiceTimeOf(server.id, aNow);
   attempt.outstanding = aChoice.outstanding;
   attempt.sentAt = aNow;
@@ -484,6 +501,9 @@
   mServices.metrics.Count("forwards_total{result=\"" +
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
   UpdateStatistics(aRequest, ended, aOutcome, now);
+  if (!aOutcome.notice.IsEmpty()) {
+    mServices.notices.OnServerNotice({ ended.server, ended.incarnation }, aOutcome.notice);
+  }
   if (!request.openAttempts.empty() && !IsSuccess(aOutcome)) {
     // The other attempt may still succeed.
     request.mayHaveRun = true;
@@ -499,7 +519,8 @@
     }
   } else if (!Retry(aRequest, aOutcome.result, now)) {
     if (!request.mayHaveRun || request.failureResponse) {
-      AnswerUnserved(aRequest, WaitDecision::kNoServer, {});
+      request.pausedUntil = mServices.selector.Choose(NeedOf(request, now), now).pausedUntil;
+      AnswerUnserved(aRequest, WaitDecision::kNoServer, DescribeQueue(request, now));
     } else {
       const int status = aOutcome.result == ForwardResult::kTimedOut ? 504 : 502;
       Answer(aRequest,
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -15,7 +15,8 @@
 #include "ports/span_port.h"
 #include "routing/route_table.h"
 #include "routing/server_selector.h"
-#include "runtime/range_runner.h"
+#include "runtime/range_finder.h"
+#include "runtime/server_notice_sink.h"
 
 #include <list>
 #include <map>
@@ -24,15 +25,6 @@
 
 namespace hawthornlug {
 
-/// Finds the ranges of a keyed service.
-class RangeFinder
-{
-public:
-  virtual ~RangeFinder() = default;
-  /// Null if the service has no ranges here yet.
-  virtual RangeRunner* FindRanges(const std::string& aService) = 0;
-};
-
 /// The components that a forwarder uses.
 struct ForwarderServices
 {
@@ -41,6 +33,7 @@
   BackendPort& backends;
   CallerHeaders& headers;
   RangeFinder& ranges;
+  ServerNoticeSink& notices;
   TimerService& timers;
   DecisionLog& log;
   Metrics& metrics;
@@ -134,6 +127,8 @@
   /// Cancels the attempts of a request whose caller has disconnected.
   void Abandon(const RoutedRequestPtr& aRequest);
   WaitingRequest DescribeWaiting(const RoutedRequest& aRequest, Instant aNow) const;
+  /// The situation in which a request waits, as of the last attempt to choose a server for it.
+  static WaitConditions DescribeQueue(const RoutedRequest& aRequest, Instant aNow);
   SharedRetryBudget& BudgetOf(const std::string& aService);
 
   ForwarderServices mServices;
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -348,21 +348,24 @@
   }
 }
 
-void RangeRunner::LogFailedCommand(const char* aCommand,
-                                   const std::string& aServer,
-                                   const KeyRange& aKeys,
-                                   CommandResult aResult)
+void RangeRunner::OnCommandAnswered(const char* aCommand,
+                                    const ServerRef& aServer,
+                                    const KeyRange& aKeys,
+                                    const CommandOutcome& aOutcome)
 {
-  if (aResult == CommandResult::kDone) {
+  if (aOutcome.serverLeaving) {
+    mServices.notices.OnServerNotice(aServer, { true, Duration::zero() });
+  }
+  if (aOutcome.result == CommandResult::kDone) {
     return;
   }
   mServices.log.Write(EventId::kOrderFailed,
                       { { "order", aCommand },
                         { "service", mService },
-                        { "server", aServer },
+                        { "server", aServer.id },
                         { "from", aKeys.from },
                         { "to", aKeys.to },
-                        { "result", NameOf(kCommandResultNames, aResult) } });
+                        { "result", NameOf(kCommandResultNames, aOutcome.result) } });
 }
 
 void RangeRunner::Execute(const GrantKeys& aAction)
@@ -371,9 +374,9 @@
   mServices.backends.Grant(
     aAction.grant,
     mTiming.grantTimeout,
-    [this, order = aAction.order, server = aAction.server, range = aAction.grant.range](
+    [this, order = aAction.order, server = aAction.grant.server, range = aAction.grant.range](
       const CommandOutcome& aOutcome) {
-      LogFailedCommand("grant", server, range, aOutcome.result);
+      OnCommandAnswered("grant", server, range, aOutcome);
       mGranter.OnGranted(order, aOutcome.result, mServices.timers.Now());
       Publish();
       LogGranterEvents();
@@ -386,9 +389,9 @@
   mServices.backends.Release(
     aAction.release,
     mTiming.releaseTimeout,
-    [this, order = aAction.order, server = aAction.server, range = aAction.release.range](
+    [this, order = aAction.order, server = aAction.release.server, range = aAction.release.range](
       const CommandOutcome& aOutcome) {
-      LogFailedCommand("release", server, range, aOutcome.result);
+      OnCommandAnswered("release", server, range, aOutcome);
       const Instant now = mServices.timers.Now();
       mGranter.OnReleased(order, aOutcome, now);
       Execute(mGranter.Tick(now));
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -12,6 +12,7 @@
 #include "ports/object_store.h"
 #include "routing/server_selector.h"
 #include "runtime/mesh.h"
+#include "runtime/server_notice_sink.h"
 
 #include <functional>
 #include <memory>
@@ -26,6 +27,7 @@
   BackendPort& backends;
   Mesh& mesh;
   ServerSelector& selector;
+  ServerNoticeSink& notices;
   TimerService& timers;
   DecisionLog& log;
   Metrics& metrics;
@@ -56,9 +58,13 @@
   void OnRangeTable(const wire::RangeTable& aTable);
   void OnRangeTableRequest(const std::string& aDaemon);
   void OnKeyWorkReport(const wire::KeyWork& aWork);
-  /// A server of the service was registered or its entry has changed.
+  /// A server of the service was registered, its entry has changed, or it has announced that it
+  /// leaves.
   void OnServersChanged(Instant aNow) { mServersChangedAt = aNow; }
 
+  /// The live daemon that claims in its heartbeats to lead the service, with the highest term; none
+  /// if its term is lower than this daemon's.
+  std::optional<std::string> AnnouncedLeader() const;
   /// Whether this daemon is the service's leader.
   bool IsLeader() const { return mGranter.IsLeader(); }
   std::uint64_t LeaderTerm() const { return mGranter.Term(); }
@@ -69,9 +75,6 @@
   void Elect(Instant aNow, Duration aStoreAge, bool aLeaving);
   /// Rank of this daemon among those that could become leader; 0 takes over first.
   unsigned Rank() const;
-  /// The live daemon that claims in its heartbeats to lead the service, with the highest term; none
-  /// if its term is lower than this daemon's.
-  std::optional<std::string> AnnouncedLeader() const;
   /// Reads the owners from the store while no range table has been received.
   void ReadRecord(Instant aNow);
   const StoredObject* FindRecord(const StoreReading& aReading) const;
@@ -86,11 +89,11 @@
   /// heartbeat confirms that.
   void UpdateGrantableServers();
   void Execute(const std::vector<GranterAction>& aActions);
-  /// Logs a grant or release command that failed.
-  void LogFailedCommand(const char* aCommand,
-                        const std::string& aServer,
-                        const KeyRange& aKeys,
-                        CommandResult aResult);
+  /// Logs a grant or release command that failed, and passes on the server's notice.
+  void OnCommandAnswered(const char* aCommand,
+                         const ServerRef& aServer,
+                         const KeyRange& aKeys,
+                         const CommandOutcome& aOutcome);
   void Execute(const GrantKeys& aAction);
   void Execute(const ReleaseKeys& aAction);
   void Execute(const WriteRecord& aAction);
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -35,6 +35,7 @@
           aSettings.domain,
           aSettings.meshEndpoint)
   , mLoadReporter(mSelector, mMesh)
+  , mNoticeRelay(mSelector, mMesh, *this, aServices.timers, aServices.log, aServices.metrics)
   , mWarmUpPermits(mSelector, mMesh, aServices.timers.Now())
   , mStoreFollower(aServices.store,
                    mMirror,
@@ -48,6 +49,7 @@
                  aServices.backends,
                  aServices.headers,
                  *this,
+                 mNoticeRelay,
                  aServices.timers,
                  aServices.log,
                  aServices.metrics,
@@ -245,7 +247,7 @@
 {
   if (mSelector.Find(aId) != nullptr) {
     mServices.log.Write(EventId::kServerDeregistered, { { "server", aId } });
-    mSelector.Remove(aId);
+    mSelector.Remove(aId, mServices.timers.Now());
   }
 }
 
@@ -304,6 +306,7 @@
                                                                    mServices.backends,
                                                                    mMesh,
                                                                    mSelector,
+                                                                   mNoticeRelay,
                                                                    mServices.timers,
                                                                    mServices.log,
                                                                    mServices.metrics },
@@ -362,6 +365,7 @@
 
 void RouterDaemon::OnHeartbeat(const MeshPeer& aPeer, const wire::RouterBeat& aHeartbeat)
 {
+  mNoticeRelay.OnHeartbeat(aPeer);
   for (const auto& [service, ranges] : mRanges) {
     ranges->OnHeartbeat(aPeer, aHeartbeat);
   }
@@ -411,6 +415,8 @@
     if (mWarmUpPermits.OnAnswer(aMessage.warm_up_answer(), now)) {
       mForwarder.Dispatch();
     }
+  } else if (aMessage.has_servers_leaving()) {
+    mNoticeRelay.OnPeerReport(aPeer, aMessage.servers_leaving());
   } else if (aMessage.has_stored_objects_question()) {
     SendStoredObjects(aPeer.ref.id, aMessage.stored_objects_question());
   } else if (aMessage.has_stored_objects()) {
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -9,6 +9,7 @@
 #include "runtime/load_reporter.h"
 #include "runtime/mesh.h"
 #include "runtime/range_runner.h"
+#include "runtime/server_notice_relay.h"
 #include "runtime/store_follower.h"
 #include "runtime/warm_up_permits.h"
 
@@ -110,6 +111,7 @@
   ServerSelector mSelector;
   Mesh mMesh;
   LoadReporter mLoadReporter;
+  ServerNoticeRelay mNoticeRelay;
   WarmUpPermits mWarmUpPermits;
   StoreFollower mStoreFollower;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
--- a/tests/limits/waiting_policy_test.cpp
+++ b/tests/limits/waiting_policy_test.cpp
@@ -127,6 +127,31 @@
   CHECK(last <= Request().timeLeft / 3);
 }
 
+TEST_CASE("a request that can't outwait the pause of all servers is rejected at once", "[limits]")
+{
+  struct Row
+  {
+    Duration pausedFor;
+    WaitDecision decision;
+  };
+  const auto row = GENERATE(values<Row>({
+    { Duration::zero(), WaitDecision::kWait },
+    { milliseconds(300), WaitDecision::kWait },
+    { milliseconds(1379), WaitDecision::kWait },
+    { milliseconds(1381), WaitDecision::kPaused },
+    { seconds(300), WaitDecision::kPaused },
+  }));
+  INFO(Millis(row.pausedFor));
+  WaitConditions queue{ 1 };
+  queue.pausedFor = row.pausedFor;
+  CHECK(DecideWait(Request(), queue) == row.decision);
+  if (row.pausedFor > Duration::zero()) {
+    // The caller is told the truth, also where its own deadline is sooner.
+    CHECK(RetryAfter(Request(), queue, 0.0) >= row.pausedFor);
+    CHECK(RetryAfter(Request(), queue, 0.9) > RetryAfter(Request(), queue, 0.1));
+  }
+}
+
 TEST_CASE("all daemons together stay within the retry budget in any window", "[limits]")
 {
   const unsigned daemons = GENERATE(1u, 3u, 9u);
--- a/tests/routing/server_selector_test.cpp
+++ b/tests/routing/server_selector_test.cpp
@@ -125,7 +125,7 @@
   }
   SECTION("it is deregistered")
   {
-    selector.Remove("near");
+    selector.Remove("near", kStart);
   }
   CHECK(ChosenServer(selector, need) == "far");
 }
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -51,11 +51,15 @@
   void Release(const ReleaseCommand&, Duration, CommandDone) override {}
   void CheckHealth(const std::string&, const std::string&, Duration, HealthDone) override {}
 
-  void Complete(std::size_t aIndex, ForwardResult aResult, int aStatus = 200)
+  void Complete(std::size_t aIndex,
+                ForwardResult aResult,
+                int aStatus = 200,
+                const ServerNotice& aNotice = {})
   {
     ForwardOutcome outcome;
     outcome.result = aResult;
     outcome.response.status = aStatus;
+    outcome.notice = aNotice;
     sent.at(aIndex)->done(std::move(outcome));
   }
 
@@ -82,6 +86,28 @@
   RangeRunner* FindRanges(const std::string&) override { return nullptr; }
 };
 
+/// Records notices and puts them into effect at once.
+class RecordingNotices : public ServerNoticeSink
+{
+public:
+  RecordingNotices(ServerSelector& aSelector, const ManualTimers& aTimers)
+    : mSelector(aSelector)
+    , mTimers(aTimers)
+  {
+  }
+  void OnServerNotice(const ServerRef& aServer, const ServerNotice& aNotice) override
+  {
+    servers.push_back(aServer);
+    mSelector.OnNotice(aServer, aNotice, mTimers.now);
+  }
+
+  std::vector<ServerRef> servers;
+
+private:
+  ServerSelector& mSelector;
+  const ManualTimers& mTimers;
+};
+
 class RecordingSpans : public SpanPort
 {
 public:
@@ -150,11 +176,14 @@
   platform::PlatformCallerHeaders headers;
   NoRanges ranges;
   ManualTimers timers;
+  RecordingNotices notices{ selector, timers };
   DecisionLog log{ "test" };
   Metrics metrics;
   RecordingSpans spans;
-  Forwarder forwarder{ { routes, selector, backends, headers, ranges, timers, log, metrics, spans },
-                       { 0.2, seconds(10), 58.0 } };
+  Forwarder forwarder{
+    { routes, selector, backends, headers, ranges, notices, timers, log, metrics, spans },
+    { 0.2, seconds(10), 58.0 }
+  };
   unsigned requestCount = 0;
 };
 
@@ -405,3 +434,115 @@
   fixture.backends.Complete(1, ForwardResult::kBroken);
   CHECK(fixture.backends.sent.size() == 3);
 }
+
+namespace {
+
+struct NoticeCase
+{
+  std::string name;
+  std::string route;
+  ServerNotice notice;
+  ForwardResult result;
+  int status;
+};
+
+/// Advances time in steps, as the daemon's ticks do.
+void Pass(ForwarderFixture& aFixture, Duration aTime)
+{
+  for (Duration passed{}; passed < aTime; passed += milliseconds(20)) {
+    aFixture.AdvanceTime(milliseconds(20));
+  }
+}
+
+/// How many requests were sent to the server from the @p aFirst-th on.
+std::size_t SentTo(const ForwarderFixture& aFixture, const std::string& aServer, std::size_t aFirst)
+{
+  std::size_t n = 0;
+  for (std::size_t it = aFirst; it < aFixture.backends.sent.size(); ++it) {
+    n += aFixture.backends.sent[it]->server == aServer ? 1 : 0;
+  }
+  return n;
+}
+
+} // namespace
+
+TEST_CASE("after a server's notice, no new, waiting, retried or hedged request goes to it",
+          "[runtime][forwarder][notices]")
+{
+  const ServerNotice leaving{ true, Duration::zero() };
+  const ServerNotice pause{ false, seconds(2) };
+  const auto row = GENERATE_COPY(values<NoticeCase>({
+    { "leaving, in a success", "safe", leaving, ForwardResult::kAnswered, 200 },
+    { "leaving, in a refusal", "unsafe", leaving, ForwardResult::kNotRun, 503 },
+    { "leaving, in an error", "safe", leaving, ForwardResult::kAnswered, 500 },
+    { "pause, in a refusal", "unsafe", pause, ForwardResult::kNotRun, 503 },
+    { "pause, in a refusal of an idempotent one", "safe", pause, ForwardResult::kNotRun, 503 },
+    { "pause, in an answer that may have run", "safe", pause, ForwardResult::kBroken, 503 },
+  }));
+  INFO(row.name);
+  ForwarderFixture fixture;
+  // Two servers with two slots each, and two requests that wait.
+  std::vector<std::shared_ptr<FakeExchange>> exchanges;
+  for (int n = 0; n < 6; ++n) {
+    exchanges.push_back(fixture.SendRequest(row.route));
+  }
+  REQUIRE(fixture.backends.sent.size() == 4);
+  const std::string server = fixture.backends.sent[0]->server;
+  fixture.backends.Complete(0, row.result, row.status, row.notice);
+  CHECK(fixture.notices.servers == std::vector<ServerRef>{ { server, 0 } });
+  Pass(fixture, milliseconds(500));
+  fixture.SendRequest(row.route);
+  Pass(fixture, milliseconds(200));
+  CHECK(SentTo(fixture, server, 4) == 0);
+}
+
+TEST_CASE("a server that asked for a pause gets requests again when it is over",
+          "[runtime][forwarder][notices]")
+{
+  ForwarderFixture fixture;
+  fixture.SendRequest("safe");
+  const std::string server = fixture.backends.sent[0]->server;
+  fixture.backends.Complete(0, ForwardResult::kNotRun, 503, { false, milliseconds(700) });
+  Pass(fixture, milliseconds(680));
+  for (int n = 0; n < 4; ++n) {
+    fixture.SendRequest("safe");
+  }
+  CHECK(SentTo(fixture, server, 1) == 0);
+  Pass(fixture, milliseconds(40));
+  CHECK(SentTo(fixture, server, 1) > 0);
+}
+
+TEST_CASE("if all servers have asked for a long pause, callers are told at once when it ends",
+          "[runtime][forwarder][notices]")
+{
+  const std::string route = GENERATE("safe", "unsafe");
+  INFO(route);
+  ForwarderFixture fixture;
+  const auto first = fixture.SendRequest(route);
+  fixture.backends.Complete(0, ForwardResult::kNotRun, 503, { false, seconds(5) });
+  fixture.AdvanceTime(milliseconds(1));
+  REQUIRE(fixture.backends.sent.size() == 2);
+  fixture.backends.Complete(1, ForwardResult::kNotRun, 503, { false, seconds(5) });
+  const auto second = fixture.SendRequest(route);
+  for (const auto& it : { first, second }) {
+    REQUIRE(StatusOf(it) == 503);
+    CHECK(std::stod(std::string(it->answer->headers.Get("Retry-After"))) >= 4.99);
+  }
+  CHECK(fixture.backends.sent.size() == 2);
+}
+
+TEST_CASE("a notice concerns the incarnation that the request was sent to",
+          "[runtime][forwarder][notices]")
+{
+  ForwarderFixture fixture;
+  fixture.SendRequest("safe");
+  ServerEntry reborn;
+  reborn.id = fixture.backends.sent[0]->server;
+  reborn.service = "s";
+  reborn.domain = "here";
+  reborn.slots = 2;
+  reborn.incarnation = 9;
+  fixture.selector.Put(reborn, fixture.timers.now);
+  fixture.backends.Complete(0, ForwardResult::kAnswered, 200, { true, Duration::zero() });
+  CHECK(fixture.selector.IsOpen(reborn.id));
+}
--- a/tests/runtime/range_runner_test.cpp
+++ b/tests/runtime/range_runner_test.cpp
@@ -106,6 +106,12 @@
   std::vector<CommandDone> mPending;
 };
 
+class IgnoredNotices : public ServerNoticeSink
+{
+public:
+  void OnServerNotice(const ServerRef&, const ServerNotice&) override {}
+};
+
 } // namespace
 
 TEST_CASE("a leader that moves many ranges does not flood the other daemons with its table",
@@ -118,6 +124,7 @@
   MemoryStore store;
   WillingBackends backends;
   Metrics metrics;
+  IgnoredNotices notices;
   ServerSelector selector("north");
   Mesh& mesh = simulation.nodes[0]->mesh;
   ServiceRule rule;
@@ -135,7 +142,7 @@
   RangeRunner runner(
     "s",
     GrantTiming(),
-    { store, backends, mesh, selector, simulation.timers, simulation.log, metrics },
+    { store, backends, mesh, selector, notices, simulation.timers, simulation.log, metrics },
     [] {});
   std::size_t messages = 0;
   const auto run = [&](Duration aTime) {
@@ -163,7 +170,8 @@
   CHECK(messages <= 4 * 900 + daemons);
 }
 
-TEST_CASE("a range table or a work report that makes no sense is dropped", "[runtime][ranges][reports]")
+TEST_CASE("a range table or a work report that makes no sense is dropped",
+          "[runtime][ranges][reports]")
 {
   struct Row
   {
@@ -183,6 +191,7 @@
   MemoryStore store;
   WillingBackends backends;
   Metrics metrics;
+  IgnoredNotices notices;
   ServerSelector selector("north");
   RangeRunner runner("s",
                      GrantTiming(),
@@ -190,6 +199,7 @@
                        backends,
                        simulation.nodes[0]->mesh,
                        selector,
+                       notices,
                        simulation.timers,
                        simulation.log,
                        metrics },
