--- a/adapters/zmq_peers.cpp
+++ b/adapters/zmq_peers.cpp
@@ -19,24 +19,29 @@
 /// Maximum number of messages that are received before queued messages are retried.
 constexpr std::size_t kMaxReceiveBatch = 256;
 constexpr std::chrono::milliseconds kRetryInterval{ 5 };
-/// Together with kRetryInterval, a queued message waits for its connection for at most a second.
-constexpr unsigned kMaxRetries = 200;
+/// How long a queued message waits for its connection.
+constexpr std::chrono::seconds kMaxQueueTime{ 1 };
 constexpr std::size_t kMaxRetryQueue = 10000;
+/// Maximum number of batches that one poll passes on.
+constexpr int kMaxPolledBatches = 8;
 /// How long IsRefused() waits for the result of a TCP connection attempt.
 constexpr std::chrono::milliseconds kConnectProbeTimeout{ 200 };
 constexpr std::string_view kTcpScheme = "tcp://";
 
 } // namespace
 
-ZmqPeers::ZmqPeers(const std::string& aEndpoint)
-  : mContext(kIoThreads)
+ZmqPeers::ZmqPeers(const std::string& aEndpoint, Receiving aReceiving)
+  : mReceiving(aReceiving)
+  , mContext(kIoThreads)
   , mListener(mContext, zmq::socket_type::router)
   , mWakeFd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
 {
   mListener.set(zmq::sockopt::linger, 0);
   mListener.set(zmq::sockopt::rcvhwm, 0);
   mListener.bind(aEndpoint);
-  mThread = std::thread([this] { Run(); });
+  if (mReceiving == Receiving::kAtOnce) {
+    mThread = std::thread([this] { Run(); });
+  }
 }
 
 ZmqPeers::~ZmqPeers()
@@ -51,7 +56,19 @@
     return;
   }
   Wake();
-  mThread.join();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void ZmqPeers::Poll()
+{
+  if (mReceiving != Receiving::kWhenPolled || mStopping) {
+    return;
+  }
+  for (int n = 0; n < kMaxPolledBatches && ReceiveBatch(); ++n) {
+  }
+  RetryQueuedMessages();
 }
 
 void ZmqPeers::SetReceiver(Receiver aReceiver)
@@ -65,7 +82,10 @@
                     Delivery aDelivery,
                     Unsent aUnsent)
 {
-  QueuedMessage item{ aEndpoint, std::move(aMessage), std::move(aUnsent), kMaxRetries };
+  QueuedMessage item{ aEndpoint,
+                      std::move(aMessage),
+                      std::move(aUnsent),
+                      std::chrono::steady_clock::now() + kMaxQueueTime };
   {
     // Sending on the calling thread avoids the latency of a switch to another thread.
     const std::lock_guard lock(mSendMutex);
@@ -112,17 +132,34 @@
     if ((items[0].revents & ZMQ_POLLIN) != 0) {
       RunGuarded([this] { ReceiveBatch(); }, WriteTaskError);
     }
-    const std::lock_guard lock(mSendMutex);
-    RetryQueuedMessages();
-    hasQueued = !mRetryQueue.empty();
+    hasQueued = RetryQueuedMessages();
   }
 }
 
-void ZmqPeers::RetryQueuedMessages()
+bool ZmqPeers::RetryQueuedMessages()
 {
-  std::erase_if(mRetryQueue, [this](QueuedMessage& aItem) {
-    return TrySend(aItem) || --aItem.retriesLeft == 0;
-  });
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<Unsent> unsent;
+  bool left = false;
+  {
+    const std::lock_guard lock(mSendMutex);
+    std::erase_if(mRetryQueue, [&](QueuedMessage& aItem) {
+      if (TrySend(aItem)) {
+        return true;
+      }
+      const bool expired = now >= aItem.expiresAt;
+      if (expired && aItem.unsent) {
+        unsent.push_back(std::move(aItem.unsent));
+      }
+      return expired;
+    });
+    left = !mRetryQueue.empty();
+  }
+  // Without the lock: the callers may send something else.
+  for (const Unsent& it : unsent) {
+    RunGuarded(it, WriteTaskError);
+  }
+  return left;
 }
 
 zmq::socket_t& ZmqPeers::SocketTo(const std::string& aEndpoint)
@@ -154,7 +191,7 @@
   }
 }
 
-void ZmqPeers::ReceiveBatch()
+bool ZmqPeers::ReceiveBatch()
 {
   Receiver receiver;
   {
@@ -164,7 +201,7 @@
   for (std::size_t n = 0; n < kMaxReceiveBatch; ++n) {
     zmq::message_t sender;
     if (!mListener.recv(sender, zmq::recv_flags::dontwait)) {
-      return;
+      return false;
     }
     zmq::message_t body;
     if (!sender.more() || !mListener.recv(body, zmq::recv_flags::none)) {
@@ -181,6 +218,7 @@
       receiver(std::move(envelope));
     }
   }
+  return true;
 }
 
 bool ZmqPeers::IsRefused(const std::string& aEndpoint)
--- a/config/object_mirror.cpp
+++ b/config/object_mirror.cpp
@@ -67,6 +67,15 @@
   return changes;
 }
 
+std::size_t ObjectMirror::Bytes(ObjectKind aKind) const
+{
+  std::size_t bytes = 0;
+  for (const auto& [name, entry] : Of(aKind).objects) {
+    bytes += entry.object.value.size();
+  }
+  return bytes;
+}
+
 std::vector<StoredObject> ObjectMirror::All(ObjectKind aKind) const
 {
   std::vector<StoredObject> all;
--- a/config/object_mirror.h
+++ b/config/object_mirror.h
@@ -37,6 +37,8 @@
 
   /// Revision up to which the objects of a kind are complete; 0 if no list has been applied yet.
   Version At(ObjectKind aKind) const { return Of(aKind).at; }
+  /// Size of the values of all objects of a kind.
+  std::size_t Bytes(ObjectKind aKind) const;
   /// Returns all objects that are not removed.
   std::vector<StoredObject> All(ObjectKind aKind) const;
   /// Returns what changed after @p aSince, to be sent to another daemon. Returns all objects if the
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr const char* kMetricsPath = "/metrics";
+constexpr double kBytesPerSecondPerMbps = 1e6 / 8;
 constexpr Duration kReloadInterval = seconds(1);
 /// The balancer needs so long to see that this daemon is not ready any more.
 constexpr Duration kSeenLeaving = milliseconds(3000);
@@ -82,6 +83,8 @@
   settings.retries = { aHost.retryShare, aHost.retryWindow, aHost.retrySlack };
   settings.warmUpOvershoot = aHost.warmUpOvershoot;
   settings.warmUpSlack = aHost.warmUpSlack;
+  settings.power = PowerClassOf(aHost.cores, aHost.linkMbps);
+  settings.linkBytesPerSecond = aHost.linkMbps * kBytesPerSecondPerMbps;
   settings.grants.hold = std::min(settings.grants.hold, aHost.longestHold);
   return settings;
 }
@@ -113,7 +116,7 @@
       return kExitRefused;
     }
     try {
-      mPeers = std::make_unique<ZmqPeers>(settings.meshEndpoint);
+      mPeers = std::make_unique<ZmqPeers>(settings.meshEndpoint, ZmqPeers::Receiving::kWhenPolled);
     } catch (const zmq::error_t&) {
       return FailToListen(settings.meshEndpoint);
     }
@@ -132,9 +135,7 @@
                 *mSide)) {
       return kExitRefused;
     }
-    mPeers->SetReceiver([this](wire::Envelope aMessage) {
-      asio::post(mContext, [this, message = std::move(aMessage)] { mDaemon->Take(message); });
-    });
+    mPeers->SetReceiver([this](const wire::Envelope& aMessage) { mDaemon->Take(aMessage); });
     AwaitSignal();
     mReloadTimer = mTimers.Every(kReloadInterval, [this](Instant) { Reload(false); });
     mBoundsTimer = mTimers.Every(kReloadInterval, [this](Instant) { ApplyBounds(); });
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -147,6 +147,8 @@
   void OnRecordRead(const StoredObject& aRecord, Instant aNow);
   /// Reports that the store was asked and the record has not changed since Revision().
   void OnRecordUnchanged(Instant aNow) { mLeadershipConfirmedAt = aNow; }
+  /// When the store last confirmed that the record names this daemon, as the leader.
+  Instant ConfirmedAt() const { return mLeadershipConfirmedAt; }
   /// Revision of the record as this daemon last wrote it.
   Version Revision() const { return mRevision; }
 
--- a/ports/peer_port.h
+++ b/ports/peer_port.h
@@ -28,8 +28,11 @@
   virtual ~PeerPort() = default;
 
   /// Sets the function that received messages are passed to. It is called on the port's own thread,
-  /// so it must not block.
+  /// so it must not block; or by Poll().
   virtual void SetReceiver(Receiver aReceiver) = 0;
+  /// Passes on what has been received since the last call, on the calling thread. Does nothing in a
+  /// port that passes messages on by itself.
+  virtual void Poll() {}
   /// Sends a message to the daemon at @p aEndpoint. @p aUnsent is called if it is certain that
   /// nothing was sent; that it isn't called doesn't mean that the message was delivered.
   virtual void Send(const std::string& aEndpoint,
--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -7,12 +7,16 @@
 namespace {
 
 constexpr Duration kHeartbeatInterval = milliseconds(400);
-/// Daemons of other failure domains get only every second heartbeat.
-constexpr std::uint64_t kForeignHeartbeatEvery = 2;
+/// Shortest interval of heartbeats to other failure domains.
+constexpr Duration kMinForeignInterval = milliseconds(800);
+/// Limit of the heartbeats that a daemon without a role sends to other failure domains.
+constexpr unsigned kForeignHeartbeatsPerSecond = 40;
 /// A peer counts as lost if no heartbeat has been received from it for this long.
 constexpr Duration kPeerTimeout = milliseconds(1300);
-/// The same for peers in other failure domains, which send heartbeats half as often.
+/// A peer in another failure domain counts as lost after this time at the earliest, and after this
+/// multiple of the interval of its heartbeats.
 constexpr Duration kForeignPeerTimeout = milliseconds(2000);
+constexpr double kForeignIntervalsToLoss = 2.5;
 /// The first heartbeats, and some later ones, contain the sender's domain and address.
 constexpr std::uint64_t kFirstIntroductions = 5;
 constexpr std::uint64_t kIntroductionEvery = 16;
@@ -20,6 +24,9 @@
 constexpr Duration kForgetAfter = seconds(60);
 /// Interval between heartbeats to an address at which no daemon has answered yet.
 constexpr Duration kEndpointRetryInterval = seconds(1);
+/// A new daemon is told the addresses of the others if it knows less than this share of them.
+constexpr double kKnownPeersShare = 0.8;
+constexpr std::size_t kBytesPerKilobyte = 1024;
 
 } // namespace
 
@@ -28,29 +35,33 @@
            DecisionLog& aLog,
            DaemonRef aSelf,
            std::string aDomain,
-           std::string aEndpoint)
+           std::string aEndpoint,
+           unsigned aPower)
   : mPort(aPort)
   , mTimers(aTimers)
   , mLog(aLog)
   , mSelf(std::move(aSelf))
   , mDomain(std::move(aDomain))
   , mEndpoint(std::move(aEndpoint))
+  , mPower(aPower)
 {
 }
 
 void Mesh::AddEndpoint(const std::string& aEndpoint)
 {
-  const bool known = std::any_of(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
-    return aPeer.second.endpoint == aEndpoint;
-  });
-  if (!known && aEndpoint != mEndpoint) {
+  if (!mKnownEndpoints.contains(aEndpoint) && aEndpoint != mEndpoint) {
     mUnansweredEndpoints.try_emplace(aEndpoint, Instant());
   }
 }
 
 bool Mesh::IsResponsive(const MeshPeer& aPeer, Instant aNow) const
 {
-  return aNow - aPeer.heartbeatAt < (aPeer.domain == mDomain ? kPeerTimeout : kForeignPeerTimeout);
+  const Duration silence = aNow - aPeer.heartbeatAt;
+  if (aPeer.domain == mDomain) {
+    return silence < kPeerTimeout;
+  }
+  return silence <
+         std::max(kForeignPeerTimeout, Scaled(aPeer.foreignInterval, kForeignIntervalsToLoss));
 }
 
 bool Mesh::IsLive(const std::string& aDaemon) const
@@ -59,15 +70,15 @@
   return it != mLive.end() && it->second;
 }
 
-std::vector<const MeshPeer*> Mesh::LivePeers() const
+void Mesh::SetLive(const std::string& aDaemon, bool aLive)
 {
-  std::vector<const MeshPeer*> peers;
+  mLive[aDaemon] = aLive;
+  mLivePeers.clear();
   for (const auto& [id, peer] : mPeers) {
     if (IsLive(id)) {
-      peers.push_back(&peer);
+      mLivePeers.push_back(&peer);
     }
   }
-  return peers;
 }
 
 std::vector<const MeshPeer*> Mesh::KnownPeers(Instant aNow) const
@@ -84,7 +95,7 @@
 std::map<std::string, unsigned> Mesh::DaemonsByDomain() const
 {
   std::map<std::string, unsigned> daemons = { { mDomain, 1 } };
-  for (const MeshPeer* it : LivePeers()) {
+  for (const MeshPeer* it : mLivePeers) {
     ++daemons[it->domain];
   }
   return daemons;
@@ -101,6 +112,8 @@
 {
   aHeartbeat.mutable_beat()->set_domain(mDomain);
   aHeartbeat.mutable_beat()->set_endpoint(mEndpoint);
+  aHeartbeat.mutable_beat()->set_power(mPower);
+  aHeartbeat.mutable_beat()->set_known_peers(static_cast<std::uint32_t>(mPeers.size()));
 }
 
 wire::Envelope Mesh::MakeHeartbeat()
@@ -119,6 +132,12 @@
   heartbeat->set_store_age_ms(
     static_cast<std::uint32_t>(std::min<std::int64_t>(Millis(self.storeAge), 600000)));
   heartbeat->set_leaving(self.leaving);
+  heartbeat->set_configuration_kb(
+    static_cast<std::uint32_t>(self.configurationBytes / kBytesPerKilobyte));
+  const Duration foreignInterval = ForeignInterval(self.hasRole);
+  if (foreignInterval > kMinForeignInterval) {
+    heartbeat->set_foreign_interval_ms(static_cast<std::uint32_t>(Millis(foreignInterval)));
+  }
   for (const auto& [service, term] : self.claims) {
     wire::RangeClaim* const claim = heartbeat->add_claims();
     claim->set_service(service);
@@ -133,19 +152,43 @@
   return WithSender(std::move(message));
 }
 
-void Mesh::SendHeartbeatNow()
+void Mesh::SendHeartbeatNow(Audience aAudience)
 {
-  SendHeartbeats(true);
+  const bool toAll = aAudience == Audience::kAll;
+  SendHeartbeats([toAll](const MeshPeer&) { return toAll; });
+  mForeignSentAt = toAll ? mHeartbeatSentAt : mForeignSentAt;
 }
 
-void Mesh::SendHeartbeats(bool aToAll)
+void Mesh::SendHeartbeatTo(const std::set<std::string>& aForeignDaemons)
+{
+  SendHeartbeats([&](const MeshPeer& aPeer) { return aForeignDaemons.contains(aPeer.ref.id); });
+}
+
+Duration Mesh::ForeignInterval(bool aHasRole) const
+{
+  if (aHasRole) {
+    return kMinForeignInterval;
+  }
+  const auto peers = static_cast<Duration::rep>(PeersIn(Audience::kOtherDomains));
+  return std::max<Duration>(kMinForeignInterval,
+                            Duration(seconds(1)) * peers / kForeignHeartbeatsPerSecond);
+}
+
+void Mesh::SendDueHeartbeat()
+{
+  const Duration interval = ForeignInterval(mListener->DescribeSelf().hasRole);
+  // Half a heartbeat early is better than half a heartbeat late.
+  const bool foreignDue = mTimers.Now() - mForeignSentAt >= interval - kHeartbeatInterval / 2;
+  const bool introducing = mSequence < kFirstIntroductions;
+  SendHeartbeatNow(foreignDue || introducing ? Audience::kAll : Audience::kOwnDomain);
+}
+
+void Mesh::SendHeartbeats(const ForeignFilter& aIsRecipient)
 {
   mHeartbeatSentAt = mTimers.Now();
   const wire::Envelope heartbeat = MakeHeartbeat();
-  const bool toAll =
-    aToAll || mSequence <= kFirstIntroductions || mSequence % kForeignHeartbeatEvery == 0;
   for (const auto& [id, peer] : mPeers) {
-    const bool due = toAll || peer.domain == mDomain;
+    const bool due = peer.domain == mDomain || aIsRecipient(peer);
     if (due && mHeartbeatSentAt - peer.heartbeatAt < kForgetAfter) {
       mPort.Send(peer.endpoint, heartbeat, Delivery::kNowOrNever, nullptr);
     }
@@ -164,16 +207,15 @@
 void Mesh::Tick(Instant aNow)
 {
   for (const auto& [id, peer] : mPeers) {
-    bool& live = mLive[id];
-    if (live && !IsResponsive(peer, aNow)) {
-      live = false;
+    if (IsLive(id) && !IsResponsive(peer, aNow)) {
+      SetLive(id, false);
       mLog.Write(EventId::kPeerSilent,
                  { { "peer", id }, { "silent-ms", Millis(aNow - peer.heartbeatAt) } });
       mListener->OnPeerLost(id);
     }
   }
   if (aNow - mHeartbeatSentAt >= kHeartbeatInterval) {
-    SendHeartbeats(false);
+    SendDueHeartbeat();
   }
 }
 
@@ -216,17 +258,22 @@
     return;
   }
   MeshPeer& peer = mPeers[id];
-  const bool isNewEndpoint = introduces && peer.endpoint != heartbeat.endpoint();
+  const bool isNewRun = peer.ref.incarnation != aMessage.from().incarnation();
+  const bool isNewHere = introduces && (isNewRun || peer.endpoint != heartbeat.endpoint());
   peer.ref = { id, aMessage.from().incarnation() };
   if (introduces) {
     peer.domain = heartbeat.domain();
     peer.endpoint = heartbeat.endpoint();
+    peer.power = heartbeat.power();
+    mKnownEndpoints.insert(peer.endpoint);
   }
   peer.sequence = heartbeat.sequence();
   peer.heartbeatAt = aNow;
   peer.mirrorRevisions.assign(heartbeat.at().begin(), heartbeat.at().end());
   peer.storeAge = milliseconds(heartbeat.store_age_ms());
   peer.leaving = heartbeat.leaving();
+  peer.foreignInterval = milliseconds(heartbeat.foreign_interval_ms());
+  peer.configurationBytes = heartbeat.configuration_kb() * kBytesPerKilobyte;
   peer.claims.clear();
   for (const wire::RangeClaim& it : heartbeat.claims()) {
     peer.claims[it.service()] = it.term();
@@ -235,23 +282,29 @@
   for (const std::string& it : heartbeat.endpoints()) {
     AddEndpoint(it);
   }
-  bool& live = mLive[id];
-  if (!live) {
-    live = true;
+  if (!IsLive(id)) {
+    SetLive(id, true);
     mLog.Write(EventId::kPeerHeard, { { "peer", id }, { "incarnation", peer.ref.incarnation } });
   }
-  if (isNewEndpoint) {
-    // The new peer gets the addresses of all other daemons at once.
-    wire::Envelope answer = MakeHeartbeat();
-    Introduce(answer);
-    for (const auto& [other, it] : mPeers) {
-      if (other != id) {
+  if (isNewHere) {
+    AnswerIntroduction(peer, heartbeat.known_peers());
+  }
+  mListener->OnHeartbeat(peer, heartbeat);
+}
+
+void Mesh::AnswerIntroduction(const MeshPeer& aPeer, std::size_t aKnownPeers)
+{
+  wire::Envelope answer = MakeHeartbeat();
+  Introduce(answer);
+  // The daemons that answer first name all others; the later answers need not.
+  if (static_cast<double>(aKnownPeers) < kKnownPeersShare * static_cast<double>(mPeers.size())) {
+    for (const auto& [id, it] : mPeers) {
+      if (id != aPeer.ref.id) {
         answer.mutable_beat()->add_endpoints(it.endpoint);
       }
     }
-    mPort.Send(peer.endpoint, answer, Delivery::kSoon, nullptr);
   }
-  mListener->OnHeartbeat(peer, heartbeat);
+  mPort.Send(aPeer.endpoint, answer, Delivery::kSoon, nullptr);
 }
 
 void Mesh::Send(const std::string& aDaemon, wire::Envelope aMessage)
@@ -279,7 +332,7 @@
 void Mesh::Broadcast(const wire::Envelope& aMessage, Audience aAudience)
 {
   const wire::Envelope message = WithSender(aMessage);
-  for (const MeshPeer* it : LivePeers()) {
+  for (const MeshPeer* it : mLivePeers) {
     if (IsIn(aAudience, *it)) {
       mPort.Send(it->endpoint, message, Delivery::kNowOrNever, nullptr);
     }
@@ -288,9 +341,10 @@
 
 std::size_t Mesh::PeersIn(Audience aAudience) const
 {
-  const std::vector<const MeshPeer*> peers = LivePeers();
-  return static_cast<std::size_t>(std::count_if(
-    peers.begin(), peers.end(), [&](const auto* aPeer) { return IsIn(aAudience, *aPeer); }));
+  return static_cast<std::size_t>(
+    std::count_if(mLivePeers.begin(), mLivePeers.end(), [&](const auto* aPeer) {
+      return IsIn(aAudience, *aPeer);
+    }));
 }
 
 } // namespace hawthornlug
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -5,11 +5,13 @@
 #include "config/object_mirror.h"
 #include "core/decision_log.h"
 #include "core/timer_service.h"
+#include "membership/role_ranking.h"
 #include "ownership/range_directory.h"
 #include "ports/peer_port.h"
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,12 @@
   /// Time since the store last answered it; 0 if it does not watch the store.
   Duration storeAge = Duration::zero();
   bool leaving = false;
+  /// Power class of its host.
+  unsigned power = 0;
+  /// Interval of its heartbeats to other failure domains.
+  Duration foreignInterval = Duration::zero();
+  /// Size of the configuration that it has.
+  std::size_t configurationBytes = 0;
   /// Services that it leads, with its term.
   std::map<std::string, std::uint64_t> claims;
 };
@@ -39,6 +47,9 @@
   std::vector<Version> mirrorRevisions;
   Duration storeAge = Duration::zero();
   bool leaving = false;
+  std::size_t configurationBytes = 0;
+  /// Whether daemons of other failure domains rely on this one, and must soon notice if it is lost.
+  bool hasRole = false;
   std::map<std::string, std::uint64_t> claims;
   /// Term and version of its range table, by service.
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tables;
@@ -68,7 +79,8 @@
        DecisionLog& aLog,
        DaemonRef aSelf,
        std::string aDomain,
-       std::string aEndpoint);
+       std::string aEndpoint,
+       unsigned aPower = 0);
 
   void SetListener(MeshListener& aListener) { mListener = &aListener; }
   /// Begins to send heartbeats to the daemon at @p aEndpoint, whose id is not known yet.
@@ -77,8 +89,6 @@
   void Receive(const wire::Envelope& aMessage);
   /// Sends heartbeats that are due, and detects lost peers.
   void Tick(Instant aNow);
-  /// Sends a heartbeat to all peers immediately, to report a change without delay.
-  void SendHeartbeatNow();
 
   void Send(const std::string& aDaemon, wire::Envelope aMessage);
   /// The live peers that a broadcast goes to.
@@ -88,18 +98,24 @@
     kOtherDomains,
     kAll,
   };
+  /// Sends a heartbeat immediately, to report a change without delay.
+  void SendHeartbeatNow(Audience aAudience = Audience::kAll);
+  /// Sends one immediately to the own failure domain and to some daemons of others.
+  void SendHeartbeatTo(const std::set<std::string>& aForeignDaemons);
   void Broadcast(const wire::Envelope& aMessage, Audience aAudience);
   /// Number of live peers in the audience.
   std::size_t PeersIn(Audience aAudience) const;
 
   bool IsLive(const std::string& aDaemon) const;
   /// All live daemons except this one.
-  std::vector<const MeshPeer*> LivePeers() const;
+  const std::vector<const MeshPeer*>& LivePeers() const { return mLivePeers; }
   /// All daemons that have been heard lately, also those that are silent now.
   std::vector<const MeshPeer*> KnownPeers(Instant aNow) const;
   /// Number of live daemons by failure domain, this one included.
   std::map<std::string, unsigned> DaemonsByDomain() const;
   const DaemonRef& Self() const { return mSelf; }
+  /// This daemon as a candidate for roles.
+  RoleCandidate AsCandidate() const { return { mSelf.id, mDomain, mPower }; }
   const std::string& Domain() const { return mDomain; }
 
 private:
@@ -107,7 +123,17 @@
   wire::Envelope MakeHeartbeat();
   /// Adds this daemon's domain and address to a heartbeat.
   void Introduce(wire::Envelope& aHeartbeat) const;
-  void SendHeartbeats(bool aToAll);
+  /// The daemons of other failure domains that a heartbeat goes to.
+  using ForeignFilter = std::function<bool(const MeshPeer&)>;
+  void SendHeartbeats(const ForeignFilter& aIsRecipient);
+  /// Sends a heartbeat at its time: to other failure domains only if one is due there.
+  void SendDueHeartbeat();
+  /// Interval of heartbeats to other failure domains. It rises with the number of daemons there,
+  /// except for a daemon that they rely on.
+  Duration ForeignInterval(bool aHasRole) const;
+  void SetLive(const std::string& aDaemon, bool aLive);
+  /// Introduces this daemon to one that is new here, and names others to it that it lacks.
+  void AnswerIntroduction(const MeshPeer& aPeer, std::size_t aKnownPeers);
   /// Sets this daemon as the sender of a message.
   wire::Envelope WithSender(wire::Envelope aMessage) const;
   void OnHeartbeat(const wire::Envelope& aMessage, Instant aNow);
@@ -120,15 +146,21 @@
   DaemonRef mSelf;
   std::string mDomain;
   std::string mEndpoint;
+  unsigned mPower;
   MeshListener* mListener = nullptr;
   std::map<std::string, MeshPeer> mPeers;
+  /// The addresses of the peers.
+  std::set<std::string> mKnownEndpoints;
   /// Whether a peer is live, by its id.
   std::map<std::string, bool> mLive;
+  std::vector<const MeshPeer*> mLivePeers;
   /// Addresses from which no heartbeat has been received yet, and when they were last tried.
   std::map<std::string, Instant> mUnansweredEndpoints;
   /// Number of this daemon's latest heartbeat.
   std::uint64_t mSequence = 0;
   Instant mHeartbeatSentAt;
+  /// When other failure domains were last sent one.
+  Instant mForeignSentAt;
 };
 
 } // namespace hawthornlug
--- /dev/null
+++ b/runtime/object_exchange.h
@@ -0,0 +1,83 @@
+/// @file
+/// Passes the objects of the store from daemons that have newer ones to those that lack them.
+#pragma once
+
+#include "config/object_mirror.h"
+#include "core/instant.h"
+#include "runtime/mesh.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornlug {
+
+/// Fetches objects that heartbeats show to be newer than this daemon's, and sends others what they
+/// lack. Traffic between failure domains is expensive and links are slow, so:
+/// - only a few daemons of a domain, its relays, fetch from other domains; the others fetch from
+///   daemons of their own domain, and elsewhere only if none there has the objects soon;
+/// - what is large is read from the store instead, which has a faster link than any daemon;
+/// - nothing is asked for again while an answer is on its way;
+/// - a daemon answers no more than its link carries, and tells the others that it is busy.
+/// Runs on the daemon's event loop.
+class ObjectExchange
+{
+public:
+  using Changed = std::function<void(ObjectKind, const std::vector<StoredObject>&)>;
+  /// Reads a kind from the store, once.
+  using ReadStore = std::function<void(ObjectKind)>;
+
+  /// @p aLinkBytesPerSecond: what the host's link carries; 0 if that is not known.
+  ObjectExchange(ObjectMirror& aMirror,
+                 Mesh& aMesh,
+                 double aLinkBytesPerSecond,
+                 ReadStore aReadStore,
+                 Changed aChanged);
+
+  /// Whether this daemon is one of its domain's relays.
+  void SetIsRelay(bool aIsRelay) { mIsRelay = aIsRelay; }
+  /// Asks for what the sender of a heartbeat has newer.
+  void OnHeartbeat(const MeshPeer& aPeer, Instant aNow);
+  void OnQuestion(const std::string& aDaemon,
+                  const wire::StoredObjectsQuestion& aQuestion,
+                  Instant aNow);
+  void OnObjects(const std::string& aDaemon, const wire::StoredObjects& aObjects, Instant aNow);
+  /// Size of the configuration, for the heartbeats: it decides from where others read it.
+  std::size_t ConfigurationBytes() const;
+
+private:
+  /// How far this daemon is behind with one kind of objects, and what it does about it.
+  struct Progress
+  {
+    /// When a newer revision was first seen; the epoch if this daemon has the newest one.
+    Instant behindSince;
+    /// The daemon that was asked, and until when its answer is waited for.
+    std::string asked;
+    Instant answerUntil;
+    /// No reading of the store begins before this.
+    Instant storeRetryAt;
+  };
+
+  Progress& ProgressOf(ObjectKind aKind) { return mProgress.at(static_cast<std::size_t>(aKind)); }
+  void CatchUp(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow);
+  bool MayAsk(const MeshPeer& aPeer, const Progress& aProgress, Instant aNow) const;
+  /// Takes the bytes of an answer from what the link may carry; returns false if it is too much
+  /// now.
+  bool TakeLinkShare(std::size_t aBytes, Instant aNow);
+
+  ObjectMirror& mMirror;
+  Mesh& mMesh;
+  double mLinkBytesPerSecond;
+  ReadStore mReadStore;
+  Changed mOnChanged;
+  bool mIsRelay = true;
+  std::array<Progress, kObjectKinds> mProgress;
+  /// Daemons that have said that they are busy, and until when they are not asked.
+  std::map<std::string, Instant> mBusyUntil;
+  /// What the link's share for answers is used up until.
+  Instant mLinkUsedUntil;
+};
+
+} // namespace hawthornlug
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -1,6 +1,7 @@
 #include "runtime/range_runner.h"
 
-#include "core/hashing.h"
+#include "membership/role_ranking.h"
+#include "runtime/store_follower.h"
 
 #include <algorithm>
 
@@ -35,6 +36,10 @@
 /// record still names it.
 constexpr Duration kRecordWatchTimeout = milliseconds(1500);
 constexpr Duration kWatchRetryDelay = milliseconds(300);
+/// A leader that the store has not confirmed for longer yields to a daemon that reaches the store.
+constexpr Duration kMaxUnconfirmedLead = milliseconds(3200);
+/// A record that was confirmed less than this time ago is not watched.
+constexpr Duration kMinConfirmationAge = milliseconds(1000);
 constexpr Duration kReadRetryDelay = milliseconds(400);
 /// The servers are passed to the granter at this interval, and at once when an entry changes.
 constexpr Duration kServersInterval = milliseconds(100);
@@ -62,7 +67,7 @@
 {
 }
 
-void RangeRunner::Tick(Instant aNow, Duration aStoreAge, bool aLeaving)
+void RangeRunner::Tick(Instant aNow, const RangeDaemonState& aDaemon)
 {
   const Duration gap = aNow - mLastTickAt;
   mLastTickAt = aNow;
@@ -77,12 +82,22 @@
   }
   ReportWork(aNow);
   if (mGranter.IsIdle()) {
-    ReadRecord(aNow);
-    Elect(aNow, aStoreAge, aLeaving);
+    if (aDaemon.readsRecord) {
+      ReadRecord(aNow);
+    }
+    Elect(aNow, aDaemon);
+    return;
+  }
+  if (aDaemon.leaving && AnnouncedLeader()) {
+    mGranter.Resign();
     return;
   }
-  if (aLeaving && AnnouncedLeader()) {
+  if (ShouldYield(aNow)) {
+    mServices.log.Write(EventId::kRangesSuperseded,
+                        { { "service", mService }, { "reason", "store-lost" } });
     mGranter.Resign();
+    mLeaderSeenAt = aNow;
+    mTakeoverRetryAt = aNow + kSupersededDelay;
     return;
   }
   if (mServersChangedAt >= mServersUpdatedAt || aNow - mServersUpdatedAt >= kServersInterval) {
@@ -98,6 +113,18 @@
   LogGranterEvents();
 }
 
+bool RangeRunner::ShouldYield(Instant aNow) const
+{
+  if (!mGranter.IsLeader() || aNow - mGranter.ConfirmedAt() < kMaxUnconfirmedLead) {
+    return false;
+  }
+  const std::vector<const MeshPeer*>& peers = mServices.mesh.LivePeers();
+  return std::any_of(peers.begin(), peers.end(), [](const MeshPeer* aPeer) {
+    const bool watches = aPeer->storeAge > Duration::zero();
+    return watches && StoreFollower::IsReliable(aPeer->storeAge) && !aPeer->leaving;
+  });
+}
+
 std::optional<std::string> RangeRunner::AnnouncedLeader() const
 {
   std::optional<std::string> leader;
@@ -114,13 +141,13 @@
 
 unsigned RangeRunner::Rank() const
 {
-  const std::uint64_t own = RendezvousWeight(mService, mServices.mesh.Self().id);
-  unsigned rank = 0;
+  std::vector<RoleCandidate> others;
   for (const MeshPeer* it : mServices.mesh.LivePeers()) {
-    const bool eligible = !it->leaving && it->storeAge < kMaxStoreAge;
-    rank += eligible && RendezvousWeight(mService, it->ref.id) > own ? 1 : 0;
+    if (!it->leaving && it->storeAge < kMaxStoreAge) {
+      others.push_back({ it->ref.id, it->domain, it->power });
+    }
   }
-  return rank;
+  return RankOf(mService, mServices.mesh.AsCandidate(), others);
 }
 
 std::vector<std::string> RangeRunner::OpenServers() const
@@ -134,14 +161,14 @@
   return ids;
 }
 
-void RangeRunner::Elect(Instant aNow, Duration aStoreAge, bool aLeaving)
+void RangeRunner::Elect(Instant aNow, const RangeDaemonState& aDaemon)
 {
   if (AnnouncedLeader()) {
     mLeaderSeenAt = aNow;
     return;
   }
   const bool ready = aNow - mStartedAt > kStartupListenTime && aNow > mTakeoverRetryAt;
-  if (aLeaving || mListing || !ready || aStoreAge > kMaxStoreAge) {
+  if (aDaemon.leaving || mListing || !ready || aDaemon.storeAge > kMaxStoreAge) {
     return;
   }
   if (aNow - mLeaderSeenAt > kLeaderAbsence + kRankDelay * Rank()) {
@@ -234,7 +261,9 @@
 
 void RangeRunner::WatchRecord(Instant aNow)
 {
-  if (mWatching || !mGranter.IsLeader() || aNow < mWatchRetryAt) {
+  // A write of this daemon's that the store has accepted confirms the record, too.
+  const bool confirmed = aNow - mGranter.ConfirmedAt() < kMinConfirmationAge;
+  if (mWatching || confirmed || !mGranter.IsLeader() || aNow < mWatchRetryAt) {
     return;
   }
   mWatching = true;
@@ -563,7 +592,7 @@
 
 void RangeRunner::OnRangeTableRequest(const std::string& aDaemon)
 {
-  if (mDirectory.Version() > 0) {
+  if (mDirectory.HasRanges()) {
     mServices.mesh.Send(aDaemon, MakeTableMessage(mDirectory.AsSnapshot()));
   }
 }
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -33,6 +33,17 @@
   Metrics& metrics;
 };
 
+/// What a range runner needs to know of its daemon.
+struct RangeDaemonState
+{
+  /// Time since the store last answered this daemon; 0 if the daemon does not watch the store.
+  Duration storeAge = Duration::zero();
+  /// The daemon is stopping.
+  bool leaving = false;
+  /// The daemon may read the ranges' record while no other daemon has told it the owners.
+  bool readsRecord = false;
+};
+
 /// The key ranges of one service. Every daemon has one for each keyed service; in the leader it
 /// also grants the keys. Runs on the daemon's event loop.
 class RangeRunner
@@ -44,9 +55,8 @@
               RangeServices aServices,
               std::function<void()> aChanged);
 
-  /// To be called every few milliseconds. @p aStoreAge: time since the store last answered this
-  /// daemon, 0 if the daemon does not watch the store. @p aLeaving: the daemon is stopping.
-  void Tick(Instant aNow, Duration aStoreAge, bool aLeaving);
+  /// To be called every few milliseconds.
+  void Tick(Instant aNow, const RangeDaemonState& aDaemon);
   /// The range that contains @p aKey, with its owner; null while it is not known.
   const DirectoryRange* Find(RangeKey aKey) const { return mDirectory.Find(aKey); }
   /// Adds the estimated work of a request for @p aKey, for the planning of the ranges.
@@ -72,7 +82,7 @@
 
 private:
   /// Takes over if there has been no leader for long enough.
-  void Elect(Instant aNow, Duration aStoreAge, bool aLeaving);
+  void Elect(Instant aNow, const RangeDaemonState& aDaemon);
   /// Rank of this daemon among those that could become leader; 0 takes over first.
   unsigned Rank() const;
   /// Reads the owners from the store while no range table has been received.
@@ -80,6 +90,9 @@
   const StoredObject* FindRecord(const StoreReading& aReading) const;
   void TakeOver(const StoredObject& aRecord, const DaemonRef& aEarlierLeader);
   void BeginTakeover();
+  /// Whether this daemon, as the leader, has lost the store while others reach it: it could finish
+  /// no move, and the keys that are moving would be served by nobody.
+  bool ShouldYield(Instant aNow) const;
   void OnRecordListed(const StoreReading& aReading);
   void Plan(Instant aNow);
   /// Watches the range record, as the leader: it must still name this daemon.
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -1,6 +1,5 @@
 #include "runtime/router_daemon.h"
 
-#include "core/hashing.h"
 #include "core/json_text.h"
 
 #include <algorithm>
@@ -13,12 +12,24 @@
 constexpr Duration kTickInterval = milliseconds(20);
 /// A tick that is later than this is logged: requests and callers that leave are noticed as late.
 constexpr Duration kLongLoopDelay = milliseconds(100);
-/// Number of daemons that watch the store for all: the first by rendezvous weight for
-/// kWatchersItem.
+/// Number of daemons that watch the store for all.
 constexpr unsigned kStoreWatchers = 3;
-constexpr const char* kWatchersItem = "store-watchers";
-/// Shortest interval between two requests for stored objects.
-constexpr Duration kObjectRequestInterval = milliseconds(200);
+constexpr const char* kWatcherRole = "store-watchers";
+/// Number of daemons of each failure domain that fetch objects from other domains.
+constexpr unsigned kObjectRelays = 2;
+constexpr const char* kRelayRole = "object-relays";
+/// Number of daemons of each failure domain whose addresses are in the store.
+constexpr unsigned kRegistrars = 2;
+constexpr const char* kRegistrarRole = "registrars";
+constexpr Duration kRoleInterval = milliseconds(100);
+/// After its start a daemon takes no role before it has had this time to hear the others.
+constexpr Duration kSettleTime = milliseconds(1000);
+/// After this time a daemon does not rely on the others to tell it what it needs to serve.
+constexpr Duration kStartPatience = milliseconds(2500);
+/// Interval at which a daemon that hears nobody reads the addresses in the store...
+constexpr Duration kLoneDirectoryInterval = seconds(4);
+/// ...and at which registrars read them, to find daemons that all others have lost.
+constexpr Duration kDirectoryInterval = seconds(30);
 /// Longest time between two heartbeats of a daemon, also to other failure domains.
 constexpr Duration kMaxHeartbeatGap = milliseconds(800);
 
@@ -33,7 +44,8 @@
           aServices.log,
           aSettings.self,
           aSettings.domain,
-          aSettings.meshEndpoint)
+          aSettings.meshEndpoint,
+          aSettings.power)
   , mLoadReporter(mSelector, mMesh)
   , mNoticeRelay(mSelector, mMesh, *this, aServices.timers, aServices.log, aServices.metrics)
   , mWarmUpPermits(mSelector, mMesh, aServices.timers.Now())
@@ -44,6 +56,14 @@
                    [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
                      OnObjects(aKind, aObjects);
                    })
+  , mObjectExchange(
+      mMirror,
+      mMesh,
+      aSettings.linkBytesPerSecond,
+      [this](ObjectKind aKind) { mStoreFollower.ReadOnce(aKind); },
+      [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
+        OnObjects(aKind, aObjects);
+      })
   , mForwarder({ mRoutes,
                  mSelector,
                  aServices.backends,
@@ -55,6 +75,7 @@
                  aServices.metrics,
                  aServices.spans },
                aSettings.retries)
+  , mStartedAt(aServices.timers.Now())
 {
   mMesh.SetListener(*this);
   mSelector.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
@@ -106,22 +127,25 @@
 void RouterDaemon::Tick(Instant aNow)
 {
   ObserveLoopDelay(aNow);
-  mStoreFollower.Tick(aNow, MustWatchStore());
+  mServices.peers.Poll();
+  if (aNow - mRolesDecidedAt >= kRoleInterval) {
+    UpdateRoles(aNow);
+  }
+  mStoreFollower.Tick(aNow, StoreReadingNow(aNow));
   if (mStoreFollower.IsFailing() != mReportedFailing) {
     // Other daemons must start to watch the store in this daemon's place, or can stop.
     mReportedFailing = mStoreFollower.IsFailing();
     mMesh.SendHeartbeatNow();
   }
   mMesh.Tick(aNow);
-  // Daemons that this one does not hear may be cut off from it and send retries too, so that they
-  // keep their part of the budget.
-  mForwarder.SetDaemonCounts(1 + static_cast<unsigned>(mMesh.KnownPeers(aNow).size()));
-  mSelector.SetDaemonCounts(mMesh.DaemonsByDomain());
   RemoveGoneServers(aNow);
-  Register();
+  KeepDirectory(aNow);
+  RangeDaemonState state;
+  state.storeAge = mStoreFollower.Watches() ? mStoreFollower.Age(aNow) : Duration::zero();
+  state.leaving = mLeaving;
+  state.readsRecord = mWatchesStore || IsPastPatience(aNow);
   for (const auto& [service, ranges] : mRanges) {
-    ranges->Tick(
-      aNow, mStoreFollower.Watches() ? mStoreFollower.Age(aNow) : Duration::zero(), mLeaving);
+    ranges->Tick(aNow, state);
   }
   mForwarder.Dispatch();
   if (mWarmUpPermits.Tick(mForwarder.WaitingForCold(), mLeaving, aNow)) {
@@ -131,51 +155,99 @@
   mLoadReporter.Tick(aNow);
 }
 
-bool RouterDaemon::MustWatchStore() const
+void RouterDaemon::UpdateRoles(Instant aNow)
 {
-  const std::uint64_t own = RendezvousWeight(kWatchersItem, mSettings.self.id);
-  unsigned rank = 0;
+  mRolesDecidedAt = aNow;
+  // Daemons that this one does not hear may be cut off from it and send retries too, so that they
+  // keep their part of the budget.
+  mForwarder.SetDaemonCounts(1 + static_cast<unsigned>(mMesh.KnownPeers(aNow).size()));
+  mSelector.SetDaemonCounts(mMesh.DaemonsByDomain());
+  if (aNow - mStartedAt < kSettleTime) {
+    return;
+  }
+  std::vector<RoleCandidate> all;
+  std::vector<RoleCandidate> reliable;
   for (const MeshPeer* it : mMesh.LivePeers()) {
-    // A daemon that has lost the store or is leaving does not count as a watcher.
-    const bool eligible = StoreFollower::IsReliable(it->storeAge) && !it->leaving;
-    rank += eligible && RendezvousWeight(kWatchersItem, it->ref.id) > own ? 1 : 0;
+    if (it->leaving) {
+      continue;
+    }
+    all.push_back({ it->ref.id, it->domain, it->power });
+    // A daemon that has lost the store does not count as a watcher.
+    if (StoreFollower::IsReliable(it->storeAge)) {
+      reliable.push_back(all.back());
+    }
+  }
+  const RoleCandidate self = mMesh.AsCandidate();
+  mWatchesStore = SpreadRankOf(kWatcherRole, self, reliable) < kStoreWatchers;
+  mIsRegistrar = RankInDomain(kRegistrarRole, self, all) < kRegistrars;
+  all.push_back(self);
+  mRelays = FirstOfEachDomain(kRelayRole, all, kObjectRelays);
+  mObjectExchange.SetIsRelay(mRelays.contains(self.id));
+}
+
+bool RouterDaemon::IsPastPatience(Instant aNow) const
+{
+  return aNow - mStartedAt > kStartPatience;
+}
+
+StoreFollower::Reading RouterDaemon::StoreReadingNow(Instant aNow) const
+{
+  if (mWatchesStore) {
+    return StoreFollower::Reading::kWatching;
+  }
+  return IsPastPatience(aNow) ? StoreFollower::Reading::kMissing : StoreFollower::Reading::kNothing;
+}
+
+void RouterDaemon::KeepDirectory(Instant aNow)
+{
+  if (!IsPastPatience(aNow) || mStoreFollower.IsLost()) {
+    return;
+  }
+  if (mIsRegistrar) {
+    Register();
+  }
+  const bool alone = mMesh.LivePeers().empty();
+  const Duration interval = alone ? kLoneDirectoryInterval : kDirectoryInterval;
+  if ((alone || mIsRegistrar) && aNow - mDirectoryReadAt > interval) {
+    mDirectoryReadAt = aNow;
+    ReadDirectory();
   }
-  return rank < kStoreWatchers;
 }
 
 void RouterDaemon::Register()
 {
-  if (mRegistered || mRegistering || mStoreFollower.IsLost()) {
+  if (mRegistered || mRegistering) {
     return;
   }
   mRegistering = true;
   const nlohmann::json value = { { "endpoint", mSettings.meshEndpoint },
                                  { "domain", mSettings.domain },
                                  { "incarnation", mSettings.self.incarnation } };
-  mServices.store.Write(
-    ObjectKind::kDaemon,
-    mSettings.self.id,
-    mRegisteredRevision,
-    JsonText(value),
-    [this](const StoreWrite& aWrite) {
-      mRegistering = false;
-      if (aWrite.result == StoreResult::kConflict && aWrite.object) {
-        // The entry is that of an earlier incarnation of this daemon; the next attempt replaces it.
-        mRegisteredRevision = aWrite.object->revision;
-      }
-      if (aWrite.result != StoreResult::kDone) {
-        return;
+  mServices.store.Write(ObjectKind::kDaemon,
+                        mSettings.self.id,
+                        mRegisteredRevision,
+                        JsonText(value),
+                        [this](const StoreWrite& aWrite) {
+                          mRegistering = false;
+                          if (aWrite.result == StoreResult::kConflict && aWrite.object) {
+                            // The entry is that of an earlier incarnation of this daemon; the next
+                            // attempt replaces it.
+                            mRegisteredRevision = aWrite.object->revision;
+                          }
+                          mRegistered = aWrite.result == StoreResult::kDone;
+                        });
+}
+
+void RouterDaemon::ReadDirectory()
+{
+  mServices.store.List(ObjectKind::kDaemon, true, [this](const StoreReading& aReading) {
+    for (const StoredObject& it : aReading.objects) {
+      const auto entry = nlohmann::json::parse(it.value, nullptr, false);
+      if (entry.is_object() && entry.value("endpoint", nlohmann::json()).is_string()) {
+        mMesh.AddEndpoint(entry["endpoint"].get<std::string>());
       }
-      mRegistered = true;
-      mServices.store.List(ObjectKind::kDaemon, false, [this](const StoreReading& aReading) {
-        for (const StoredObject& it : aReading.objects) {
-          const auto entry = nlohmann::json::parse(it.value, nullptr, false);
-          if (entry.is_object() && entry.value("endpoint", nlohmann::json()).is_string()) {
-            mMesh.AddEndpoint(entry["endpoint"].get<std::string>());
-          }
-        }
-      });
-    });
+    }
+  });
 }
 
 void RouterDaemon::OnObjects(ObjectKind aKind, const std::vector<StoredObject>& aObjects)
@@ -206,8 +278,14 @@
     mSelector.SetDomainsOutOfService(std::move(domains));
   }
   mForwarder.Dispatch();
-  if (mStoreFollower.Watches()) {
-    // The other daemons request the objects that this heartbeat shows to have changed.
+  if (!mStoreFollower.Watches()) {
+    return;
+  }
+  // The other daemons request the objects that this heartbeat shows to have changed. Entries of
+  // servers change often, so that other domains are told through their relays only.
+  if (aKind == ObjectKind::kServer) {
+    mMesh.SendHeartbeatTo(mRelays);
+  } else {
     mMesh.SendHeartbeatNow();
   }
 }
@@ -353,6 +431,8 @@
   self.storeAge = mStoreFollower.Watches() ? mStoreFollower.ReportedAge(mServices.timers.Now())
                                            : Duration::zero();
   self.leaving = mLeaving;
+  self.configurationBytes = mObjectExchange.ConfigurationBytes();
+  self.hasRole = mWatchesStore || !LeadsNoRange();
   for (const auto& [service, ranges] : mRanges) {
     if (ranges->IsLeader()) {
       self.claims[service] = ranges->LeaderTerm();
@@ -369,20 +449,7 @@
   for (const auto& [service, ranges] : mRanges) {
     ranges->OnHeartbeat(aPeer, aHeartbeat);
   }
-  const Instant now = mServices.timers.Now();
-  if (now - mObjectsRequestedAt < kObjectRequestInterval) {
-    return;
-  }
-  for (std::size_t n = 0; n < std::min(aPeer.mirrorRevisions.size(), kObjectKinds); ++n) {
-    const Version known = mMirror.At(static_cast<ObjectKind>(n));
-    if (aPeer.mirrorRevisions[n] > known) {
-      mObjectsRequestedAt = now;
-      wire::Envelope request;
-      request.mutable_stored_objects_question()->set_kind(static_cast<std::uint32_t>(n));
-      request.mutable_stored_objects_question()->set_since(known);
-      mMesh.Send(aPeer.ref.id, std::move(request));
-    }
-  }
+  mObjectExchange.OnHeartbeat(aPeer, mServices.timers.Now());
 }
 
 void RouterDaemon::OnMessage(const MeshPeer& aPeer, const wire::Envelope& aMessage)
@@ -418,53 +485,9 @@
   } else if (aMessage.has_servers_leaving()) {
     mNoticeRelay.OnPeerReport(aPeer, aMessage.servers_leaving());
   } else if (aMessage.has_stored_objects_question()) {
-    SendStoredObjects(aPeer.ref.id, aMessage.stored_objects_question());
+    mObjectExchange.OnQuestion(aPeer.ref.id, aMessage.stored_objects_question(), now);
   } else if (aMessage.has_stored_objects()) {
-    OnStoredObjects(aMessage.stored_objects());
-  }
-}
-
-void RouterDaemon::SendStoredObjects(const std::string& aDaemon,
-                                     const wire::StoredObjectsQuestion& aRequest)
-{
-  if (aRequest.kind() >= kObjectKinds) {
-    return;
-  }
-  const MirrorChanges changes =
-    mMirror.ChangesSince(static_cast<ObjectKind>(aRequest.kind()), aRequest.since());
-  wire::Envelope message;
-  wire::StoredObjects* const objects = message.mutable_stored_objects();
-  objects->set_kind(aRequest.kind());
-  objects->set_whole(changes.whole);
-  objects->set_since(changes.since);
-  objects->set_at(changes.at);
-  for (const StoredObject& it : changes.objects) {
-    wire::StoredObjects::Item* const item = objects->add_items();
-    item->set_name(it.name);
-    item->set_revision(it.revision);
-    item->set_removed(it.removed);
-    item->set_value(it.value);
-  }
-  mMesh.Send(aDaemon, std::move(message));
-}
-
-void RouterDaemon::OnStoredObjects(const wire::StoredObjects& aMessage)
-{
-  if (aMessage.kind() >= kObjectKinds) {
-    return;
-  }
-  const auto kind = static_cast<ObjectKind>(aMessage.kind());
-  StoreReading reading;
-  reading.result = StoreResult::kDone;
-  reading.at = aMessage.at();
-  for (const wire::StoredObjects::Item& it : aMessage.items()) {
-    reading.objects.push_back({ it.name(), it.revision(), it.removed(), it.value() });
-  }
-  const std::vector<StoredObject> changes =
-    aMessage.whole() ? mMirror.ApplyList(kind, reading)
-                     : mMirror.ApplyChanges(kind, aMessage.since(), reading);
-  if (!changes.empty()) {
-    OnObjects(kind, changes);
+    mObjectExchange.OnObjects(aPeer.ref.id, aMessage.stored_objects(), now);
   }
 }
 
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -8,6 +8,7 @@
 #include "runtime/forwarder.h"
 #include "runtime/load_reporter.h"
 #include "runtime/mesh.h"
+#include "runtime/object_exchange.h"
 #include "runtime/range_runner.h"
 #include "runtime/server_notice_relay.h"
 #include "runtime/store_follower.h"
@@ -33,6 +34,10 @@
   double warmUpOvershoot = 1.0;
   double warmUpSlack = 0.0;
   GrantTiming grants;
+  /// Power class of the host.
+  unsigned power = 0;
+  /// What the host's link carries; 0 if that is not known.
+  double linkBytesPerSecond = 0.0;
   /// Share (0 to 1) of the requests without a trace header whose spans are recorded.
   double traceSample = 0.0;
 };
@@ -68,6 +73,12 @@
 
   /// Applies changed settings: seeds, retries, warm-up. Changes of other settings need a restart.
   void ApplySettings(const RouterSettings& aSettings);
+  /// Ends all periodic work. Answers to calls that are under way are still processed.
+  void Stop() { mTimer.reset(); }
+  /// Version of the configuration in force; 0 if there is none.
+  std::uint64_t ConfigurationVersion() const { return mRoutes.Version(); }
+  /// Number of other daemons that are live.
+  std::size_t LivePeerCount() const { return mMesh.LivePeers().size(); }
   /// Whether callers may be sent here.
   bool IsReady() const { return !mLeaving && !mRoutes.IsEmpty(); }
   /// Begins to stop: other daemons take over this daemon's tasks. New requests are accepted for
@@ -96,13 +107,17 @@
   Duration StoreAge(Instant aNow) const;
   /// Removes the servers whose registry entries were removed and are certain not to come back.
   void RemoveGoneServers(Instant aNow);
-  /// Whether this daemon is one of the few that watch the store and pass changes on to the others.
-  bool MustWatchStore() const;
-  /// Writes this daemon's registry entry, then reads the addresses of the other daemons.
+  /// Decides which roles this daemon has, from what it hears of the others.
+  void UpdateRoles(Instant aNow);
+  /// What this daemon reads from the store by itself.
+  StoreFollower::Reading StoreReadingNow(Instant aNow) const;
+  /// Whether other daemons have had the time to tell this one, after its start, what they know.
+  bool IsPastPatience(Instant aNow) const;
+  /// Writes this daemon's address to the store if it is one of the few by which others find the
+  /// fleet, and reads the others' while it hears nobody, and now and then.
+  void KeepDirectory(Instant aNow);
   void Register();
-  void OnStoredObjects(const wire::StoredObjects& aMessage);
-  /// Sends the changes that another daemon has requested.
-  void SendStoredObjects(const std::string& aDaemon, const wire::StoredObjectsQuestion& aRequest);
+  void ReadDirectory();
 
   RouterSettings mSettings;
   RouterServices mServices;
@@ -114,12 +129,19 @@
   ServerNoticeRelay mNoticeRelay;
   WarmUpPermits mWarmUpPermits;
   StoreFollower mStoreFollower;
+  ObjectExchange mObjectExchange;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
   Forwarder mForwarder;
   PendingRemovals mPendingRemovals;
-  /// When stored objects were last requested from another daemon.
-  Instant mObjectsRequestedAt;
+  Instant mStartedAt;
   bool mLeaving = false;
+  /// The roles of this daemon, and when they were last decided.
+  bool mWatchesStore = false;
+  bool mIsRegistrar = false;
+  /// The daemons that fetch objects for their failure domains, of all domains.
+  std::set<std::string> mRelays;
+  Instant mRolesDecidedAt;
+  Instant mDirectoryReadAt;
   /// Whether the last heartbeats reported failing calls to the store.
   bool mReportedFailing = false;
   bool mRegistered = false;
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -9,6 +9,8 @@
 /// Timeout of a watch. A watch that gets no answer is noticed half a second after it, early enough
 /// for other daemons to watch the store instead before a new configuration must be in force.
 constexpr Duration kWatchTimeout = milliseconds(1200);
+/// Timeout of a watch for failure domains that are taken out of service, which has more time.
+constexpr Duration kDomainWatchTimeout = milliseconds(3000);
 /// The store counts as lost if it has not answered for this long.
 constexpr Duration kLostAfter = milliseconds(3500);
 /// Servers' registry entries may expire if the store does not answer for this long; longer than a
@@ -74,26 +76,33 @@
   }
 }
 
-bool StoreFollower::IsDue(ObjectKind aKind, Instant aNow, bool aWatches) const
+bool StoreFollower::IsDue(ObjectKind aKind, Instant aNow, Reading aReading) const
 {
   const Followed& it = mFollowed.at(static_cast<std::size_t>(aKind));
-  const bool wanted = aWatches || mMirror.At(aKind) == 0;
+  const bool missing = aReading == Reading::kMissing && mMirror.At(aKind) == 0;
+  const bool wanted = aReading == Reading::kWatching || missing || it.wanted;
   return it.active && !it.busy && wanted && aNow >= it.nextAt;
 }
 
-void StoreFollower::Tick(Instant aNow, bool aWatches)
+void StoreFollower::ReadOnce(ObjectKind aKind)
 {
-  if (aWatches && !mWatches) {
+  mFollowed.at(static_cast<std::size_t>(aKind)).wanted = true;
+}
+
+void StoreFollower::Tick(Instant aNow, Reading aReading)
+{
+  const bool watches = aReading == Reading::kWatching;
+  if (watches && !mWatches) {
     // The time in which other daemons watched instead of this one is no outage.
     mAnsweredAt = aNow;
   }
-  mWatches = aWatches;
-  if (aWatches && !mLost && Age(aNow) > kLostAfter) {
+  mWatches = watches;
+  if (watches && !mLost && Age(aNow) > kLostAfter) {
     mLost = true;
     mLog.Write(EventId::kStoreLost, { { "silent-ms", Millis(Age(aNow)) } });
   }
   for (std::size_t n = 0; n < mFollowed.size(); ++n) {
-    if (IsDue(static_cast<ObjectKind>(n), aNow, aWatches)) {
+    if (IsDue(static_cast<ObjectKind>(n), aNow, aReading)) {
       Start(static_cast<ObjectKind>(n), aNow);
     }
   }
@@ -105,13 +114,15 @@
   followed.busy = true;
   followed.nextAt = aNow;
   const Version since = mMirror.At(aKind);
-  if (followed.mustList || since == 0) {
+  if (followed.mustList || followed.wanted || since == 0) {
+    followed.wanted = false;
     mStore.List(aKind, false, [this, aKind](const StoreReading& aReading) {
       OnReading(aKind, aReading, [&] { return mMirror.ApplyList(aKind, aReading); });
     });
     return;
   }
-  mStore.Watch(aKind, since, kWatchTimeout, [this, aKind, since](const StoreReading& aReading) {
+  const Duration timeout = aKind == ObjectKind::kDomainOut ? kDomainWatchTimeout : kWatchTimeout;
+  mStore.Watch(aKind, since, timeout, [this, aKind, since](const StoreReading& aReading) {
     OnReading(aKind, aReading, [&] { return mMirror.ApplyChanges(aKind, since, aReading); });
   });
 }
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -27,9 +27,17 @@
 
   /// Begins to follow a kind.
   void Follow(ObjectKind aKind);
-  /// Starts calls that are due. With @p aWatches false each kind is only listed, until the mirror
-  /// has it.
-  void Tick(Instant aNow, bool aWatches);
+  /// What a daemon reads from the store by itself.
+  enum class Reading
+  {
+    kNothing, ///< Only what ReadOnce() asks for.
+    kMissing, ///< Each kind is listed until the mirror has it.
+    kWatching,
+  };
+  /// Starts calls that are due.
+  void Tick(Instant aNow, Reading aReading);
+  /// Lists a kind with the next tick, unless a call for it is in progress.
+  void ReadOnce(ObjectKind aKind);
 
   /// Time since the store last answered, or since this daemon began to watch it.
   Duration Age(Instant aNow) const { return aNow - mAnsweredAt; }
@@ -55,12 +63,14 @@
     bool active = false;
     bool busy = false;
     bool mustList = true;
+    /// Set by ReadOnce().
+    bool wanted = false;
     Instant nextAt;
     unsigned failures = 0;
   };
 
   void Start(ObjectKind aKind, Instant aNow);
-  bool IsDue(ObjectKind aKind, Instant aNow, bool aWatches) const;
+  bool IsDue(ObjectKind aKind, Instant aNow, Reading aReading) const;
   /// Processes the store's answer; @p aApply applies it to the mirror and returns the changes.
   void OnReading(ObjectKind aKind,
                  const StoreReading& aReading,
@@ -76,7 +86,7 @@
   Instant mAnsweredAt;
   unsigned mFailedInRow = 0;
   bool mLost = false;
-  bool mWatches = true;
+  bool mWatches = false;
 };
 
 } // namespace hawthornlug
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -482,9 +482,8 @@
   INFO(row.name);
   ForwarderFixture fixture;
   // Two servers with two slots each, and two requests that wait.
-  std::vector<std::shared_ptr<FakeExchange>> exchanges;
   for (int n = 0; n < 6; ++n) {
-    exchanges.push_back(fixture.SendRequest(row.route));
+    fixture.SendRequest(row.route);
   }
   REQUIRE(fixture.backends.sent.size() == 4);
   const std::string server = fixture.backends.sent[0]->server;
--- a/tests/runtime/range_runner_test.cpp
+++ b/tests/runtime/range_runner_test.cpp
@@ -147,7 +147,7 @@
   std::size_t messages = 0;
   const auto run = [&](Duration aTime) {
     for (const Instant end = simulation.timers.now + aTime; simulation.timers.now < end;) {
-      runner.Tick(simulation.timers.now, Duration::zero(), false);
+      runner.Tick(simulation.timers.now, { Duration::zero(), false, true });
       backends.Deliver();
       store.Deliver();
       for (const auto& [endpoint, message] : simulation.network.messages) {
--- /dev/null
+++ b/tests/runtime/router_daemon_test.cpp
@@ -0,0 +1,185 @@
+/// @file
+/// Tests of whole routing daemons together, in simulated time: what they cost the store, how fast a
+/// configuration reaches all, and who moves the keys of servers that leave.
+
+#include "runtime/range_runner.h"
+#include "tests/support/router_simulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornlug;
+using namespace hawthornlug::test;
+
+namespace {
+
+/// Longest time from the acknowledgement of a configuration until it is in force everywhere.
+constexpr Duration kConfigurationBound = seconds(2);
+/// Link of the slowest hosts: 10 Mbit/s.
+constexpr double kSlowLink = 1.25e6;
+constexpr std::size_t kLargeConfiguration = 1000000;
+
+/// Time until all running daemons have the configuration; at most ten seconds.
+Duration TimeInForce(RouterSimulation& aSimulation, std::uint64_t aVersion)
+{
+  const Instant start = aSimulation.timers.Now();
+  while (aSimulation.InForce(aVersion) < aSimulation.Running() &&
+         aSimulation.timers.Now() - start < seconds(10)) {
+    aSimulation.Run(milliseconds(20));
+  }
+  return aSimulation.timers.Now() - start;
+}
+
+/// Whether all running daemons know an owner of a key.
+bool AllKnowOwners(RouterSimulation& aSimulation, unsigned aDaemons)
+{
+  for (unsigned n = 0; n < aDaemons; ++n) {
+    RouterDaemon* const daemon = aSimulation.Daemon(n);
+    RangeRunner* const ranges = daemon == nullptr ? nullptr : daemon->FindRanges("s");
+    if (daemon != nullptr && (ranges == nullptr || ranges->Find(7) == nullptr)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// Calls of the store that daemons make in their first @p aTime.
+std::size_t CallsOf(unsigned aDaemons, Duration aTime)
+{
+  RouterSimulation simulation({ aDaemons, 4, 12 });
+  simulation.Run(aTime);
+  CHECK(simulation.InForce(1) == aDaemons);
+  CHECK(AllKnowOwners(simulation, aDaemons));
+  return simulation.store.Calls();
+}
+
+} // namespace
+
+TEST_CASE("calls to the store grow with failure domains, not with hosts", "[runtime][router]")
+{
+  const std::size_t few = CallsOf(12, seconds(40));
+  const std::size_t many = CallsOf(48, seconds(40));
+  INFO(few << " calls of 12 daemons, " << many << " of 48");
+  CHECK(static_cast<double>(many) < 1.3 * static_cast<double>(few));
+}
+
+TEST_CASE("daemons that start together all serve within five seconds", "[runtime][router]")
+{
+  const unsigned daemons = GENERATE(1u, 2u, 9u, 48u);
+  INFO(daemons);
+  RouterSimulation simulation({ daemons, 3, 9, kSlowLink });
+  simulation.Run(seconds(5));
+  CHECK(simulation.InForce(1) == daemons);
+  simulation.Run(seconds(1));
+  CHECK(AllKnowOwners(simulation, daemons));
+}
+
+TEST_CASE("a daemon that restarts learns everything from the others", "[runtime][router]")
+{
+  RouterSimulation simulation({ 12, 3, 9, kSlowLink });
+  simulation.Run(seconds(8));
+  const std::size_t calls = simulation.store.Calls(StoreCall::kList);
+  // Not one of the seeds.
+  simulation.Restart(7);
+  simulation.Run(seconds(1));
+  CHECK(simulation.Daemon(7)->ConfigurationVersion() == 1);
+  CHECK(AllKnowOwners(simulation, 12));
+  CHECK(simulation.store.Calls(StoreCall::kList) == calls);
+}
+
+TEST_CASE("a daemon whose seeds are all gone finds the others through the store",
+          "[runtime][router]")
+{
+  RouterSimulation simulation({ 12, 3, 9 });
+  simulation.Run(seconds(8));
+  for (const unsigned n : { 0U, 1U, 2U }) {
+    simulation.Kill(n);
+  }
+  simulation.Run(seconds(3));
+  simulation.Restart(7);
+  simulation.Run(seconds(8));
+  CHECK(simulation.Daemon(7)->ConfigurationVersion() == 1);
+  CHECK(simulation.Daemon(7)->LivePeerCount() == 8);
+}
+
+TEST_CASE("a large configuration is in force everywhere in time, over slow links",
+          "[runtime][router]")
+{
+  // As many daemons as the users' second deployment has.
+  RouterSimulation simulation({ 69, 4, 60, kSlowLink });
+  simulation.Run(seconds(10));
+  REQUIRE(simulation.InForce(1) == 69);
+  const std::size_t bytes = simulation.BytesSent();
+  simulation.Configure(2, kLargeConfiguration);
+  const Duration time = TimeInForce(simulation, 2);
+  INFO(Millis(time) << " ms, " << (simulation.BytesSent() - bytes) / kLargeConfiguration
+                    << " times its size sent");
+  CHECK(time <= kConfigurationBound);
+  // Nobody is sent the object twice.
+  CHECK(simulation.BytesSent() - bytes < 80 * kLargeConfiguration);
+}
+
+TEST_CASE("the keys of a server that says it leaves are moved, though the store lists it as ready",
+          "[runtime][router][notices]")
+{
+  RouterSimulation simulation({ 9, 3, 9 });
+  simulation.Run(seconds(10));
+  REQUIRE(AllKnowOwners(simulation, 9));
+  const std::string owner = simulation.Daemon(4)->FindRanges("s")->Find(7)->server;
+  simulation.backends.leaving.insert(owner);
+  // A renewal is answered within 1.1 s; a move takes release, write and grant.
+  simulation.Run(seconds(2));
+  for (unsigned n = 0; n < 9; ++n) {
+    INFO(n);
+    const DirectoryRange* const range = simulation.Daemon(n)->FindRanges("s")->Find(7);
+    REQUIRE(range != nullptr);
+    CHECK(range->server != owner);
+    CHECK_FALSE(range->moving);
+  }
+  // Its entry is written again, by a store that does not know.
+  simulation.Register(owner, "domain-0", 1);
+  simulation.Run(seconds(3));
+  CHECK(simulation.Daemon(4)->FindRanges("s")->Find(7)->server != owner);
+  // Another incarnation may be given keys.
+  simulation.backends.leaving.erase(owner);
+  simulation.Register(owner, "domain-0", 2);
+  simulation.Run(seconds(8));
+  bool owns = false;
+  for (const DirectoryRange& it :
+       simulation.Daemon(4)->FindRanges("s")->Directory().AsSnapshot().ranges) {
+    owns = owns || it.server == owner;
+  }
+  CHECK(owns);
+}
+
+TEST_CASE("a leader that the store turns away yields to a daemon that the store serves",
+          "[runtime][router]")
+{
+  RouterSimulation simulation({ 9, 3, 9 });
+  simulation.Run(seconds(10));
+  const std::optional<unsigned> first = simulation.Leader();
+  REQUIRE(first);
+  simulation.RefuseAtStore(*first, true);
+  simulation.Run(seconds(5));
+  const std::optional<unsigned> second = simulation.Leader();
+  REQUIRE(second);
+  CHECK(*second != *first);
+  // The new leader can move keys.
+  const std::string owner = simulation.Daemon(*first)->FindRanges("s")->Find(7)->server;
+  simulation.backends.leaving.insert(owner);
+  simulation.Run(seconds(2));
+  CHECK(simulation.Daemon(*first)->FindRanges("s")->Find(7)->server != owner);
+}
+
+TEST_CASE("a leader goes on while the store turns everyone away", "[runtime][router]")
+{
+  RouterSimulation simulation({ 9, 3, 9 });
+  simulation.Run(seconds(10));
+  const std::optional<unsigned> leader = simulation.Leader();
+  REQUIRE(leader);
+  for (unsigned n = 0; n < 9; ++n) {
+    simulation.RefuseAtStore(n, true);
+  }
+  simulation.Run(seconds(9));
+  CHECK(simulation.Leader() == leader);
+  CHECK(AllKnowOwners(simulation, 9));
+}
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -53,7 +53,7 @@
   void AdvanceTime(Duration aTime)
   {
     timers.now += aTime;
-    follower.Tick(timers.now, true);
+    follower.Tick(timers.now, StoreFollower::Reading::kWatching);
   }
 
   ManualStore store;
--- /dev/null
+++ b/tests/support/router_simulation.cpp
@@ -0,0 +1,441 @@
+#include "tests/support/router_simulation.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <numeric>
+
+namespace hawthornlug::test {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kStoreDelay = milliseconds(4);
+constexpr Duration kServerDelay = milliseconds(2);
+constexpr Duration kLinkDelay = milliseconds(1);
+constexpr const char* kService = "s";
+
+/// Ends the timer that it belongs to.
+class SimulatedSubscription : public TimerSubscription
+{
+public:
+  explicit SimulatedSubscription(std::shared_ptr<bool> aActive)
+    : mActive(std::move(aActive))
+  {
+  }
+  ~SimulatedSubscription() override { *mActive = false; }
+  SimulatedSubscription(const SimulatedSubscription&) = delete;
+  SimulatedSubscription& operator=(const SimulatedSubscription&) = delete;
+
+private:
+  std::shared_ptr<bool> mActive;
+};
+
+/// Reads the objects that RouterSimulation writes.
+class SimulatedReader : public ObjectReader
+{
+public:
+  std::optional<ServerEntry> ReadServer(const StoredObject& aObject) override
+  {
+    const Json value = Json::parse(aObject.value);
+    ServerEntry entry;
+    entry.id = aObject.name;
+    entry.service = kService;
+    entry.address = "127.0.0.1:1";
+    entry.domain = value.at("domain");
+    entry.incarnation = value.at("incarnation");
+    entry.slots = 4;
+    return entry;
+  }
+  std::optional<RouteConfig> ReadConfiguration(const StoredObject& aObject) override
+  {
+    RouteConfig config;
+    config.version = Json::parse(aObject.value).at("version");
+    config.services[kService].name = kService;
+    config.services[kService].keyed = true;
+    RouteRule rule;
+    rule.name = "route";
+    rule.host = "h";
+    rule.pathPrefix = "/";
+    rule.shares = { { kService, 1.0 } };
+    config.routes.push_back(rule);
+    return config;
+  }
+};
+
+class UnusedCallerHeaders : public CallerHeaders
+{
+public:
+  std::optional<CallerTerms> Read(const http::Request&) override { return std::nullopt; }
+  http::Response Answer(int aStatus, const CallerTerms&, Duration) override
+  {
+    http::Response response;
+    response.status = aStatus;
+    return response;
+  }
+};
+
+class UnusedSpans : public SpanPort
+{
+public:
+  void Record(const Span&) override {}
+};
+
+/// Passes what a daemon sends to the simulation.
+class SimulatedPeers : public PeerPort
+{
+public:
+  using Sender = std::function<void(const std::string&, const wire::Envelope&)>;
+
+  explicit SimulatedPeers(Sender aSender)
+    : mSender(std::move(aSender))
+  {
+  }
+  void SetReceiver(Receiver) override {}
+  void Send(const std::string& aEndpoint, wire::Envelope aMessage, Delivery, Unsent) override
+  {
+    mSender(aEndpoint, aMessage);
+  }
+  bool IsRefused(const std::string&) override { return false; }
+
+private:
+  Sender mSender;
+};
+
+StoreReading RefusedReading()
+{
+  StoreReading reading;
+  reading.result = StoreResult::kRefused;
+  return reading;
+}
+
+std::string EndpointOf(unsigned aDaemon)
+{
+  return "tcp://d" + std::to_string(aDaemon);
+}
+
+} // namespace
+
+std::unique_ptr<TimerSubscription> SimulatedTimers::Every(Duration aInterval,
+                                                          std::function<void(Instant)> aCallback)
+{
+  auto active = std::make_shared<bool>(true);
+  auto fire = std::make_shared<std::function<void()>>();
+  *fire = [this, active, aInterval, callback = std::move(aCallback), again = std::weak_ptr(fire)] {
+    if (!*active) {
+      return;
+    }
+    callback(mNow);
+    if (const auto next = again.lock()) {
+      After(aInterval, [next] { (*next)(); });
+    }
+  };
+  After(aInterval, [fire] { (*fire)(); });
+  return std::make_unique<SimulatedSubscription>(active);
+}
+
+void SimulatedTimers::At(Instant aTime, std::function<void()> aEvent)
+{
+  mEvents.push({ aTime, ++mEventCount, std::move(aEvent) });
+}
+
+void SimulatedTimers::Run(Duration aTime)
+{
+  const Instant end = mNow + aTime;
+  while (!mEvents.empty() && mEvents.top().time <= end) {
+    const Event event = mEvents.top();
+    mEvents.pop();
+    mNow = std::max(mNow, event.time);
+    event.action();
+  }
+  mNow = end;
+}
+
+std::size_t SimulatedStore::Calls() const
+{
+  return std::accumulate(mCalls.begin(),
+                         mCalls.end(),
+                         std::size_t{ 0 },
+                         [](auto aSum, auto& aItem) { return aSum + aItem.second; });
+}
+
+std::size_t SimulatedStore::Calls(StoreCall aCall) const
+{
+  const auto it = mCalls.find(aCall);
+  return it == mCalls.end() ? 0 : it->second;
+}
+
+StoreReading SimulatedStore::ReadingSince(ObjectKind aKind, Version aSince) const
+{
+  StoreReading reading;
+  reading.result = StoreResult::kDone;
+  reading.at = mRevision;
+  for (const auto& [name, object] : mObjects) {
+    if (name.first == aKind && object.revision > aSince) {
+      reading.objects.push_back(object);
+    }
+  }
+  return reading;
+}
+
+void SimulatedStore::AnswerWatchers(ObjectKind aKind)
+{
+  std::vector<Watcher> answered;
+  for (auto it = mWatchers.begin(); it != mWatchers.end();) {
+    if (it->second.kind == aKind) {
+      answered.push_back(it->second);
+      it = mWatchers.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (const Watcher& it : answered) {
+    mTimers.After(kStoreDelay, [it, reading = ReadingSince(aKind, it.since)] { it.done(reading); });
+  }
+}
+
+void SimulatedStore::Put(ObjectKind aKind, const std::string& aName, const std::string& aValue)
+{
+  mObjects[{ aKind, aName }] = { aName, ++mRevision, false, aValue };
+  AnswerWatchers(aKind);
+}
+
+void SimulatedStore::Port::List(ObjectKind aKind, bool, ReadDone aDone)
+{
+  ++mStore.mCalls[StoreCall::kList];
+  if (mRefused) {
+    mStore.mTimers.After(kStoreDelay, [aDone] { aDone(RefusedReading()); });
+    return;
+  }
+  mStore.mTimers.After(kStoreDelay, [this, aKind, aDone] { aDone(mStore.ReadingSince(aKind, 0)); });
+}
+
+void SimulatedStore::Port::Watch(ObjectKind aKind, Version aSince, Duration aWait, ReadDone aDone)
+{
+  ++mStore.mCalls[StoreCall::kWatch];
+  if (mRefused) {
+    mStore.mTimers.After(kStoreDelay, [aDone] { aDone(RefusedReading()); });
+    return;
+  }
+  const StoreReading reading = mStore.ReadingSince(aKind, aSince);
+  if (!reading.objects.empty()) {
+    mStore.mTimers.After(kStoreDelay, [reading, aDone] { aDone(reading); });
+    return;
+  }
+  const std::uint64_t id = ++mStore.mWatcherCount;
+  mStore.mWatchers[id] = { aKind, aSince, aDone };
+  mStore.mTimers.After(aWait, [this, id, aKind, aSince] {
+    const auto it = mStore.mWatchers.find(id);
+    if (it != mStore.mWatchers.end()) {
+      const Watcher watcher = it->second;
+      mStore.mWatchers.erase(it);
+      watcher.done(mStore.ReadingSince(aKind, aSince));
+    }
+  });
+}
+
+void SimulatedStore::Port::Write(ObjectKind aKind,
+                                 const std::string& aName,
+                                 Version aExpected,
+                                 const std::string& aValue,
+                                 WriteDone aDone)
+{
+  ++mStore.mCalls[StoreCall::kWrite];
+  StoreWrite write;
+  if (mRefused) {
+    write.result = StoreResult::kRefused;
+    mStore.mTimers.After(kStoreDelay, [write, aDone] { aDone(write); });
+    return;
+  }
+  StoredObject& object = mStore.mObjects[{ aKind, aName }];
+  write.result = StoreResult::kConflict;
+  if (object.revision == aExpected) {
+    object = { aName, ++mStore.mRevision, false, aValue };
+    write.result = StoreResult::kDone;
+  }
+  write.object = object;
+  mStore.mTimers.After(kStoreDelay, [write, aDone] { aDone(write); });
+  if (write.result == StoreResult::kDone) {
+    mStore.AnswerWatchers(aKind);
+  }
+}
+
+void GrantingBackends::Answer(const std::string& aServer, const CommandDone& aDone)
+{
+  CommandOutcome outcome;
+  outcome.result = CommandResult::kDone;
+  outcome.serverLeaving = leaving.contains(aServer);
+  mTimers.After(kServerDelay, [outcome, aDone] { aDone(outcome); });
+}
+
+void GrantingBackends::Grant(const GrantCommand& aCommand, Duration, CommandDone aDone)
+{
+  Answer(aCommand.server.id, aDone);
+}
+
+void GrantingBackends::Release(const ReleaseCommand& aCommand, Duration, CommandDone aDone)
+{
+  Answer(aCommand.server.id, aDone);
+}
+
+struct RouterSimulation::Node
+{
+  Node(RouterSimulation& aSimulation, unsigned aNumber, const std::string& aDomain)
+    : store(aSimulation.store)
+    , peers([this, &aSimulation](const std::string& aEndpoint, const wire::Envelope& aMessage) {
+      aSimulation.Deliver(*this, aEndpoint, aMessage);
+    })
+  {
+    settings.self.id = "d" + std::to_string(aNumber);
+    settings.domain = aDomain;
+    settings.meshEndpoint = EndpointOf(aNumber);
+    settings.linkBytesPerSecond = aSimulation.mShape.linkBytesPerSecond;
+    for (unsigned n = 0; n < 3; ++n) {
+      settings.seeds.push_back(EndpointOf(n));
+    }
+  }
+
+  RouterSettings settings;
+  SimulatedStore::Port store;
+  SimulatedReader reader;
+  UnusedCallerHeaders headers;
+  UnusedSpans spans;
+  SimulatedPeers peers;
+  /// Until when the link is taken by what was sent and received.
+  Instant sendsUntil;
+  Instant receivesUntil;
+  std::unique_ptr<RouterDaemon> daemon;
+  /// Daemons that were ended: store and servers may still answer them.
+  std::vector<std::unique_ptr<RouterDaemon>> ended;
+};
+
+RouterSimulation::RouterSimulation(const Shape& aShape)
+  : mShape(aShape)
+{
+  for (unsigned n = 0; n < aShape.servers; ++n) {
+    Register("server-" + std::to_string(n), "domain-" + std::to_string(n % aShape.domains), 1);
+  }
+  Configure(1, 0);
+  for (unsigned n = 0; n < aShape.daemons; ++n) {
+    mNodes.push_back(
+      std::make_unique<Node>(*this, n, "domain-" + std::to_string(n % aShape.domains)));
+    mNodesByEndpoint[EndpointOf(n)] = mNodes.back().get();
+  }
+  for (const auto& it : mNodes) {
+    // Hosts start within a third of a second.
+    timers.After(milliseconds(3 * (&it - mNodes.data()) % 300),
+                 [this, &node = *it] { Start(node); });
+  }
+}
+
+RouterSimulation::~RouterSimulation() = default;
+
+void RouterSimulation::Start(Node& aNode)
+{
+  ++aNode.settings.self.incarnation;
+  aNode.daemon = std::make_unique<RouterDaemon>(aNode.settings,
+                                                RouterServices{ aNode.store,
+                                                                aNode.reader,
+                                                                backends,
+                                                                aNode.headers,
+                                                                aNode.peers,
+                                                                timers,
+                                                                log,
+                                                                metrics,
+                                                                aNode.spans });
+  aNode.daemon->Start();
+}
+
+void RouterSimulation::Kill(unsigned aDaemon)
+{
+  Node& node = *mNodes.at(aDaemon);
+  if (node.daemon) {
+    node.daemon->Stop();
+    node.ended.push_back(std::move(node.daemon));
+  }
+}
+
+void RouterSimulation::Restart(unsigned aDaemon)
+{
+  Kill(aDaemon);
+  Start(*mNodes.at(aDaemon));
+}
+
+void RouterSimulation::Deliver(Node& aFrom,
+                               const std::string& aEndpoint,
+                               const wire::Envelope& aMessage)
+{
+  const std::size_t bytes = aMessage.ByteSizeLong();
+  mBytesSent += bytes;
+  ++mMessagesSent;
+  const auto to = mNodesByEndpoint.find(aEndpoint);
+  if (to == mNodesByEndpoint.end() || !aFrom.daemon) {
+    return;
+  }
+  Node& receiver = *to->second;
+  Duration onLink = Duration::zero();
+  if (mShape.linkBytesPerSecond > 0.0) {
+    onLink = FromSeconds(static_cast<double>(bytes) / mShape.linkBytesPerSecond);
+  }
+  aFrom.sendsUntil = std::max(aFrom.sendsUntil, timers.Now()) + onLink;
+  receiver.receivesUntil = std::max(receiver.receivesUntil + onLink, aFrom.sendsUntil);
+  timers.At(receiver.receivesUntil + kLinkDelay, [&receiver, message = aMessage] {
+    if (receiver.daemon) {
+      receiver.daemon->Take(message);
+    }
+  });
+}
+
+void RouterSimulation::Configure(std::uint64_t aVersion, std::size_t aBytes)
+{
+  const Json value = { { "version", aVersion }, { "filling", std::string(aBytes, 'x') } };
+  store.Put(ObjectKind::kConfiguration, "main", value.dump());
+}
+
+void RouterSimulation::Register(const std::string& aServer,
+                                const std::string& aDomain,
+                                Incarnation aIncarnation)
+{
+  const Json value = { { "domain", aDomain }, { "incarnation", aIncarnation } };
+  store.Put(ObjectKind::kServer, aServer, value.dump());
+}
+
+RouterDaemon* RouterSimulation::Daemon(unsigned aDaemon) const
+{
+  return mNodes.at(aDaemon)->daemon.get();
+}
+
+void RouterSimulation::RefuseAtStore(unsigned aDaemon, bool aRefused)
+{
+  mNodes.at(aDaemon)->store.SetRefused(aRefused);
+}
+
+std::optional<unsigned> RouterSimulation::Leader() const
+{
+  std::optional<unsigned> leader;
+  for (unsigned n = 0; n < mNodes.size(); ++n) {
+    if (mNodes[n]->daemon == nullptr || mNodes[n]->daemon->LeadsNoRange()) {
+      continue;
+    }
+    if (leader) {
+      return std::nullopt;
+    }
+    leader = n;
+  }
+  return leader;
+}
+
+unsigned RouterSimulation::Running() const
+{
+  return static_cast<unsigned>(std::count_if(
+    mNodes.begin(), mNodes.end(), [](const auto& aNode) { return aNode->daemon != nullptr; }));
+}
+
+unsigned RouterSimulation::InForce(std::uint64_t aVersion) const
+{
+  return static_cast<unsigned>(std::count_if(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+    return aNode->daemon && aNode->daemon->ConfigurationVersion() >= aVersion;
+  }));
+}
+
+} // namespace hawthornlug::test
