--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -205,6 +205,7 @@
                                   host.meshAddress != mHost.meshAddress ||
                                   host.storeAddress != mHost.storeAddress ||
                                   host.longestHold != mHost.longestHold ||
+                                  host.cores != mHost.cores || host.linkMbps != mHost.linkMbps ||
                                   host.daemonId != mHost.daemonId || host.domain != mHost.domain;
         if (changed || aAsked) {
           mLog.Write(
