Tests learn the folders of tree and build from one module

Ruled out: the machine's architecture (seen on arm64 too), the precompiled headers, the compiler cache.

--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -1,5 +1,6 @@
 #include "core/event_log.h"
 #include "main/settings.h"
+#include "tests/support/paths.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -28,7 +29,7 @@
 
 std::string Read(const std::string& aFile)
 {
-  std::ifstream file(std::string(HAWTHORNLUG_SOURCE) + "/" + aFile);
+  std::ifstream file(testing::SourceFolder() / aFile);
   std::ostringstream buf;
   buf << file.rdbuf();
   return buf.str();
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/fleet.h"
 
+#include "tests/support/paths.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
@@ -74,7 +76,7 @@
 
 std::string Binary(const std::string& aName)
 {
-  return std::string(HAWTHORNLUG_BINARIES) + "/" + aName;
+  return testing::BuildFolder() / aName;
 }
 
 std::string Url(int aPort)
--- a/tests/support/golden.cpp
+++ b/tests/support/golden.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/golden.h"
 
+#include "tests/support/paths.h"
+
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -8,8 +10,7 @@
 
 std::string GoldenTranscript(const std::string& aName, const std::string& aText)
 {
-  std::string path = HAWTHORNLUG_GOLDEN;
-  path += "/" + aName + ".txt";
+  const std::filesystem::path path = SourceFolder() / "tests/golden" / (aName + ".txt");
   if (std::getenv("HAWTHORNLUG_UPDATE_GOLDEN") != nullptr) {
     std::ofstream(path) << aText;
   }
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/platform_fleet.h"
 
+#include "tests/support/paths.h"
+
 #include <array>
 #include <csignal>
 #include <cstdlib>
@@ -420,7 +422,7 @@
 void PlatformFleet::StartDaemon(unsigned aDaemon)
 {
   Daemon& daemon = mDaemons[aDaemon];
-  const std::string program = std::string(HAWTHORNLUG_BINARIES) + "/hawthornlug";
+  const std::string program = testing::BuildFolder() / "hawthornlug";
   std::array<std::string, 4> words = { program, "route", "--settings", daemon.settings };
   std::array<char*, 5> args = {
     words[0].data(), words[1].data(), words[2].data(), words[3].data()
