serve: an earlier refusal written once more refuses no other order

What callers saw: 'not run, try again' for an order that a server had run or was running. Cause: the response's refusal header was looked at before its request id, also on a kept connection, so a refusal that a faulty server writes a second time was taken for the next order's.

A refusal now counts for an order if it carries the order's id, or if the connection carried no order before.

The byte server of the platform's test moved to tests/support, since both use it.

--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -63,16 +63,22 @@
   return reply;
 }
 
-SendAnswer ParseSendAnswer(http::Response aResponse, const std::string& aRequestId)
+/// @p aReused: whether the connection has carried an earlier order.
+SendAnswer ParseSendAnswer(http::Response aResponse, const std::string& aRequestId, bool aReused)
 {
   SendAnswer answer;
-  if (const auto refused = aResponse.headers.Find(kRefusedHeader)) {
-    answer.result = *refused == "shed" ? SendResult::kShed : SendResult::kRefused;
+  const bool idMatches = aResponse.headers.Get(kRequestIdHeader) == aRequestId;
+  const auto refused = aResponse.headers.Find(kRefusedHeader);
+  // A refusal on a new connection can only be that of its only order. Any other response that does
+  // not carry the id of this order does not tell whether the order ran: a faulty server may have
+  // written an earlier response once more.
+  const bool belongsToOrder = idMatches || (refused && !aReused);
+  if (!belongsToOrder) {
+    answer.result = SendResult::kNoAnswer;
     return answer;
   }
-  // A response that does not carry the id of this request does not tell whether the request ran.
-  if (aResponse.headers.Get(kRequestIdHeader) != aRequestId) {
-    answer.result = SendResult::kNoAnswer;
+  if (refused) {
+    answer.result = *refused == "shed" ? SendResult::kShed : SendResult::kRefused;
     return answer;
   }
   answer.result = SendResult::kAnswered;
@@ -92,7 +98,7 @@
   SendAnswer answer;
   switch (aOutcome.result) {
     case http::CallResult::kAnswered:
-      return ParseSendAnswer(std::move(aOutcome.response), aRequestId);
+      return ParseSendAnswer(std::move(aOutcome.response), aRequestId, aOutcome.reused);
     case http::CallResult::kRefused:
     case http::CallResult::kNotSent:
       answer.result = SendResult::kUnreachable;
--- a/tests/platform/backend_calls_test.cpp
+++ b/tests/platform/backend_calls_test.cpp
@@ -4,9 +4,9 @@
 
 #include "http/server.h"
 #include "platform/backend_calls.h"
+#include "tests/support/byte_server.h"
 #include "tests/support/loopback.h"
 
-#include <array>
 #include <catch2/catch.hpp>
 
 using namespace hawthornlug;
@@ -61,51 +61,6 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
-/// A server that sends, for each request, the bytes that the test has set for it.
-class ByteServer
-{
-public:
-  ByteServer(asio::io_context& aContext, std::vector<std::string> aAnswers)
-    : mAcceptor(aContext, { asio::ip::address_v4::loopback(), 0 })
-    , mSocket(aContext)
-    , mAnswers(std::move(aAnswers))
-  {
-    mAcceptor.async_accept(mSocket, [this](const asio::error_code& aError) {
-      if (!aError) {
-        Read();
-      }
-    });
-  }
-
-  std::string Address() const
-  {
-    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
-  }
-
-private:
-  void Read()
-  {
-    mSocket.async_read_some(asio::buffer(mBuffer),
-                            [this](const asio::error_code& aError, std::size_t) {
-                              if (aError || mAnswered >= mAnswers.size()) {
-                                return;
-                              }
-                              asio::write(mSocket, asio::buffer(mAnswers[mAnswered++]));
-                              if (mAnswered == mAnswers.size()) {
-                                mSocket.close();
-                                return;
-                              }
-                              Read();
-                            });
-  }
-
-  asio::ip::tcp::acceptor mAcceptor;
-  asio::ip::tcp::socket mSocket;
-  std::vector<std::string> mAnswers;
-  std::size_t mAnswered = 0;
-  std::array<char, 4096> mBuffer{};
-};
-
 http::Request MakeRequest(const std::string& aId)
 {
   http::Request request;
--- a/tests/standins/server.cpp
+++ b/tests/standins/server.cpp
@@ -64,7 +64,9 @@
   void Commit(const httplib::Request& aRequest, httplib::Response& aResponse);
   void GreetConnection(int aPort);
   json Reply() const;
-  static void Refuse(const char* aWhy, httplib::Response& aResponse);
+  static void Refuse(const char* aWhy,
+                     const httplib::Request& aRequest,
+                     httplib::Response& aResponse);
 
   const std::string mId;
   const bool mChecked;
@@ -128,8 +130,12 @@
            { "draining", mLeaving || mDraining } };
 }
 
-void BackendServer::Refuse(const char* aWhy, httplib::Response& aResponse)
+void BackendServer::Refuse(const char* aWhy,
+                           const httplib::Request& aRequest,
+                           httplib::Response& aResponse)
 {
+  aResponse.set_header("Hawthornlug-Request-Id",
+                       aRequest.get_header_value("Hawthornlug-Request-Id"));
   const bool shed = std::string(aWhy) == "shed";
   aResponse.status = shed ? 503 : 409;
   aResponse.set_header("Hawthornlug-Refused", aWhy);
@@ -243,7 +249,7 @@
     }
     if (why != nullptr) {
       ++mCounters[why];
-      Refuse(why, aResponse);
+      Refuse(why, aRequest, aResponse);
       return;
     }
     ++mRunning;
@@ -260,7 +266,7 @@
   const char* why = WhyRefuse(aRequest);
   if (why != nullptr) {
     ++mCounters[why];
-    Refuse(why, aResponse);
+    Refuse(why, aRequest, aResponse);
     return;
   }
   Commit(aRequest, aResponse);
