Report requests in flight through a relay of each failure domain

Cause: each daemon told each other daemon its counts, up to 350 messages a second; at 195 daemons 68,000 messages a second against 2,260 requests, two wake-ups each, and the counts of other domains were up to 1.1 s old. Fleets of 16 and more now report to a relay of their domain, which sends each member the sum of the others and each other domain's two relays the sum of its own. Which relay is used is the member's decision, so a silent one is replaced after 0.7 s without agreement.

Ruled out: a relay elected through the store (two at once do no harm here: each counts other members), and sums with sequence numbers for the receiver's own part (the relay subtracts it instead).

Found by the test on the way: the second relay of a domain counted other domains twice, from their relays and from its own relay's summary.

Also: roles are decided when who is live, leaves or reaches the store has changed, not each 100 ms; issuers of warm-up permits are kept until then; heartbeats' handling split; the list of live peers is kept sorted instead of rebuilt.

--- a/membership/role_ranking.cpp
+++ b/membership/role_ranking.cpp
@@ -89,9 +89,10 @@
   return rank;
 }
 
-std::set<std::string> FirstOfEachDomain(const std::string& aRole,
-                                        const std::vector<RoleCandidate>& aCandidates,
-                                        unsigned aCount)
+std::map<std::string, std::vector<std::string>> RankedByDomain(
+  const std::string& aRole,
+  const std::vector<RoleCandidate>& aCandidates,
+  unsigned aCount)
 {
   std::vector<RankedCandidate> order;
   order.reserve(aCandidates.size());
@@ -99,13 +100,24 @@
     order.emplace_back(PreferenceOf(aRole, it), &it);
   }
   SortByPreference(order);
-  std::set<std::string> first;
-  std::map<std::string, unsigned> turns;
+  std::map<std::string, std::vector<std::string>> ranked;
   for (const auto& [preference, candidate] : order) {
-    if (turns[candidate->domain]++ < aCount) {
-      first.insert(candidate->id);
+    std::vector<std::string>& ofDomain = ranked[candidate->domain];
+    if (ofDomain.size() < aCount) {
+      ofDomain.push_back(candidate->id);
     }
   }
+  return ranked;
+}
+
+std::set<std::string> FirstOfEachDomain(const std::string& aRole,
+                                        const std::vector<RoleCandidate>& aCandidates,
+                                        unsigned aCount)
+{
+  std::set<std::string> first;
+  for (const auto& [domain, ranked] : RankedByDomain(aRole, aCandidates, aCount)) {
+    first.insert(ranked.begin(), ranked.end());
+  }
   return first;
 }
 
--- a/membership/role_ranking.h
+++ b/membership/role_ranking.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,7 +44,13 @@
                       const RoleCandidate& aSelf,
                       const std::vector<RoleCandidate>& aOthers);
 
-/// The first @p aCount candidates of each failure domain for a role.
+/// The first @p aCount candidates of each failure domain for a role, the preferred ones first.
+std::map<std::string, std::vector<std::string>> RankedByDomain(
+  const std::string& aRole,
+  const std::vector<RoleCandidate>& aCandidates,
+  unsigned aCount);
+
+/// The candidates of RankedByDomain(), of all failure domains together.
 std::set<std::string> FirstOfEachDomain(const std::string& aRole,
                                         const std::vector<RoleCandidate>& aCandidates,
                                         unsigned aCount);
--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -135,7 +135,8 @@
   server.entry = aEntry;
   ApplyNotices(server);
   server.preference = mDaemon.empty() ? 0.0 : UnitInterval(RendezvousWeight(aEntry.id, mDaemon));
-  mServersByNumber[HashedIdOf(aEntry.id)] = &server;
+  server.number = HashedIdOf(aEntry.id);
+  mServersByNumber[server.number] = &server;
 }
 
 void ServerSelector::Remove(const std::string& aId, Instant aNow)
@@ -508,7 +509,7 @@
 }
 
 void ServerSelector::SetPeerCounts(const std::string& aDaemon,
-                                   const std::map<std::uint32_t, unsigned>& aCounts,
+                                   const InFlightCounts& aCounts,
                                    Instant aNow)
 {
   std::vector<std::uint32_t>& reported = mReportedByDaemon[aDaemon];
@@ -528,29 +529,39 @@
   }
 }
 
-std::map<std::uint32_t, unsigned> ServerSelector::InFlight() const
+InFlightCounts ServerSelector::InFlight() const
 {
-  std::map<std::uint32_t, unsigned> counts;
+  InFlightCounts counts;
   for (const auto& [id, server] : mServers) {
     if (*server.inFlight > 0) {
-      counts[HashedIdOf(id)] = *server.inFlight;
+      counts[server.number] = *server.inFlight;
     }
   }
   return counts;
 }
 
-std::map<std::uint32_t, unsigned> ServerSelector::InFlightAtSharedServers() const
+InFlightCounts ServerSelector::InFlightAtSharedServers() const
 {
-  std::map<std::uint32_t, unsigned> counts;
+  InFlightCounts counts;
   for (const auto& [id, server] : mServers) {
-    const bool keyed = IsKeyed(server.entry.service);
-    if (*server.inFlight > 0 && (keyed || server.entry.domain != mDomain)) {
-      counts[HashedIdOf(id)] = *server.inFlight;
+    if (*server.inFlight > 0 && IsShared(server)) {
+      counts[server.number] = *server.inFlight;
     }
   }
   return counts;
 }
 
+bool ServerSelector::IsShared(const Server& aServer) const
+{
+  return aServer.entry.domain != mDomain || IsKeyed(aServer.entry.service);
+}
+
+bool ServerSelector::IsSharedServer(std::uint32_t aNumber) const
+{
+  const auto it = mServersByNumber.find(aNumber);
+  return it != mServersByNumber.end() && IsShared(*it->second);
+}
+
 std::vector<ServerEntry> ServerSelector::ServersOf(const std::string& aService) const
 {
   std::vector<ServerEntry> servers;
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -4,6 +4,7 @@
 
 #include "core/instant.h"
 #include "routing/forward_result.h"
+#include "routing/load_summary.h"
 #include "routing/route_config.h"
 #include "routing/server_entry.h"
 #include "routing/server_notices.h"
@@ -157,16 +158,16 @@
   /// Updates a server's averages, failure state and load with the result of a request.
   void OnResult(const std::string& aId, const ForwardSample& aSample, Instant aNow);
   /// Sets another daemon's requests in flight by server number; replaces its earlier report.
-  void SetPeerCounts(const std::string& aDaemon,
-                     const std::map<std::uint32_t, unsigned>& aCounts,
-                     Instant aNow);
+  void SetPeerCounts(const std::string& aDaemon, const InFlightCounts& aCounts, Instant aNow);
 
-  /// This daemon's requests in flight by server number, without the servers that have none.
-  std::map<std::uint32_t, unsigned> InFlight() const;
-  /// The requests in flight that are reported to daemons of other failure domains: those at servers
-  /// that receive requests from several domains, namely keyed servers and servers of domains other
-  /// than this daemon's.
-  std::map<std::uint32_t, unsigned> InFlightAtSharedServers() const;
+  /// This daemon's requests in flight, without the servers that have none.
+  InFlightCounts InFlight() const;
+  /// The requests in flight that are reported to daemons of other failure domains: those at shared
+  /// servers.
+  InFlightCounts InFlightAtSharedServers() const;
+  /// Whether a server receives requests from several failure domains: keyed servers do, and for
+  /// this daemon's domain the servers of other domains. False if it is not registered.
+  bool IsSharedServer(std::uint32_t aNumber) const;
   /// The registered servers of a service.
   std::vector<ServerEntry> ServersOf(const std::string& aService) const;
   /// Whether the servers of a service own keys.
@@ -199,6 +200,8 @@
   struct Server
   {
     ServerEntry entry;
+    /// What identifies it in load reports.
+    std::uint32_t number = 0;
     /// This daemon's own preference, from 0 to 1; lower is preferred.
     double preference = 0.0;
     std::shared_ptr<unsigned> inFlight = std::make_shared<unsigned>(0);
@@ -248,6 +251,7 @@
   /// Mean time between two slots that become free while all are taken.
   Duration SlotInterval(const Server& aServer, Duration aWork, Instant aNow) const;
   bool IsOpen(const Server& aServer) const;
+  bool IsShared(const Server& aServer) const;
   /// Copies the notices that apply to the server's incarnation.
   void ApplyNotices(Server& aServer) const;
   unsigned MaxConnectionsTo(const Server& aServer) const;
--- /dev/null
+++ b/runtime/load_relay.cpp
@@ -0,0 +1,93 @@
+#include "runtime/load_relay.h"
+
+#include "runtime/load_messages.h"
+
+#include <algorithm>
+
+namespace hawthornlug {
+
+namespace {
+
+constexpr Duration kMinSummaryInterval = milliseconds(80);
+/// Limit of what a member is sent, whatever the number of servers.
+constexpr double kSummaryBytesPerSecond = 16000.0;
+
+} // namespace
+
+LoadRelay::LoadRelay(ServerSelector& aSelector, Mesh& aMesh)
+  : mSelector(aSelector)
+  , mMesh(aMesh)
+{
+}
+
+void LoadRelay::SetRelays(bool aIsFirst, std::set<std::string> aForeignRelays)
+{
+  mIsFirst = aIsFirst;
+  mForeignRelays = std::move(aForeignRelays);
+}
+
+void LoadRelay::OnMemberReport(const std::string& aDaemon,
+                               const InFlightCounts& aCounts,
+                               Instant aNow)
+{
+  mMembers.Put(aDaemon, aCounts, aNow);
+  mSelector.SetPeerCounts(aDaemon, aCounts, aNow);
+}
+
+void LoadRelay::OnDomainReport(const std::string& aRelay,
+                               const InFlightCounts& aCounts,
+                               Instant aNow)
+{
+  mDomains.Put(aRelay, aCounts, aNow);
+}
+
+std::vector<std::string> LoadRelay::DomainReporters() const
+{
+  std::vector<std::string> reporters;
+  mDomains.ForEachSender([&](const std::string& aRelay) { reporters.push_back(aRelay); });
+  return reporters;
+}
+
+void LoadRelay::Tick(Instant aNow)
+{
+  if (aNow - mSentAt < std::max(kMinSummaryInterval, mInterval)) {
+    return;
+  }
+  mMembers.Expire(aNow);
+  mDomains.Expire(aNow);
+  if (!mIsFirst && mMembers.IsEmpty()) {
+    return;
+  }
+  mSentAt = aNow;
+  mInterval = Duration::zero();
+  SendToMembers();
+  SendToOtherDomains();
+}
+
+void LoadRelay::SendToMembers()
+{
+  InFlightCounts total = mMembers.Total();
+  AddCounts(total, mDomains.Total());
+  AddCounts(total, mSelector.InFlight());
+  mMembers.ForEachSender([&](const std::string& aMember) {
+    const wire::Envelope message =
+      MakeLoadMessage(mMembers.WithoutSender(total, aMember), LoadScope::kOthers);
+    const auto bytes = static_cast<double>(message.ByteSizeLong());
+    mInterval = std::max(mInterval, FromSeconds(bytes / kSummaryBytesPerSecond));
+    mMesh.Send(aMember, message);
+  });
+}
+
+void LoadRelay::SendToOtherDomains()
+{
+  InFlightCounts shared = mMembers.Total();
+  std::erase_if(shared,
+                [this](const auto& aEntry) { return !mSelector.IsSharedServer(aEntry.first); });
+  AddCounts(shared, mSelector.InFlightAtSharedServers());
+  const wire::Envelope message = MakeLoadMessage(shared, LoadScope::kDomain);
+  for (const std::string& it : mForeignRelays) {
+    mMesh.Send(it, message);
+  }
+}
+
+} // namespace hawthornlug
--- a/runtime/load_reporter.cpp
+++ b/runtime/load_reporter.cpp
@@ -6,28 +6,88 @@
 
 namespace {
 
+/// Fleets of this many daemons report through relays.
+constexpr std::size_t kMinRelayedFleet = 16;
 /// Shortest interval between two reports to the same audience.
 constexpr Duration kMinReportInterval = milliseconds(20);
 /// Unchanged counts are reported again after this time, before the other daemons discard them.
 constexpr Duration kRefreshInterval = milliseconds(700);
-/// Limits of the messages that a daemon sends to its own domain and to the others, so that this
-/// traffic, and the processor time for it, does not grow with the number of daemons.
+/// Limits of the messages that a daemon sends to its own domain and to the others.
 constexpr unsigned kOwnDomainMessagesPerSecond = 200;
 constexpr unsigned kForeignMessagesPerSecond = 150;
+/// Shortest interval between two reports to the relay.
+constexpr Duration kMinRelayInterval = milliseconds(60);
+/// Limit of the reports that a relay gets from all its members.
+constexpr unsigned kMemberReportsPerSecond = 1000;
+/// A relay that has sent nothing for this long is replaced...
+constexpr Duration kRelaySilence = milliseconds(700);
+/// ...and not preferred again for this long.
+constexpr Duration kRelayAvoidance = seconds(3);
 
 } // namespace
 
-LoadReporter::LoadReporter(const ServerSelector& aSelector, Mesh& aMesh)
+LoadReporter::LoadReporter(ServerSelector& aSelector, Mesh& aMesh)
   : mSelector(aSelector)
   , mMesh(aMesh)
+  , mLoadRelay(aSelector, aMesh)
 {
 }
 
+bool LoadReporter::IsFleetRelayed() const
+{
+  return mMesh.LivePeers().size() + 1 >= kMinRelayedFleet;
+}
+
+void LoadReporter::SetRelays(std::vector<std::string> aOwnDomain,
+                             std::set<std::string> aOtherDomains)
+{
+  mRelays = std::move(aOwnDomain);
+  const bool isFirst = IsFleetRelayed() && !mRelays.empty() && mRelays.front() == mMesh.Self().id;
+  mLoadRelay.SetRelays(isFirst, std::move(aOtherDomains));
+}
+
+void LoadReporter::OnReport(const MeshPeer& aSender, const wire::RouterLoad& aReport, Instant aNow)
+{
+  const std::optional<LoadScope> scope = ScopeOf(aReport);
+  if (!scope) {
+    return;
+  }
+  const std::string& sender = aSender.ref.id;
+  switch (*scope) {
+    case LoadScope::kMember:
+      mLoadRelay.OnMemberReport(sender, CountsOf(aReport), aNow);
+      break;
+    case LoadScope::kDomain:
+      mLoadRelay.OnDomainReport(sender, CountsOf(aReport), aNow);
+      // The summaries of this daemon's own relay contain it too.
+      if (mRelay.empty()) {
+        mSelector.SetPeerCounts(sender, CountsOf(aReport), aNow);
+      }
+      break;
+    case LoadScope::kOthers:
+      if (sender == mRelay) {
+        mRelayHeardAt = aNow;
+        mSelector.SetPeerCounts(sender, CountsOf(aReport), aNow);
+      }
+      break;
+    case LoadScope::kSender:
+      // Requests that wait are considered with the next tick: to do so with each report would cost
+      // more processor time the more daemons there are.
+      mSelector.SetPeerCounts(sender, CountsOf(aReport), aNow);
+      break;
+  }
+}
+
 void LoadReporter::Tick(Instant aNow)
 {
-  Report(mOwnDomain, mSelector.InFlight(), IntervalFor(mOwnDomain.audience), aNow);
-  Report(
-    mOtherDomains, mSelector.InFlightAtSharedServers(), IntervalFor(mOtherDomains.audience), aNow);
+  if (IsFleetRelayed()) {
+    ReportToRelay(aNow);
+  } else {
+    ChangeRelay({}, aNow);
+    Broadcast(Mesh::Audience::kOwnDomain, mOwnDomain, aNow);
+    Broadcast(Mesh::Audience::kOtherDomains, mOtherDomains, aNow);
+  }
+  mLoadRelay.Tick(aNow);
 }
 
 Duration LoadReporter::IntervalFor(Mesh::Audience aAudience) const
@@ -38,25 +98,72 @@
   return std::max<Duration>(kMinReportInterval, Duration(seconds(1)) * peers / limit);
 }
 
-void LoadReporter::Report(LastReport& aLast, Counts aCounts, Duration aInterval, Instant aNow)
+void LoadReporter::Broadcast(Mesh::Audience aAudience, LastReport& aLast, Instant aNow)
 {
-  if (aNow - aLast.sentAt < aInterval) {
+  if (aNow - aLast.sentAt < IntervalFor(aAudience)) {
     return;
   }
-  const bool refresh = !aCounts.empty() && aNow - aLast.sentAt > kRefreshInterval;
-  if (aCounts == aLast.counts && !refresh) {
+  InFlightCounts counts = aAudience == Mesh::Audience::kOwnDomain
+                            ? mSelector.InFlight()
+                            : mSelector.InFlightAtSharedServers();
+  const bool refresh = !counts.empty() && aNow - aLast.sentAt > kRefreshInterval;
+  if (counts == aLast.counts && !refresh) {
     return;
   }
-  wire::Envelope message;
   // Sent also when nothing is in flight any more: the other daemons must drop the earlier counts.
-  wire::RouterLoad* const load = message.mutable_load();
-  for (const auto& [server, n] : aCounts) {
-    load->add_servers(server);
-    load->add_counts(n);
-  }
-  aLast.counts = std::move(aCounts);
-  aLast.sentAt = aNow;
-  mMesh.Broadcast(message, aLast.audience);
+  mMesh.Broadcast(MakeLoadMessage(counts, LoadScope::kSender), aAudience);
+  aLast = { std::move(counts), aNow };
+}
+
+std::string LoadReporter::ChooseRelay(Instant aNow) const
+{
+  const auto relay =
+    std::find_if(mRelays.begin(), mRelays.end(), [&](const std::string& aCandidate) {
+      const auto avoided = mAvoidedUntil.find(aCandidate);
+      return avoided == mAvoidedUntil.end() || avoided->second <= aNow;
+    });
+  if (mRelays.empty() || (relay != mRelays.end() && *relay == mMesh.Self().id)) {
+    return {};
+  }
+  return relay == mRelays.end() ? mRelays.front() : *relay;
+}
+
+void LoadReporter::ChangeRelay(const std::string& aRelay, Instant aNow)
+{
+  if (aRelay == mRelay) {
+    return;
+  }
+  if (!mRelay.empty()) {
+    mSelector.SetPeerCounts(mRelay, {}, aNow);
+  } else {
+    for (const std::string& it : mLoadRelay.DomainReporters()) {
+      mSelector.SetPeerCounts(it, {}, aNow);
+    }
+  }
+  mRelay = aRelay;
+  mRelayHeardAt = aNow;
+  mReportToRelay = {};
+}
+
+void LoadReporter::ReportToRelay(Instant aNow)
+{
+  if (!mRelay.empty() && aNow - mRelayHeardAt > kRelaySilence) {
+    mAvoidedUntil[mRelay] = aNow + kRelayAvoidance;
+  }
+  ChangeRelay(ChooseRelay(aNow), aNow);
+  const auto members = static_cast<Duration::rep>(mMesh.PeersIn(Mesh::Audience::kOwnDomain));
+  const Duration interval =
+    std::max<Duration>(kMinRelayInterval, Duration(seconds(1)) * members / kMemberReportsPerSecond);
+  if (mRelay.empty() || aNow - mReportToRelay.sentAt < interval) {
+    return;
+  }
+  InFlightCounts counts = mSelector.InFlight();
+  if (counts == mReportToRelay.counts && aNow - mReportToRelay.sentAt < kRefreshInterval) {
+    return;
+  }
+  // Sent also when nothing is in flight: only daemons that report get summaries.
+  mMesh.Send(mRelay, MakeLoadMessage(counts, LoadScope::kMember));
+  mReportToRelay = { std::move(counts), aNow };
 }
 
 } // namespace hawthornlug
--- a/runtime/load_reporter.h
+++ b/runtime/load_reporter.h
@@ -2,44 +2,71 @@
 /// Reports to the other daemons how many requests this one has in flight at each server.
 #pragma once
 
+#include "routing/load_summary.h"
 #include "routing/server_selector.h"
+#include "runtime/load_messages.h"
+#include "runtime/load_relay.h"
 #include "runtime/mesh.h"
 
 #include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace hawthornlug {
 
-/// Sends the counts when they have changed: all of them to the daemon's own failure domain, where
-/// traffic is cheap, and those at servers that several domains use to the other domains; to both
-/// less often the more daemons there are.
+/// Sends the counts when they have changed, and learns those of the other daemons.
+///
+/// A small fleet is told directly: the daemon's own failure domain, where traffic is cheap, all
+/// counts, and the other domains those at servers that several domains use. In a larger fleet the
+/// daemon reports to a relay of its domain (see LoadRelay) and gets the sum of the others from it,
+/// so that its messages do not grow with the number of daemons.
 class LoadReporter
 {
 public:
-  LoadReporter(const ServerSelector& aSelector, Mesh& aMesh);
+  LoadReporter(ServerSelector& aSelector, Mesh& aMesh);
 
+  /// Sets the daemons that may be relays: those of the own domain, the preferred one first, and
+  /// those of the other domains.
+  void SetRelays(std::vector<std::string> aOwnDomain, std::set<std::string> aOtherDomains);
+  /// Takes another daemon's report.
+  void OnReport(const MeshPeer& aSender, const wire::RouterLoad& aReport, Instant aNow);
   /// To be called every few milliseconds.
   void Tick(Instant aNow);
 
 private:
-  using Counts = std::map<std::uint32_t, unsigned>;
-
   /// The latest report to one audience.
   struct LastReport
   {
-    Mesh::Audience audience;
-    Counts counts;
+    InFlightCounts counts;
     Instant sentAt;
   };
 
-  /// Sends a report if the counts have changed, or need a refresh, and the interval has passed.
-  void Report(LastReport& aLast, Counts aCounts, Duration aInterval, Instant aNow);
+  bool IsFleetRelayed() const;
+  /// Reports to an audience if the counts have changed, or need a refresh, and the interval has
+  /// passed.
+  void Broadcast(Mesh::Audience aAudience, LastReport& aLast, Instant aNow);
   /// Shortest interval between two reports to the audience.
   Duration IntervalFor(Mesh::Audience aAudience) const;
+  /// The daemon to report to; empty if this daemon is the relay itself, or there is none.
+  std::string ChooseRelay(Instant aNow) const;
+  void ReportToRelay(Instant aNow);
+  void ChangeRelay(const std::string& aRelay, Instant aNow);
 
-  const ServerSelector& mSelector;
+  ServerSelector& mSelector;
   Mesh& mMesh;
-  LastReport mOwnDomain{ Mesh::Audience::kOwnDomain, {}, {} };
-  LastReport mOtherDomains{ Mesh::Audience::kOtherDomains, {}, {} };
+  LoadRelay mLoadRelay;
+  LastReport mOwnDomain;
+  LastReport mOtherDomains;
+  /// Candidates of the own domain; this daemon may be one of them.
+  std::vector<std::string> mRelays;
+  /// Candidates that have not answered, and until when others are preferred to them.
+  std::map<std::string, Instant> mAvoidedUntil;
+  /// The daemon that is reported to; empty if there is none.
+  std::string mRelay;
+  /// When the relay last sent a summary, or was chosen.
+  Instant mRelayHeardAt;
+  LastReport mReportToRelay;
 };
 
 } // namespace hawthornlug
--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -1,5 +1,7 @@
 #include "runtime/mesh.h"
 
+#include "runtime/store_follower.h"
+
 #include <algorithm>
 
 namespace hawthornlug {
@@ -67,19 +69,24 @@
 
 bool Mesh::IsLive(const std::string& aDaemon) const
 {
-  const auto it = mLive.find(aDaemon);
-  return it != mLive.end() && it->second;
+  const auto it = mPeers.find(aDaemon);
+  return it != mPeers.end() && it->second.live;
 }
 
-void Mesh::SetLive(const std::string& aDaemon, bool aLive)
+void Mesh::SetLive(MeshPeer& aPeer, bool aLive)
 {
-  mLive[aDaemon] = aLive;
-  mLivePeers.clear();
-  for (const auto& [id, peer] : mPeers) {
-    if (IsLive(id)) {
-      mLivePeers.push_back(&peer);
-    }
+  const auto it = std::lower_bound(
+    mLivePeers.begin(),
+    mLivePeers.end(),
+    aPeer.ref.id,
+    [](const MeshPeer* aOther, const std::string& aId) { return aOther->ref.id < aId; });
+  if (aLive) {
+    mLivePeers.insert(it, &aPeer);
+  } else {
+    mLivePeers.erase(it);
   }
+  aPeer.live = aLive;
+  ++mChangeCount;
 }
 
 std::vector<const MeshPeer*> Mesh::KnownPeers(Instant aNow) const
@@ -213,14 +220,15 @@
 
 void Mesh::Tick(Instant aNow)
 {
-  for (const auto& [id, peer] : mPeers) {
-    if (IsLive(id) && !IsResponsive(peer, aNow)) {
-      SetLive(id, false);
-      mLog.Write(EventId::kPeerSilent,
-                 { { "peer", id }, { "silent-ms", Millis(aNow - peer.heartbeatAt) } });
-      mListener->OnPeerLost(id);
+  std::vector<std::string> silent;
+  for (const MeshPeer* it : mLivePeers) {
+    if (!IsResponsive(*it, aNow)) {
+      silent.push_back(it->ref.id);
     }
   }
+  for (const std::string& it : silent) {
+    OnSilent(mPeers.at(it), aNow);
+  }
   if (aNow - mHeartbeatSentAt >= kHeartbeatInterval) {
     SendDueHeartbeat();
   } else if (mHasNewEndpoint) {
@@ -229,6 +237,14 @@
   }
 }
 
+void Mesh::OnSilent(MeshPeer& aPeer, Instant aNow)
+{
+  SetLive(aPeer, false);
+  mLog.Write(EventId::kPeerSilent,
+             { { "peer", aPeer.ref.id }, { "silent-ms", Millis(aNow - aPeer.heartbeatAt) } });
+  mListener->OnPeerLost(aPeer.ref.id);
+}
+
 void Mesh::Receive(const wire::Envelope& aMessage)
 {
   if (aMessage.from().id().empty() || aMessage.from().id() == mSelf.id || mListener == nullptr) {
@@ -246,54 +262,72 @@
   }
 }
 
-void Mesh::OnHeartbeat(const wire::Envelope& aMessage, Instant aNow)
+bool Mesh::IsNews(const wire::Envelope& aHeartbeat)
 {
-  const wire::RouterBeat& heartbeat = aMessage.beat();
-  const std::string& id = aMessage.from().id();
-  const auto known = mPeers.find(id);
-  if (known != mPeers.end()) {
-    const MeshPeer& peer = known->second;
-    const Incarnation incarnation = aMessage.from().incarnation();
-    const bool sameIncarnation = incarnation == peer.ref.incarnation;
-    if (incarnation < peer.ref.incarnation ||
-        (sameIncarnation && heartbeat.sequence() <= peer.sequence)) {
-      return;
-    }
-    if (!sameIncarnation) {
-      mListener->OnPeerLost(id);
-    }
+  const auto known = mPeers.find(aHeartbeat.from().id());
+  if (known == mPeers.end()) {
+    // The sender's address and domain are needed first.
+    return !aHeartbeat.beat().endpoint().empty();
   }
-  const bool introduces = !heartbeat.endpoint().empty();
-  if (!introduces && known == mPeers.end()) {
+  const MeshPeer& peer = known->second;
+  const Incarnation incarnation = aHeartbeat.from().incarnation();
+  if (incarnation == peer.ref.incarnation) {
+    return aHeartbeat.beat().sequence() > peer.sequence;
+  }
+  return incarnation > peer.ref.incarnation;
+}
+
+bool Mesh::CopyContent(const wire::RouterBeat& aHeartbeat, MeshPeer& aPeer)
+{
+  const Duration storeAge = milliseconds(aHeartbeat.store_age_ms());
+  const bool eligibilityChanges =
+    aPeer.leaving != aHeartbeat.leaving() ||
+    StoreFollower::IsReliable(aPeer.storeAge) != StoreFollower::IsReliable(storeAge);
+  aPeer.sequence = aHeartbeat.sequence();
+  aPeer.mirrorRevisions.assign(aHeartbeat.at().begin(), aHeartbeat.at().end());
+  aPeer.storeAge = storeAge;
+  aPeer.leaving = aHeartbeat.leaving();
+  aPeer.foreignInterval = milliseconds(aHeartbeat.foreign_interval_ms());
+  aPeer.configurationBytes = aHeartbeat.configuration_kb() * kBytesPerKilobyte;
+  aPeer.claims.clear();
+  for (const wire::RangeClaim& it : aHeartbeat.claims()) {
+    aPeer.claims[it.service()] = it.term();
+  }
+  return eligibilityChanges;
+}
+
+void Mesh::OnHeartbeat(const wire::Envelope& aMessage, Instant aNow)
+{
+  if (!IsNews(aMessage)) {
     return;
   }
+  const wire::RouterBeat& heartbeat = aMessage.beat();
+  const std::string& id = aMessage.from().id();
+  const bool isKnown = mPeers.contains(id);
   MeshPeer& peer = mPeers[id];
   const bool isNewRun = peer.ref.incarnation != aMessage.from().incarnation();
-  const bool isNewHere = introduces && (isNewRun || peer.endpoint != heartbeat.endpoint());
+  if (isKnown && isNewRun) {
+    mListener->OnPeerLost(id);
+  }
   peer.ref = { id, aMessage.from().incarnation() };
+  const bool introduces = !heartbeat.endpoint().empty();
+  const bool isNewHere = introduces && (isNewRun || peer.endpoint != heartbeat.endpoint());
   if (introduces) {
     peer.domain = heartbeat.domain();
     peer.endpoint = heartbeat.endpoint();
     peer.power = heartbeat.power();
     mKnownEndpoints.insert(peer.endpoint);
   }
-  peer.sequence = heartbeat.sequence();
   peer.heartbeatAt = aNow;
-  peer.mirrorRevisions.assign(heartbeat.at().begin(), heartbeat.at().end());
-  peer.storeAge = milliseconds(heartbeat.store_age_ms());
-  peer.leaving = heartbeat.leaving();
-  peer.foreignInterval = milliseconds(heartbeat.foreign_interval_ms());
-  peer.configurationBytes = heartbeat.configuration_kb() * kBytesPerKilobyte;
-  peer.claims.clear();
-  for (const wire::RangeClaim& it : heartbeat.claims()) {
-    peer.claims[it.service()] = it.term();
+  if (CopyContent(heartbeat, peer) || isNewHere) {
+    ++mChangeCount;
   }
   mUnansweredEndpoints.erase(peer.endpoint);
   for (const std::string& it : heartbeat.endpoints()) {
     AddEndpoint(it);
   }
-  if (!IsLive(id)) {
-    SetLive(id, true);
+  if (!peer.live) {
+    SetLive(peer, true);
     mLog.Write(EventId::kPeerHeard, { { "peer", id }, { "incarnation", peer.ref.incarnation } });
   }
   if (isNewHere) {
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -39,6 +39,8 @@
   std::size_t configurationBytes = 0;
   /// Services that it leads, with its term.
   std::map<std::string, std::uint64_t> claims;
+  /// Whether it is heard.
+  bool live = false;
 };
 
 /// What a daemon reports about itself in its heartbeats; fields as in MeshPeer.
@@ -111,6 +113,8 @@
   const std::vector<const MeshPeer*>& LivePeers() const { return mLivePeers; }
   /// All daemons that have been heard lately, also those that are silent now.
   std::vector<const MeshPeer*> KnownPeers(Instant aNow) const;
+  /// Rises whenever it changes which daemons are live, leave, or reach the store.
+  std::uint64_t ChangeCount() const { return mChangeCount; }
   /// Number of live daemons by failure domain, this one included.
   std::map<std::string, unsigned> DaemonsByDomain() const;
   const DaemonRef& Self() const { return mSelf; }
@@ -133,7 +137,13 @@
   /// Interval of heartbeats to other failure domains. It rises with the number of daemons there,
   /// except for a daemon that they rely on.
   Duration ForeignInterval(bool aHasRole) const;
-  void SetLive(const std::string& aDaemon, bool aLive);
+  void SetLive(MeshPeer& aPeer, bool aLive);
+  /// Takes a peer that has been silent for too long off the live ones.
+  void OnSilent(MeshPeer& aPeer, Instant aNow);
+  /// Whether the heartbeat is newer than what is known of its sender, who may have restarted.
+  bool IsNews(const wire::Envelope& aHeartbeat);
+  /// Copies a heartbeat's content; returns whether that changes which roles the sender can have.
+  static bool CopyContent(const wire::RouterBeat& aHeartbeat, MeshPeer& aPeer);
   /// Introduces this daemon to one that is new here, and names others to it that it lacks.
   void AnswerIntroduction(const MeshPeer& aPeer, std::size_t aKnownPeers);
   /// Sets this daemon as the sender of a message.
@@ -153,9 +163,9 @@
   std::map<std::string, MeshPeer> mPeers;
   /// The addresses of the peers.
   std::set<std::string> mKnownEndpoints;
-  /// Whether a peer is live, by its id.
-  std::map<std::string, bool> mLive;
+  /// Sorted by id.
   std::vector<const MeshPeer*> mLivePeers;
+  std::uint64_t mChangeCount = 0;
   /// Addresses from which no heartbeat has been received yet, and when they were last tried.
   std::map<std::string, Instant> mUnansweredEndpoints;
   /// Whether one of them has not been tried yet.
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -18,10 +18,16 @@
 /// Number of daemons of each failure domain that fetch objects from other domains.
 constexpr unsigned kObjectRelays = 2;
 constexpr const char* kRelayRole = "object-relays";
+/// Number of daemons of each failure domain that may pass on counts of requests in flight.
+constexpr unsigned kLoadRelays = 2;
+constexpr const char* kLoadRelayRole = "load-relays";
 /// Number of daemons of each failure domain whose addresses are in the store.
 constexpr unsigned kRegistrars = 2;
 constexpr const char* kRegistrarRole = "registrars";
+/// Roles are decided anew this soon after the daemons that can have them have changed...
 constexpr Duration kRoleInterval = milliseconds(100);
+/// ...and at this interval without a change.
+constexpr Duration kRoleRefreshInterval = seconds(1);
 /// After its start a daemon takes no role before it has had this time to hear the others.
 constexpr Duration kSettleTime = milliseconds(300);
 /// After this time a daemon does not rely on the others to tell it what it needs to serve.
@@ -128,7 +134,8 @@
 {
   ObserveLoopDelay(aNow);
   mServices.peers.Poll();
-  if (aNow - mRolesDecidedAt >= kRoleInterval) {
+  const bool rolesCurrent = mMesh.ChangeCount() == mRolesDecidedFor;
+  if (aNow - mRolesDecidedAt >= (rolesCurrent ? kRoleRefreshInterval : kRoleInterval)) {
     UpdateRoles(aNow);
   }
   mStoreFollower.Tick(aNow, StoreReadingNow(aNow));
@@ -165,6 +172,7 @@
   if (aNow - mStartedAt < kSettleTime) {
     return;
   }
+  mRolesDecidedFor = mMesh.ChangeCount();
   std::vector<RoleCandidate> all;
   std::vector<RoleCandidate> reliable;
   for (const MeshPeer* it : mMesh.LivePeers()) {
@@ -183,6 +191,21 @@
   all.push_back(self);
   mRelays = FirstOfEachDomain(kRelayRole, all, kObjectRelays);
   mObjectExchange.SetIsRelay(mRelays.contains(self.id));
+  UpdateLoadRelays(all);
+}
+
+void RouterDaemon::UpdateLoadRelays(const std::vector<RoleCandidate>& aCandidates)
+{
+  std::vector<std::string> ownDomain;
+  std::set<std::string> otherDomains;
+  for (auto& [domain, relays] : RankedByDomain(kLoadRelayRole, aCandidates, kLoadRelays)) {
+    if (domain == mMesh.Domain()) {
+      ownDomain = std::move(relays);
+    } else {
+      otherDomains.insert(relays.begin(), relays.end());
+    }
+  }
+  mLoadReporter.SetRelays(std::move(ownDomain), std::move(otherDomains));
 }
 
 bool RouterDaemon::IsPastPatience(Instant aNow) const
@@ -456,14 +479,7 @@
 {
   const Instant now = mServices.timers.Now();
   if (aMessage.has_load()) {
-    std::map<std::uint32_t, unsigned> counts;
-    const wire::RouterLoad& load = aMessage.load();
-    for (int n = 0; n < std::min(load.servers_size(), load.counts_size()); ++n) {
-      counts[load.servers(n)] = load.counts(n);
-    }
-    // Requests that wait are considered with the next tick: to do so with each report would cost
-    // more processor time the more daemons there are.
-    mSelector.SetPeerCounts(aPeer.ref.id, counts, now);
+    mLoadReporter.OnReport(aPeer, aMessage.load(), now);
   } else if (aMessage.has_key_work()) {
     if (RangeRunner* const ranges = FindRanges(aMessage.key_work().service())) {
       ranges->OnKeyWorkReport(aMessage.key_work());
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -109,6 +109,7 @@
   void RemoveGoneServers(Instant aNow);
   /// Decides which roles this daemon has, from what it hears of the others.
   void UpdateRoles(Instant aNow);
+  void UpdateLoadRelays(const std::vector<RoleCandidate>& aCandidates);
   /// What this daemon reads from the store by itself.
   StoreFollower::Reading StoreReadingNow(Instant aNow) const;
   /// Whether other daemons have had the time to tell this one, after its start, what they know.
@@ -141,6 +142,8 @@
   /// The daemons that fetch objects for their failure domains, of all domains.
   std::set<std::string> mRelays;
   Instant mRolesDecidedAt;
+  /// The mesh's number of changes by then; none before the first decision.
+  std::optional<std::uint64_t> mRolesDecidedFor;
   Instant mDirectoryReadAt;
   /// Whether the last heartbeats reported failing calls to the store.
   bool mReportedFailing = false;
--- a/runtime/warm_up_permits.cpp
+++ b/runtime/warm_up_permits.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kSettleTime = seconds(2);
 /// Shortest interval between two questions about one server.
 constexpr Duration kQuestionInterval = milliseconds(60);
+/// Daemons that have been silent for long drop out of the choice of an issuer this late.
+constexpr Duration kIssuerRefreshInterval = seconds(1);
 
 } // namespace
 
@@ -22,7 +24,27 @@
 {
 }
 
-std::string WarmUpPermits::IssuerOf(const ServerEntry& aServer, bool aLeaving, Instant aNow) const
+const std::string& WarmUpPermits::IssuerOf(const ServerEntry& aServer, bool aLeaving, Instant aNow)
+{
+  const bool current = mIssuersChosenFor == mMesh.ChangeCount() &&
+                       mIssuersWhileLeaving == aLeaving &&
+                       aNow - mIssuersChosenAt < kIssuerRefreshInterval;
+  if (!current) {
+    mIssuers.clear();
+    mIssuersChosenFor = mMesh.ChangeCount();
+    mIssuersWhileLeaving = aLeaving;
+    mIssuersChosenAt = aNow;
+  }
+  const auto [it, isNew] = mIssuers.try_emplace(aServer.id);
+  if (isNew) {
+    it->second = ChooseIssuer(aServer, aLeaving, aNow);
+  }
+  return it->second;
+}
+
+std::string WarmUpPermits::ChooseIssuer(const ServerEntry& aServer,
+                                        bool aLeaving,
+                                        Instant aNow) const
 {
   const std::vector<const MeshPeer*> peers = mMesh.KnownPeers(aNow);
   const bool domainHasDaemons = mMesh.Domain() == aServer.domain ||
@@ -73,7 +95,7 @@
     if (wanted == 0 || mSelector.HasPermit(server->id, aNow)) {
       continue;
     }
-    const std::string issuer = IssuerOf(*server, aLeaving, aNow);
+    const std::string& issuer = IssuerOf(*server, aLeaving, aNow);
     if (issuer == mMesh.Self().id) {
       const unsigned n = Issue(server->id, wanted, aNow);
       mSelector.SetPermits(server->id, n, aNow + kPermitLifetime);
--- a/runtime/warm_up_permits.h
+++ b/runtime/warm_up_permits.h
@@ -32,7 +32,8 @@
 
 private:
   /// Id of the issuer; empty if there is none.
-  std::string IssuerOf(const ServerEntry& aServer, bool aLeaving, Instant aNow) const;
+  const std::string& IssuerOf(const ServerEntry& aServer, bool aLeaving, Instant aNow);
+  std::string ChooseIssuer(const ServerEntry& aServer, bool aLeaving, Instant aNow) const;
   /// Permits for a server from this daemon's own limit; none shortly after the start, when it does
   /// not know the other daemons nor what its previous run has granted.
   unsigned Issue(const std::string& aServer, unsigned aWanted, Instant aNow);
@@ -43,6 +44,11 @@
   Mesh& mMesh;
   Instant mStartedAt;
   WarmUpLimit mLimit;
+  /// The issuers by server, and of which daemons and when they were chosen.
+  std::map<std::string, std::string> mIssuers;
+  std::uint64_t mIssuersChosenFor = 0;
+  bool mIssuersWhileLeaving = false;
+  Instant mIssuersChosenAt;
   /// When the permits of a server were last asked for.
   std::map<std::string, Instant> mAskedAt;
 };
