--- a/tests/adapters/http_server_test.cpp
+++ b/tests/adapters/http_server_test.cpp
@@ -26,7 +26,8 @@
   terms.timeout = seconds(2);
   auto answered = std::make_shared<std::promise<SendAnswer>>();
   std::future<SendAnswer> answer = answered->get_future();
-  aServer.Send(order, terms, [answered](SendAnswer aAnswer) { answered->set_value(aAnswer); });
+  aServer.Send(
+    order, terms, [answered](const SendAnswer& aAnswer) { answered->set_value(aAnswer); });
   REQUIRE(answer.wait_for(kLongest) == std::future_status::ready);
   return answer.get();
 }
