Heartbeats of large fleets through relays of each failure domain

Cause: each daemon sent each other one its heartbeats. The hidden cost is receiving: 80 a second from the own domain and 40 from others at 195 hosts, 23,400 a second in all, the largest part of what a daemon gets (CAPACITY).

From 16 daemons on a daemon sends its heartbeats to two relays of its domain, which it chooses itself among the strongest that it hears (membership/relay_choice, also used by LoadReporter now, which had the same logic of its own). Relays tell their members, and the relays of other domains, whom they hear: 4 bytes of a number of the heartbeat's content and its age a daemon. Content goes along when it has changed, or is asked for by its number, so a liveness report never refreshes an outdated content. A silent relay is replaced after 500 ms without agreement; no role rests on a relay's word alone, as before (conditional updates of the store). Range tables go through relays too; objects are fetched by the same relays. Daemons of the version before, and those that are in no relayed fleet, are sent heartbeats directly. Weighed: SWIM-like rings (two mechanisms, one for liveness and one for content), one combined hash a domain (cheaper at 470, but each loss is asked for by every member).

Red first on (scratch copy, Relays() answering an empty set): 128 and 139 messages a second and daemon at 48 and 91 daemons, bound 40; losses at 91 known later than 2 s. Found on the way by these tests: ages rounded down make a lost daemon younger each time it is passed on; a daemon cut off alone took the fleet for a small one and was told nothing more; a domain cut off was looked for at daemons that are not its relays.

A check in tests/support/mesh_simulation.h names who is missing; none was dropped.

--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -202,6 +202,7 @@
     case wire::Envelope::kWarmUpQuestion:
     case wire::Envelope::kWarmUpAnswer:
     case wire::Envelope::kServersLeaving:
+    case wire::Envelope::kRelayedBeatsQuestion:
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
--- a/runtime/load_relay.cpp
+++ b/runtime/load_relay.cpp
@@ -74,7 +74,7 @@
       MakeLoadMessage(mMembers.WithoutSender(total, aMember), LoadScope::kOthers);
     const auto bytes = static_cast<double>(message.ByteSizeLong());
     mInterval = std::max(mInterval, FromSeconds(bytes / kSummaryBytesPerSecond));
-    mMesh.Send(aMember, message);
+    mMesh.Send(aMember, message, Delivery::kNowOrNever);
   });
 }
 
@@ -86,7 +86,7 @@
   AddCounts(shared, mSelector.InFlightAtSharedServers());
   const wire::Envelope message = MakeLoadMessage(shared, LoadScope::kDomain);
   for (const std::string& it : mForeignRelays) {
-    mMesh.Send(it, message);
+    mMesh.Send(it, message, Delivery::kNowOrNever);
   }
 }
 
--- a/runtime/load_reporter.cpp
+++ b/runtime/load_reporter.cpp
@@ -30,6 +30,7 @@
   : mSelector(aSelector)
   , mMesh(aMesh)
   , mLoadRelay(aSelector, aMesh)
+  , mRelayChoice(aMesh.Self().id, { 1, kRelaySilence, kRelayAvoidance })
 {
 }
 
@@ -41,8 +42,9 @@
 void LoadReporter::SetRelays(std::vector<std::string> aOwnDomain,
                              std::set<std::string> aOtherDomains)
 {
-  mRelays = std::move(aOwnDomain);
-  const bool isFirst = IsFleetRelayed() && !mRelays.empty() && mRelays.front() == mMesh.Self().id;
+  const bool isFirst =
+    IsFleetRelayed() && !aOwnDomain.empty() && aOwnDomain.front() == mMesh.Self().id;
+  mRelayChoice.SetCandidates(std::move(aOwnDomain));
   mLoadRelay.SetRelays(isFirst, std::move(aOtherDomains));
 }
 
@@ -66,7 +68,7 @@
       break;
     case LoadScope::kOthers:
       if (sender == mRelay) {
-        mRelayHeardAt = aNow;
+        mRelayChoice.OnHeard(sender, aNow);
         mSelector.SetPeerCounts(sender, CountsOf(aReport), aNow);
       }
       break;
@@ -115,17 +117,14 @@
   aLast = { std::move(counts), aNow };
 }
 
-std::string LoadReporter::ChooseRelay(Instant aNow) const
+std::string LoadReporter::ChooseRelay(Instant aNow)
 {
-  const auto relay =
-    std::find_if(mRelays.begin(), mRelays.end(), [&](const std::string& aCandidate) {
-      const auto avoided = mAvoidedUntil.find(aCandidate);
-      return avoided == mAvoidedUntil.end() || avoided->second <= aNow;
-    });
-  if (mRelays.empty() || (relay != mRelays.end() && *relay == mMesh.Self().id)) {
+  const std::vector<std::string> relays = mRelayChoice.Choose(aNow);
+  const std::vector<std::string>& preferred = relays.empty() ? mRelayChoice.Candidates() : relays;
+  if (preferred.empty() || preferred.front() == mMesh.Self().id) {
     return {};
   }
-  return relay == mRelays.end() ? mRelays.front() : *relay;
+  return preferred.front();
 }
 
 void LoadReporter::ChangeRelay(const std::string& aRelay, Instant aNow)
@@ -141,15 +140,11 @@
     }
   }
   mRelay = aRelay;
-  mRelayHeardAt = aNow;
   mReportToRelay = {};
 }
 
 void LoadReporter::ReportToRelay(Instant aNow)
 {
-  if (!mRelay.empty() && aNow - mRelayHeardAt > kRelaySilence) {
-    mAvoidedUntil[mRelay] = aNow + kRelayAvoidance;
-  }
   ChangeRelay(ChooseRelay(aNow), aNow);
   const auto members = static_cast<Duration::rep>(mMesh.PeersIn(Mesh::Audience::kOwnDomain));
   const Duration interval =
@@ -162,7 +157,7 @@
     return;
   }
   // Sent also when nothing is in flight: only daemons that report get summaries.
-  mMesh.Send(mRelay, MakeLoadMessage(counts, LoadScope::kMember));
+  mMesh.Send(mRelay, MakeLoadMessage(counts, LoadScope::kMember), Delivery::kNowOrNever);
   mReportToRelay = { std::move(counts), aNow };
 }
 
--- a/runtime/load_reporter.h
+++ b/runtime/load_reporter.h
@@ -2,6 +2,7 @@
 /// Reports to the other daemons how many requests this one has in flight at each server.
 #pragma once
 
+#include "membership/relay_choice.h"
 #include "routing/load_summary.h"
 #include "routing/server_selector.h"
 #include "runtime/load_messages.h"
@@ -49,7 +50,7 @@
   /// Shortest interval between two reports to the audience.
   Duration IntervalFor(Mesh::Audience aAudience) const;
   /// The daemon to report to; empty if this daemon is the relay itself, or there is none.
-  std::string ChooseRelay(Instant aNow) const;
+  std::string ChooseRelay(Instant aNow);
   void ReportToRelay(Instant aNow);
   void ChangeRelay(const std::string& aRelay, Instant aNow);
 
@@ -59,13 +60,9 @@
   LastReport mOwnDomain;
   LastReport mOtherDomains;
   /// Candidates of the own domain; this daemon may be one of them.
-  std::vector<std::string> mRelays;
-  /// Candidates that have not answered, and until when others are preferred to them.
-  std::map<std::string, Instant> mAvoidedUntil;
+  RelayChoice mRelayChoice;
   /// The daemon that is reported to; empty if there is none.
   std::string mRelay;
-  /// When the relay last sent a summary, or was chosen.
-  Instant mRelayHeardAt;
   LastReport mReportToRelay;
 };
 
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -5,9 +5,11 @@
 #include "config/object_mirror.h"
 #include "core/decision_log.h"
 #include "core/timer_service.h"
-#include "membership/role_ranking.h"
+#include "membership/heartbeat_relays.h"
 #include "ownership/range_directory.h"
 #include "ports/peer_port.h"
+#include "runtime/mesh_peer.h"
+#include "runtime/peer_table.h"
 
 #include <functional>
 #include <map>
@@ -17,46 +19,6 @@
 
 namespace hawthornlug {
 
-/// Another routing daemon, as described by its latest heartbeat.
-struct MeshPeer
-{
-  DaemonRef ref;
-  std::string domain;
-  std::string endpoint;
-  std::uint64_t sequence = 0;
-  /// When its latest heartbeat was received.
-  Instant heartbeatAt;
-  /// Revision of its mirror, by kind of object.
-  std::vector<Version> mirrorRevisions;
-  /// Time since the store last answered it; 0 if it does not watch the store.
-  Duration storeAge = Duration::zero();
-  bool leaving = false;
-  /// Power class of its host.
-  unsigned power = 0;
-  /// Interval of its heartbeats to other failure domains.
-  Duration foreignInterval = Duration::zero();
-  /// Size of the configuration that it has.
-  std::size_t configurationBytes = 0;
-  /// Services that it leads, with its term.
-  std::map<std::string, std::uint64_t> claims;
-  /// Whether it is heard.
-  bool live = false;
-};
-
-/// What a daemon reports about itself in its heartbeats; fields as in MeshPeer.
-struct MeshSelf
-{
-  std::vector<Version> mirrorRevisions;
-  Duration storeAge = Duration::zero();
-  bool leaving = false;
-  std::size_t configurationBytes = 0;
-  /// Whether daemons of other failure domains rely on this one, and must soon notice if it is lost.
-  bool hasRole = false;
-  std::map<std::string, std::uint64_t> claims;
-  /// Term and version of its range table, by service.
-  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tables;
-};
-
 /// Receives what other daemons send; called on the daemon's event loop.
 class MeshListener
 {
@@ -71,8 +33,9 @@
   virtual void OnPeerLost(const std::string& aDaemon) = 0;
 };
 
-/// Sends heartbeats, keeps the list of live daemons, and delivers messages. Runs on the daemon's
-/// event loop.
+/// Sends heartbeats, keeps the list of live daemons, and delivers messages. In a large fleet
+/// heartbeats, and what is meant for all daemons, pass through relays (see HeartbeatRelays). Runs
+/// on the daemon's event loop.
 class Mesh
 {
 public:
@@ -92,7 +55,11 @@
   /// Sends heartbeats that are due, and detects lost peers.
   void Tick(Instant aNow);
 
-  void Send(const std::string& aDaemon, wire::Envelope aMessage);
+  /// A message may wait briefly for a connection, since a large fleet's daemons have connections to
+  /// few others. What soon gets too old must not: Delivery::kNowOrNever.
+  void Send(const std::string& aDaemon,
+            wire::Envelope aMessage,
+            Delivery aDelivery = Delivery::kSoon);
   /// The live peers that a broadcast goes to.
   enum class Audience
   {
@@ -100,57 +67,96 @@
     kOtherDomains,
     kAll,
   };
-  /// Sends a heartbeat immediately, to report a change without delay.
+  /// Sends a heartbeat immediately, to report a change without delay. In a large fleet the relays
+  /// tell the daemons of other failure domains.
   void SendHeartbeatNow(Audience aAudience = Audience::kAll);
-  /// Sends one immediately to the own failure domain and to some daemons of others.
-  void SendHeartbeatTo(const std::set<std::string>& aForeignDaemons);
+  /// Sends one immediately to the own failure domain and to the relays of others.
+  void SendHeartbeatToRelays();
   void Broadcast(const wire::Envelope& aMessage, Audience aAudience);
+  /// Sends a message to all live daemons. In a large fleet only relays of other failure domains get
+  /// it from here, and have to call PassOn().
+  void SendToFleet(const wire::Envelope& aMessage);
+  /// Sends on what @p aSender has sent to the fleet, if daemons rely on this one for it.
+  void PassOn(const MeshPeer& aSender, const wire::Envelope& aMessage);
   /// Number of live peers in the audience.
   std::size_t PeersIn(Audience aAudience) const;
 
   bool IsLive(const std::string& aDaemon) const;
   /// All live daemons except this one.
-  const std::vector<const MeshPeer*>& LivePeers() const { return mLivePeers; }
+  const std::vector<const MeshPeer*>& LivePeers() const { return mPeers.Live(); }
   /// All daemons that have been heard lately, also those that are silent now.
-  std::vector<const MeshPeer*> KnownPeers(Instant aNow) const;
+  std::vector<const MeshPeer*> KnownPeers(Instant aNow) const { return mPeers.Known(aNow); }
   /// Rises whenever it changes which daemons are live, leave, or reach the store.
-  std::uint64_t ChangeCount() const { return mChangeCount; }
+  std::uint64_t ChangeCount() const { return mPeers.ChangeCount(); }
   /// Number of live daemons by failure domain, this one included.
   std::map<std::string, unsigned> DaemonsByDomain() const;
   const DaemonRef& Self() const { return mSelf; }
   /// This daemon as a candidate for roles.
   RoleCandidate AsCandidate() const { return { mSelf.id, mDomain, mPower }; }
   const std::string& Domain() const { return mDomain; }
+  /// The daemons of all domains that rank first as relays, in fleets of any size.
+  const std::set<std::string>& Relays() const { return mRelays.FirstRanked(); }
 
 private:
   bool IsIn(Audience aAudience, const MeshPeer& aPeer) const;
   wire::Envelope MakeHeartbeat();
   /// Adds this daemon's domain and address to a heartbeat.
   void Introduce(wire::Envelope& aHeartbeat) const;
+  wire::Envelope MakeIntroducedHeartbeat();
+  /// Adds which daemons are heard, those of the own domain or all.
+  void AddAllHeard(Audience aAudience, wire::Envelope& aHeartbeat) const;
   /// The daemons of other failure domains that a heartbeat goes to.
   using ForeignFilter = std::function<bool(const MeshPeer&)>;
   void SendHeartbeats(const ForeignFilter& aIsRecipient);
-  /// Sends a heartbeat at its time: to other failure domains only if one is due there.
+  /// Sends a message to daemons that may not have a connection from this one yet.
+  void SendSoon(const std::set<std::string>& aDaemons, const wire::Envelope& aMessage);
+
+  /// Sends a small fleet's heartbeat at its time: to other failure domains only if one is due
+  /// there.
   void SendDueHeartbeat();
-  /// Sends a heartbeat, with domain and address added, to the addresses that have not answered yet.
-  void SendIntroductions(wire::Envelope aHeartbeat);
   /// Interval of heartbeats to other failure domains. It rises with the number of daemons there,
   /// except for a daemon that they rely on.
   Duration ForeignInterval(bool aHasRole) const;
-  void SetLive(MeshPeer& aPeer, bool aLive);
-  /// Takes a peer that has been silent for too long off the live ones.
-  void OnSilent(MeshPeer& aPeer, Instant aNow);
-  /// Whether the heartbeat is newer than what is known of its sender, who may have restarted.
-  bool IsNews(const wire::Envelope& aHeartbeat);
-  /// Copies a heartbeat's content; returns whether that changes which roles the sender can have.
-  static bool CopyContent(const wire::RouterBeat& aHeartbeat, MeshPeer& aPeer);
+  /// Sends a heartbeat, with domain and address added, to the addresses that have not answered yet.
+  void SendIntroductions();
+
+  /// Sends what is due in a fleet with relays.
+  void TickRelayed(Instant aNow);
+  void UpdateRelays(Instant aNow);
+  /// Sends a heartbeat to the relays of the own domain, and to daemons that have to be told
+  /// directly.
+  void SendToOwnRelays(const std::vector<std::string>& aRelays, Instant aNow);
+  /// The daemons that no relay tells of this one.
+  std::set<std::string> PeersWithoutRelay(bool aHasRelays, Instant aNow) const;
+  /// As a relay, tells those that use it, and the relays of other domains, whom it hears.
+  void TellMembers(Instant aNow);
+  void TellOtherDomains(Instant aNow);
+  /// Adds the heartbeats whose content has changed, those of the own domain or all.
+  void AddChanged(Audience aAudience, Instant aNow, wire::Envelope& aHeartbeat) const;
+
+  void OnSilent(const MeshPeer& aPeer, Instant aNow);
+  void OnHeartbeat(const wire::Envelope& aMessage, Instant aNow);
+  /// What a heartbeat has changed.
+  struct Update
+  {
+    MeshPeer& peer;
+    /// The daemon, its run or its address was not known.
+    bool isNewHere = false;
+  };
+  Update UpdatePeer(const DaemonRef& aDaemon, const wire::RouterBeat& aHeartbeat);
+  /// Records that a daemon ran at @p aAt; returns whether it was not live before and is now.
+  bool Hear(MeshPeer& aPeer, Instant aAt, Instant aNow);
+  /// Takes what a relay passes on.
+  void OnRelayed(const MeshPeer& aRelay, const wire::RouterBeat& aHeartbeat, Instant aNow);
+  void OnRelayedBeat(const wire::RelayedBeat& aRelayed, Instant aNow);
+  /// Returns the numbers of the content that is not known here.
+  wire::RelayedBeatsQuestion HearAll(const wire::RouterBeat& aHeartbeat, Instant aNow);
+  void OnRelayedBeatsQuestion(const std::string& aDaemon,
+                              const wire::RelayedBeatsQuestion& aQuestion);
   /// Introduces this daemon to one that is new here, and names others to it that it lacks.
   void AnswerIntroduction(const MeshPeer& aPeer, std::size_t aKnownPeers);
   /// Sets this daemon as the sender of a message.
   wire::Envelope WithSender(wire::Envelope aMessage) const;
-  void OnHeartbeat(const wire::Envelope& aMessage, Instant aNow);
-  /// Whether a heartbeat of the peer has been received within the timeout of its domain.
-  bool IsResponsive(const MeshPeer& aPeer, Instant aNow) const;
 
   PeerPort& mPort;
   TimerService& mTimers;
@@ -160,12 +166,22 @@
   std::string mEndpoint;
   unsigned mPower;
   MeshListener* mListener = nullptr;
-  std::map<std::string, MeshPeer> mPeers;
+  PeerTable mPeers;
+  HeartbeatRelays mRelays;
+  /// When the relays were last ranked, and for which number of changes.
+  Instant mRelaysRankedAt;
+  std::optional<std::uint64_t> mRelaysRankedFor;
+  /// The relays that the latest heartbeat went to.
+  std::vector<std::string> mUsedRelays;
+  /// Daemons whose heartbeats have new content that has not been passed on yet.
+  std::set<std::string> mChanged;
+  Instant mToldMembersAt;
+  Instant mToldDomainsAt;
+  Instant mAskedAt;
+  /// Number of the content of this daemon's own heartbeats.
+  std::uint32_t mOwnContentNumber = 0;
   /// The addresses of the peers.
   std::set<std::string> mKnownEndpoints;
-  /// Sorted by id.
-  std::vector<const MeshPeer*> mLivePeers;
-  std::uint64_t mChangeCount = 0;
   /// Addresses from which no heartbeat has been received yet, and when they were last tried.
   std::map<std::string, Instant> mUnansweredEndpoints;
   /// Whether one of them has not been tried yet.
@@ -175,6 +191,7 @@
   Instant mHeartbeatSentAt;
   /// When other failure domains were last sent one.
   Instant mForeignSentAt;
+  Instant mIntroducedAt;
 };
 
 } // namespace hawthornlug
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -474,7 +474,7 @@
     return;
   }
   mDirectory.Apply(*update);
-  mServices.mesh.Broadcast(MakeTableMessage(*update), Mesh::Audience::kAll);
+  mServices.mesh.SendToFleet(MakeTableMessage(*update));
   mOnRangesChanged();
 }
 
@@ -571,7 +571,7 @@
   }
 }
 
-void RangeRunner::OnRangeTable(const wire::RangeTable& aTable)
+bool RangeRunner::OnRangeTable(const wire::RangeTable& aTable)
 {
   DirectoryUpdate update;
   update.term = aTable.term();
@@ -581,13 +581,15 @@
     if (it.from() > it.to() || it.to() > kLastKey) {
       mServices.log.Write(EventId::kMessageMalformed,
                           { { "message", "range-table" }, { "service", mService } });
-      return;
+      return false;
     }
     update.ranges.push_back({ { it.from(), it.to() }, it.server(), it.moving() });
   }
-  if (mDirectory.Apply(update)) {
+  const bool isNewer = mDirectory.Apply(update);
+  if (isNewer) {
     mOnRangesChanged();
   }
+  return isNewer;
 }
 
 void RangeRunner::OnRangeTableRequest(const std::string& aDaemon)
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -65,7 +65,8 @@
   /// Requests a newer range table from the sender, and resigns if the sender leads with a higher
   /// term.
   void OnHeartbeat(const MeshPeer& aPeer, const wire::RouterBeat& aHeartbeat);
-  void OnRangeTable(const wire::RangeTable& aTable);
+  /// Takes the leader's table; returns whether it was newer.
+  bool OnRangeTable(const wire::RangeTable& aTable);
   void OnRangeTableRequest(const std::string& aDaemon);
   void OnKeyWorkReport(const wire::KeyWork& aWork);
   /// A server of the service was registered, its entry has changed, or it has announced that it
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -15,9 +15,6 @@
 /// Number of daemons that watch the store for all.
 constexpr unsigned kStoreWatchers = 3;
 constexpr const char* kWatcherRole = "store-watchers";
-/// Number of daemons of each failure domain that fetch objects from other domains.
-constexpr unsigned kObjectRelays = 2;
-constexpr const char* kRelayRole = "object-relays";
 /// Number of daemons of each failure domain that may pass on counts of requests in flight.
 constexpr unsigned kLoadRelays = 2;
 constexpr const char* kLoadRelayRole = "load-relays";
@@ -36,8 +33,8 @@
 constexpr Duration kLoneDirectoryInterval = seconds(4);
 /// ...and at which registrars read them, to find daemons that all others have lost.
 constexpr Duration kDirectoryInterval = seconds(30);
-/// Longest time between two heartbeats of a daemon, also to other failure domains.
-constexpr Duration kMaxHeartbeatGap = milliseconds(800);
+/// Longest time until a daemon knows what another one has reported, also through relays.
+constexpr Duration kMaxHeartbeatGap = milliseconds(1200);
 
 } // namespace
 
@@ -189,8 +186,7 @@
   mWatchesStore = SpreadRankOf(kWatcherRole, self, reliable) < kStoreWatchers;
   mIsRegistrar = RankInDomain(kRegistrarRole, self, all) < kRegistrars;
   all.push_back(self);
-  mRelays = FirstOfEachDomain(kRelayRole, all, kObjectRelays);
-  mObjectExchange.SetIsRelay(mRelays.contains(self.id));
+  mObjectExchange.SetIsRelay(mMesh.Relays().contains(self.id));
   UpdateLoadRelays(all);
 }
 
@@ -307,7 +303,7 @@
   // The other daemons request the objects that this heartbeat shows to have changed. Entries of
   // servers change often, so that other domains are told through their relays only.
   if (aKind == ObjectKind::kServer) {
-    mMesh.SendHeartbeatTo(mRelays);
+    mMesh.SendHeartbeatToRelays();
   } else {
     mMesh.SendHeartbeatNow();
   }
@@ -486,7 +482,9 @@
     }
   } else if (aMessage.has_range_table()) {
     if (RangeRunner* const ranges = FindRanges(aMessage.range_table().service())) {
-      ranges->OnRangeTable(aMessage.range_table());
+      if (ranges->OnRangeTable(aMessage.range_table())) {
+        mMesh.PassOn(aPeer, aMessage);
+      }
     }
   } else if (aMessage.has_range_table_question()) {
     if (RangeRunner* const ranges = FindRanges(aMessage.range_table_question().service())) {
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -139,8 +139,6 @@
   /// The roles of this daemon, and when they were last decided.
   bool mWatchesStore = false;
   bool mIsRegistrar = false;
-  /// The daemons that fetch objects for their failure domains, of all domains.
-  std::set<std::string> mRelays;
   Instant mRolesDecidedAt;
   /// The mesh's number of changes by then; none before the first decision.
   std::optional<std::uint64_t> mRolesDecidedFor;
--- a/tests/runtime/load_relay_test.cpp
+++ b/tests/runtime/load_relay_test.cpp
@@ -282,7 +282,8 @@
     return aLeft.messages < aRight.messages;
   });
   // Relays are the busiest role: at most two in each domain.
-  const LoadFleet::Traffic& member = traffic.at(traffic.size() - 1 - 2 * static_cast<size_t>(aShape.domains));
+  const LoadFleet::Traffic& member =
+    traffic.at(traffic.size() - 1 - 2 * static_cast<size_t>(aShape.domains));
   CHECK(member.messages < kMemberMessagesPerSecond);
   CHECK(static_cast<double>(member.bytes) < kControlBytesPerSecond);
   CHECK(traffic.back().messages < kRelayMessagesPerSecond);
--- a/tests/support/mesh_simulation.h
+++ b/tests/support/mesh_simulation.h
@@ -6,7 +6,9 @@
 #include "tests/support/manual_timers.h"
 
 #include <algorithm>
+#include <catch2/catch.hpp>
 #include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -32,7 +34,12 @@
     void Send(const std::string& aEndpoint, wire::Envelope aMessage, Delivery, Unsent) override
     {
       mNetwork.bytes += aMessage.ByteSizeLong();
-      if (!mNetwork.isolated.contains(mFrom) && !mNetwork.isolated.contains(aEndpoint)) {
+      for (const std::string& it : { mFrom, aEndpoint }) {
+        ++mNetwork.traffic[it].messages;
+        mNetwork.traffic[it].bytes += aMessage.ByteSizeLong();
+      }
+      mNetwork.sendersTo[aEndpoint].insert(mFrom);
+      if (!mNetwork.IsCut(mFrom, aEndpoint)) {
         mNetwork.messages.emplace_back(aEndpoint, std::move(aMessage));
       }
     }
@@ -43,9 +50,27 @@
     std::string mFrom;
   };
 
+  /// Messages that an endpoint has sent and received; dropped ones included.
+  struct Traffic
+  {
+    std::size_t messages = 0;
+    std::size_t bytes = 0;
+  };
+
+  bool IsCut(const std::string& aFrom, const std::string& aTo) const
+  {
+    const bool partitioned = !island.empty() && island.contains(aFrom) != island.contains(aTo);
+    return partitioned || isolated.contains(aFrom) || isolated.contains(aTo);
+  }
+
   std::deque<std::pair<std::string, wire::Envelope>> messages;
   /// Endpoints that are isolated from all others.
   std::set<std::string> isolated;
+  /// Endpoints that reach each other, but none of the others.
+  std::set<std::string> island;
+  std::map<std::string, Traffic> traffic;
+  /// Who has sent something to an endpoint.
+  std::map<std::string, std::set<std::string>> sendersTo;
   /// Size of all messages sent, dropped ones included.
   std::size_t bytes = 0;
 };
@@ -74,9 +99,10 @@
            ManualTimers& aTimers,
            DecisionLog& aLog,
            const std::string& aId,
-           const std::string& aDomain)
+           const std::string& aDomain,
+           Incarnation aIncarnation = 1)
     : port(aNetwork, aId)
-    , mesh(port, aTimers, aLog, { aId, 1 }, aDomain, aId)
+    , mesh(port, aTimers, aLog, { aId, aIncarnation }, aDomain, aId)
   {
     mesh.SetListener(listener);
   }
@@ -86,21 +112,33 @@
   Mesh mesh;
 };
 
-/// Daemons "d0", "d1", ... alternately in the domains "north" and "south"; all know the address of
-/// "d0".
+/// Daemons "d0", "d1", ... in the given domains in turn; all know the address of "d0".
 class MeshSimulation
 {
 public:
-  explicit MeshSimulation(unsigned aCount)
+  explicit MeshSimulation(unsigned aCount,
+                          const std::vector<std::string>& aDomains = { "north", "south" })
   {
     for (unsigned n = 0; n < aCount; ++n) {
-      Add("d" + std::to_string(n), n % 2 == 0 ? "north" : "south");
+      Add("d" + std::to_string(n), aDomains[n % aDomains.size()]);
     }
     for (unsigned n = 1; n < aCount; ++n) {
       nodes[n]->mesh.AddEndpoint("d0");
     }
   }
 
+  /// Replaces every daemon by a new run of it that knows the address of "d0" only.
+  void RestartAll()
+  {
+    for (std::unique_ptr<MeshNode>& it : nodes) {
+      const DaemonRef self = it->mesh.Self();
+      it = std::make_unique<MeshNode>(
+        network, timers, log, self.id, it->mesh.Domain(), self.incarnation + 1);
+      it->mesh.AddEndpoint("d0");
+    }
+    network.messages.clear();
+  }
+
   MeshNode& Add(const std::string& aId, const std::string& aDomain)
   {
     nodes.push_back(std::make_unique<MeshNode>(network, timers, log, aId, aDomain));
@@ -114,15 +152,7 @@
       for (const auto& it : nodes) {
         it->mesh.Tick(timers.now);
       }
-      while (!network.messages.empty()) {
-        const auto [endpoint, message] = network.messages.front();
-        network.messages.pop_front();
-        for (const auto& it : nodes) {
-          if (it->mesh.Self().id == endpoint) {
-            it->mesh.Receive(message);
-          }
-        }
-      }
+      Deliver();
     }
   }
 
@@ -130,7 +160,11 @@
   bool AllLive() const
   {
     return std::all_of(nodes.begin(), nodes.end(), [this](const auto& aNode) {
-      return aNode->mesh.LivePeers().size() == nodes.size() - 1;
+      const std::size_t live = aNode->mesh.LivePeers().size();
+      if (live != nodes.size() - 1) {
+        UNSCOPED_INFO(aNode->mesh.Self().id << " has " << live << " live peers");
+      }
+      return live == nodes.size() - 1;
     });
   }
 
@@ -138,6 +172,23 @@
   ManualTimers timers;
   DecisionLog log{ "test" };
   std::vector<std::unique_ptr<MeshNode>> nodes;
+
+private:
+  void Deliver()
+  {
+    std::map<std::string, MeshNode*> receivers;
+    for (const auto& it : nodes) {
+      receivers[it->mesh.Self().id] = it.get();
+    }
+    while (!network.messages.empty()) {
+      const auto [endpoint, message] = std::move(network.messages.front());
+      network.messages.pop_front();
+      const auto receiver = receivers.find(endpoint);
+      if (receiver != receivers.end()) {
+        receiver->second->mesh.Receive(message);
+      }
+    }
+  }
 };
 
 } // namespace hawthornlug::test
