Read servers' entries that change one after the other together

Cause: a watch that is answered by one changed entry was begun again 20 ms later, by each of the three watchers, and each answer is passed on to all daemons. After a change the next watch of servers' entries now begins 250 ms later; a configuration and failure domains taken out of service are still read at once. The store keeps the history meanwhile, and a server that leaves says so in its answers too, so that no bound is nearer than DrainS - 0.25 s.

Red first: 100 servers that register 30 ms apart, 309 watches, bound 45 (five a second and watcher). Ruled out: longer time-outs of idle watches (they notice a silent watch; 6 calls a second in all).

--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -77,6 +77,8 @@
   void Stop() { mTimer.reset(); }
   /// Version of the configuration in force; 0 if there is none.
   std::uint64_t ConfigurationVersion() const { return mRoutes.Version(); }
+  /// Whether the server may be sent requests, as far as its registry entry tells.
+  bool KnowsServer(const std::string& aId) const { return mSelector.Find(aId) != nullptr; }
   /// Number of other daemons that are live.
   std::size_t LivePeerCount() const { return mMesh.LivePeers().size(); }
   /// Whether callers may be sent here.
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kWatchTimeout = milliseconds(1200);
 /// Timeout of a watch for failure domains that are taken out of service, which has more time.
 constexpr Duration kDomainWatchTimeout = milliseconds(3000);
+/// After a change of servers' entries the next ones are waited for this long and read together,
+/// since each reading is a call to the store and is passed on to all daemons.
+constexpr Duration kServersPause = milliseconds(250);
 /// The store counts as lost if it has not answered for this long.
 constexpr Duration kLostAfter = milliseconds(3500);
 /// Servers' registry entries may expire if the store does not answer for this long; longer than a
@@ -158,6 +161,9 @@
   }
   const std::vector<StoredObject> changes = aApply();
   if (!changes.empty()) {
+    if (aKind == ObjectKind::kServer) {
+      followed.nextAt = std::max(followed.nextAt, mTimers.Now() + kServersPause);
+    }
     mOnChanged(aKind, changes);
   }
 }
--- a/tests/runtime/router_daemon_test.cpp
+++ b/tests/runtime/router_daemon_test.cpp
@@ -62,6 +62,28 @@
   CHECK(static_cast<double>(many) < 1.3 * static_cast<double>(few));
 }
 
+TEST_CASE("servers that change one after the other are read together", "[runtime][router]")
+{
+  constexpr unsigned kChanges = 100;
+  constexpr Duration kBetweenChanges = milliseconds(30);
+  RouterSimulation simulation({ 12, 4, 12 });
+  simulation.Run(seconds(10));
+  const std::size_t before = simulation.store.Calls(StoreCall::kWatch);
+  for (unsigned n = 0; n < kChanges; ++n) {
+    simulation.Register("new-" + std::to_string(n), "domain-0", 1);
+    simulation.Run(kBetweenChanges);
+  }
+  const std::size_t calls = simulation.store.Calls(StoreCall::kWatch) - before;
+  // Three daemons watch; each may call the store five times a second.
+  const double bound = 3 * 5 * InSeconds(kChanges * kBetweenChanges);
+  CHECK(static_cast<double>(calls) < bound);
+  // Every daemon soon knows the last one.
+  simulation.Run(seconds(1));
+  for (unsigned n = 0; n < 12; ++n) {
+    CHECK(simulation.Daemon(n)->KnowsServer("new-99"));
+  }
+}
+
 TEST_CASE("daemons that start together all serve within five seconds", "[runtime][router]")
 {
   const unsigned daemons = GENERATE(1u, 2u, 9u, 48u);
