Mesh: one place decides when other domains are due; malformed relayed heartbeats tested

Read as a newcomer: the time for heartbeats sent directly to other domains was computed in two places, with two roundings; the memory for daemons that use no relay was a bare number; IsRelay copied all members at each tick. Two tests more: malformed heartbeats that a relay passes on, and a question that repeats a number (the answer was bounded by the set of daemons already; both green at once).

--- a/membership/heartbeat_relays.cpp
+++ b/membership/heartbeat_relays.cpp
@@ -61,7 +61,10 @@
 
 bool HeartbeatRelays::IsRelay(Instant aNow) const
 {
-  return mFirstRanked.contains(mSelf.id) || !Members(aNow).empty();
+  const auto usesThis = [&](const auto& aEntry) {
+    return aNow - aEntry.second.heardAt < kMemberTimeout;
+  };
+  return mFirstRanked.contains(mSelf.id) || std::any_of(mMembers.begin(), mMembers.end(), usesThis);
 }
 
 std::set<std::string> HeartbeatRelays::ForeignRelays(Instant aNow) const
--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -199,11 +199,15 @@
                             Duration(seconds(1)) * peers / kForeignHeartbeatsPerSecond);
 }
 
-void Mesh::SendDueHeartbeat()
+bool Mesh::IsForeignHeartbeatDue(bool aHasRole, Instant aNow) const
 {
-  const Duration interval = ForeignInterval(mListener->DescribeSelf().hasRole);
   // Half a heartbeat early is better than half a heartbeat late.
-  const bool foreignDue = mTimers.Now() - mForeignSentAt >= interval - kHeartbeatInterval / 2;
+  return aNow - mForeignSentAt >= ForeignInterval(aHasRole) - kHeartbeatInterval / 2;
+}
+
+void Mesh::SendDueHeartbeat()
+{
+  const bool foreignDue = IsForeignHeartbeatDue(mListener->DescribeSelf().hasRole, mTimers.Now());
   const bool introducing = mSequence < kFirstIntroductions;
   SendHeartbeatNow(foreignDue || introducing ? Audience::kAll : Audience::kOwnDomain);
 }
@@ -263,15 +267,14 @@
   }
 }
 
-std::set<std::string> Mesh::PeersWithoutRelay(bool aHasRelays, Instant aNow) const
+std::set<std::string> Mesh::PeersWithoutRelay(bool aHasRelays, bool aForeignDue, Instant aNow) const
 {
-  const bool foreignDue = aNow - mForeignSentAt >= ForeignInterval(false) - kHeartbeatInterval / 2;
   std::set<std::string> peers;
   for (const auto& [id, peer] : mPeers.All()) {
     const bool isNeighbour = peer.domain == mDomain;
     // One that is silent may be able to hear this daemon sooner than any relay.
     const bool unreached = isNeighbour && (!peer.live || !aHasRelays);
-    const bool needsDirect = peer.UsesNoRelay(aNow) && (isNeighbour || foreignDue);
+    const bool needsDirect = peer.UsesNoRelay(aNow) && (isNeighbour || aForeignDue);
     if (unreached || needsDirect) {
       peers.insert(id);
     }
@@ -283,10 +286,9 @@
 {
   mHeartbeatSentAt = aNow;
   wire::Envelope heartbeat = MakeIntroducedHeartbeat();
-  SendSoon(PeersWithoutRelay(!aRelays.empty(), aNow), heartbeat);
-  if (aNow - mForeignSentAt >= ForeignInterval(false)) {
-    mForeignSentAt = aNow;
-  }
+  const bool foreignDue = IsForeignHeartbeatDue(false, aNow);
+  mForeignSentAt = foreignDue ? aNow : mForeignSentAt;
+  SendSoon(PeersWithoutRelay(!aRelays.empty(), foreignDue, aNow), heartbeat);
   RelayUse use = RelayUse::kFirstChoice;
   for (const std::string& it : aRelays) {
     heartbeat.mutable_beat()->set_relay_use(static_cast<std::uint32_t>(use));
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -114,6 +114,8 @@
   /// Sends a small fleet's heartbeat at its time: to other failure domains only if one is due
   /// there.
   void SendDueHeartbeat();
+  /// Whether other failure domains are to be sent a heartbeat directly now.
+  bool IsForeignHeartbeatDue(bool aHasRole, Instant aNow) const;
   /// Interval of heartbeats to other failure domains. It rises with the number of daemons there,
   /// except for a daemon that they rely on.
   Duration ForeignInterval(bool aHasRole) const;
@@ -126,8 +128,9 @@
   /// Sends a heartbeat to the relays of the own domain, and to daemons that have to be told
   /// directly.
   void SendToOwnRelays(const std::vector<std::string>& aRelays, Instant aNow);
-  /// The daemons that no relay tells of this one.
-  std::set<std::string> PeersWithoutRelay(bool aHasRelays, Instant aNow) const;
+  /// The daemons that no relay tells of this one. @p aForeignDue: whether those of other failure
+  /// domains are to be told now.
+  std::set<std::string> PeersWithoutRelay(bool aHasRelays, bool aForeignDue, Instant aNow) const;
   /// As a relay, tells those that use it, and the relays of other domains, whom it hears.
   void TellMembers(Instant aNow);
   void TellOtherDomains(Instant aNow);
--- a/runtime/mesh_peer.h
+++ b/runtime/mesh_peer.h
@@ -12,6 +12,9 @@
 
 namespace hawthornlug {
 
+/// A daemon counts as using no relay for this long after it has said so.
+inline constexpr Duration kUsesNoRelayMemory = seconds(2);
+
 /// Another routing daemon, as described by its latest heartbeat.
 struct MeshPeer
 {
@@ -44,7 +47,10 @@
   bool live = false;
 
   /// Whether it has to be sent directly what others get through relays.
-  bool UsesNoRelay(Instant aNow) const { return !canRelay || aNow - usedNoRelayAt < seconds(2); }
+  bool UsesNoRelay(Instant aNow) const
+  {
+    return !canRelay || aNow - usedNoRelayAt < kUsesNoRelayMemory;
+  }
 };
 
 /// What a daemon reports about itself in its heartbeats; fields as in MeshPeer.
--- a/tests/runtime/mesh_fleet_test.cpp
+++ b/tests/runtime/mesh_fleet_test.cpp
@@ -251,7 +251,7 @@
   }
 }
 
-TEST_CASE("heartbeats of the largest fleets", "[.large-fleet][mesh]")
+TEST_CASE("heartbeats of the largest fleets", "[.large-fleet]")
 {
   const Shape shape = GENERATE(Shape{ 195, 6 }, Shape{ 341, 6 }, Shape{ 470, 10 });
   CheckCost(shape);
--- a/tests/runtime/mesh_test.cpp
+++ b/tests/runtime/mesh_test.cpp
@@ -69,6 +69,51 @@
   }
 }
 
+TEST_CASE("malformed heartbeats that a relay passes on are ignored", "[runtime][mesh]")
+{
+  MeshSimulation simulation(3);
+  simulation.Run(seconds(3));
+  wire::Envelope message;
+  message.mutable_from()->set_id("d1");
+  message.mutable_from()->set_incarnation(1);
+  wire::RouterBeat& heartbeat = *message.mutable_beat();
+  heartbeat.set_sequence(1000000);
+  heartbeat.set_relay_use(99);
+  // Without a name; without an address; of the receiver itself.
+  heartbeat.add_relayed()->mutable_beat()->set_endpoint("e");
+  heartbeat.add_relayed()->mutable_from()->set_id("nowhere");
+  wire::RelayedBeat& ofReceiver = *heartbeat.add_relayed();
+  ofReceiver.mutable_from()->set_id("d0");
+  ofReceiver.mutable_from()->set_incarnation(7);
+  ofReceiver.mutable_beat()->set_endpoint("elsewhere");
+  // More numbers than ages, and an age beyond any bound.
+  heartbeat.add_heard(1);
+  heartbeat.add_heard(2);
+  heartbeat.add_heard_ages(0xffffffff);
+  Mesh& mesh = simulation.nodes[0]->mesh;
+  mesh.Receive(message);
+  CHECK(mesh.LivePeers().size() == 2);
+  CHECK(mesh.KnownPeers(simulation.timers.now).size() == 2);
+  CHECK(mesh.Self().incarnation == 1);
+  CHECK(mesh.IsLive("d1"));
+}
+
+TEST_CASE("the answer to a question for heartbeats names each daemon once", "[runtime][mesh]")
+{
+  MeshSimulation simulation(3);
+  simulation.Run(seconds(3));
+  wire::Envelope question;
+  question.mutable_from()->set_id("d1");
+  question.mutable_from()->set_incarnation(1);
+  const std::uint32_t number = simulation.nodes[0]->mesh.LivePeers().back()->contentNumber;
+  for (int n = 0; n < 1000; ++n) {
+    question.mutable_relayed_beats_question()->add_numbers(number);
+  }
+  simulation.nodes[0]->mesh.Receive(question);
+  REQUIRE(simulation.network.messages.size() == 1);
+  CHECK(simulation.network.messages.front().second.beat().relayed_size() == 1);
+}
+
 TEST_CASE("heartbeats between known peers stay within their traffic budget", "[runtime][mesh]")
 {
   MeshSimulation simulation(9);
