Mesh: a relay that is told directly too is told first that it is used as one

Found by reading the diff: a heartbeat went to daemons that use no relay first and to the sender's relays then. A relay that had used none within the last 2 s, as at every start of a fleet, was in both sets, took only the first of the two messages of one number, and did not learn that it is used; it was replaced after 0.5 s.

Red first: half of the heartbeats to such relays did not use them; green after. What a fleet's start gains by it was not measured.

--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -288,7 +288,12 @@
   wire::Envelope heartbeat = MakeIntroducedHeartbeat();
   const bool foreignDue = IsForeignHeartbeatDue(false, aNow);
   mForeignSentAt = foreignDue ? aNow : mForeignSentAt;
-  SendSoon(PeersWithoutRelay(!aRelays.empty(), foreignDue, aNow), heartbeat);
+  std::set<std::string> toldDirectly = PeersWithoutRelay(!aRelays.empty(), foreignDue, aNow);
+  for (const std::string& it : aRelays) {
+    // It takes only the first of two messages with one heartbeat: the one that uses it as a relay.
+    toldDirectly.erase(it);
+  }
+  SendSoon(toldDirectly, heartbeat);
   RelayUse use = RelayUse::kFirstChoice;
   for (const std::string& it : aRelays) {
     heartbeat.mutable_beat()->set_relay_use(static_cast<std::uint32_t>(use));
--- a/tests/runtime/mesh_fleet_test.cpp
+++ b/tests/runtime/mesh_fleet_test.cpp
@@ -224,11 +224,58 @@
   }
 }
 
+TEST_CASE("relays that used no relay themselves a moment ago are used all the same",
+          "[runtime][mesh]")
+{
+  SettledFleet simulation({ 48, 4 });
+  const std::set<std::string> relays = RelaysIn(simulation, "z1");
+  MeshNode& member = *simulation.nodes[5];
+  REQUIRE_FALSE(relays.contains(member.mesh.Self().id));
+  // A relay takes only the first of two messages with one heartbeat.
+  std::map<std::string, std::map<std::uint64_t, bool>> usedAsRelay;
+  simulation.network.onSend =
+    [&](const std::string& aFrom, const std::string& aTo, const wire::Envelope& aMessage) {
+      if (aFrom == member.mesh.Self().id && relays.contains(aTo) && aMessage.has_beat()) {
+        const wire::RouterBeat& heartbeat = aMessage.beat();
+        usedAsRelay[aTo].try_emplace(heartbeat.sequence(), heartbeat.relay_use() != 0);
+      }
+    };
+  for (Duration time = Duration::zero(); time < milliseconds(420); time += kMeshTick) {
+    for (const MeshPeer* it : member.mesh.LivePeers()) {
+      if (relays.contains(it->ref.id)) {
+        wire::Envelope heartbeat;
+        heartbeat.mutable_from()->set_id(it->ref.id);
+        heartbeat.mutable_from()->set_incarnation(it->ref.incarnation);
+        heartbeat.mutable_beat()->set_sequence(it->sequence + 1);
+        heartbeat.mutable_beat()->set_direct(true);
+        // It passes something on, so that it is not replaced as silent.
+        heartbeat.mutable_beat()->add_heard(it->contentNumber);
+        heartbeat.mutable_beat()->add_heard_ages(0);
+        member.mesh.Receive(heartbeat);
+      }
+    }
+    simulation.Run(kMeshTick);
+  }
+  for (const std::string& it : relays) {
+    REQUIRE_FALSE(usedAsRelay[it].empty());
+    for (const auto& [sequence, used] : usedAsRelay[it]) {
+      CHECK(used);
+    }
+  }
+}
+
 TEST_CASE("a daemon whose version knows no relays hears all, and is heard by all",
           "[runtime][mesh]")
 {
   SettledFleet simulation({ 48, 4 });
   Network::Port port(simulation.network, "old");
+  std::set<std::string> heard;
+  simulation.network.onSend =
+    [&](const std::string& aFrom, const std::string& aTo, const wire::Envelope&) {
+      if (aTo == "old") {
+        heard.insert(aFrom);
+      }
+    };
   for (std::uint64_t n = 1; n <= 12; ++n) {
     wire::Envelope heartbeat;
     heartbeat.mutable_from()->set_id("old");
@@ -240,11 +287,11 @@
       port.Send(it->mesh.Self().id, heartbeat, Delivery::kSoon, nullptr);
     }
     if (n == 8) {
-      simulation.network.sendersTo.clear();
+      heard.clear();
     }
     simulation.Run(milliseconds(400));
   }
-  CHECK(simulation.network.sendersTo["old"].size() == simulation.nodes.size());
+  CHECK(heard.size() == simulation.nodes.size());
   for (const auto& it : simulation.nodes) {
     CHECK(it->mesh.IsLive("old"));
     CHECK_FALSE(it->mesh.Relays().contains("old"));
--- a/tests/support/mesh_simulation.h
+++ b/tests/support/mesh_simulation.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -38,7 +39,9 @@
         ++mNetwork.traffic[it].messages;
         mNetwork.traffic[it].bytes += aMessage.ByteSizeLong();
       }
-      mNetwork.sendersTo[aEndpoint].insert(mFrom);
+      if (mNetwork.onSend) {
+        mNetwork.onSend(mFrom, aEndpoint, aMessage);
+      }
       if (!mNetwork.IsCut(mFrom, aEndpoint)) {
         mNetwork.messages.emplace_back(aEndpoint, std::move(aMessage));
       }
@@ -69,8 +72,8 @@
   /// Endpoints that reach each other, but none of the others.
   std::set<std::string> island;
   std::map<std::string, Traffic> traffic;
-  /// Who has sent something to an endpoint.
-  std::map<std::string, std::set<std::string>> sendersTo;
+  /// Called with sender, receiver and each message that is sent.
+  std::function<void(const std::string&, const std::string&, const wire::Envelope&)> onSend;
   /// Size of all messages sent, dropped ones included.
   std::size_t bytes = 0;
 };
