--- a/tests/runtime/mesh_fleet_test.cpp
+++ b/tests/runtime/mesh_fleet_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr Duration kStartTime = seconds(7);
+constexpr Duration kStartTime = seconds(4);
 /// A daemon's loss must be known by then in its own domain, and elsewhere.
 constexpr Duration kOwnLossBound = milliseconds(1300);
 constexpr Duration kForeignLossBound = milliseconds(2000);
