Log what ended an owner's hold, who showed that an earlier leader stopped, and how old that is

No decision changes. The simulation logs events as they come, not at the next tick: transcripts differ in the word 'restarted' and in times of less than a tick.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Indexed by EventId.
-constexpr std::array<EventInfo, 61> kCatalogue = { {
+constexpr std::array<EventInfo, 62> kCatalogue = { {
   { 100, 'i', "started" },
   { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },
@@ -58,6 +58,7 @@
   { 530, 'i', "ranges-taken" },
   { 531, 'w', "ranges-superseded" },
   { 532, 'i', "range-moved" },
+  { 533, 'i', "earlier-leader-stopped" },
   { 534, 'w', "order-failed" },
   { 800, 'i', "request-done" },
   { 801, 'w', "request-refused" },
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -64,6 +64,7 @@
   kRangesTaken,
   kRangesSuperseded,
   kRangeMoved,
+  kEarlierLeaderStopped,
   kOrderFailed,
   kRequestDone,
   kRequestRefused,
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -223,12 +223,26 @@
   aActions.emplace_back(std::move(action));
 }
 
+OwnerEndProof RangeGranter::StopProofOf(const Range& aRange)
+{
+  if (aRange.owned.owner.id.empty()) {
+    return OwnerEndProof::kNone;
+  }
+  return aRange.ownerStopped ? OwnerEndProof::kAddressReused : OwnerEndProof::kRestarted;
+}
+
+void RangeGranter::SetReleased(Range& aRange, OwnerEndProof aProof, Instant aNow)
+{
+  aRange.phase = RangePhase::kReleased;
+  aRange.phaseSince = aNow;
+  aRange.endProof = aProof;
+}
+
 void RangeGranter::TickHeld(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions)
 {
   if (aRange.ownerStopped || HasStopped(aRange.owned.owner)) {
     // The incarnation that owned the keys has stopped, so its grants no longer count.
-    aRange.phase = RangePhase::kReleased;
-    aRange.phaseSince = aNow;
+    SetReleased(aRange, StopProofOf(aRange), aNow);
     aRange.handover.clear();
     aRange.target = aRange.ownerStopped ? std::string() : aRange.owned.owner.id;
     return;
@@ -245,8 +259,10 @@
   const bool expired = aNow >= aRange.grantsExpireAt && aRange.pendingGrants == 0;
   const bool released = aRange.releaseAnswered && aNow >= aRange.unansweredExpireAt;
   if (stopped || expired || released) {
-    aRange.phase = RangePhase::kReleased;
-    aRange.phaseSince = aNow;
+    const OwnerEndProof proof = released  ? OwnerEndProof::kReleased
+                                : expired ? OwnerEndProof::kLapsed
+                                          : StopProofOf(aRange);
+    SetReleased(aRange, proof, aNow);
     return;
   }
   if (aRange.pendingGrants > 0 || aRange.releaseAnswered || aNow < aRange.retryAt) {
@@ -427,7 +443,7 @@
                range.owned.owner.id,
                it.owner.id,
                it.token,
-               range.releaseAnswered ? "released" : "lapsed" });
+               std::string(NameOf(kOwnerEndProofNames, range.endProof)) });
     Range next;
     next.owned = it;
     next.handover = range.handover;
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -85,6 +85,21 @@
   std::string to;
 };
 
+/// What showed that a range's earlier owner no longer held it when it got its present one.
+enum class OwnerEndProof
+{
+  kNone,          ///< No server had owned it.
+  kReleased,      ///< The owner has released the keys.
+  kLapsed,        ///< Every grant that may have reached the owner has expired.
+  kRestarted,     ///< The registry has another incarnation of the owner.
+  kAddressReused, ///< Another server has answered at the owner's address.
+};
+inline constexpr EnumNames<5> kOwnerEndProofNames = { "none",
+                                                      "released",
+                                                      "lapsed",
+                                                      "restarted",
+                                                      "address-reused" };
+
 /// A change made or noticed by the granter, for the event log.
 struct GranterEvent
 {
@@ -204,6 +219,8 @@
     Instant retryAt;
     /// The owner has reported that it released the keys.
     bool releaseAnswered = false;
+    /// Set when the range is released.
+    OwnerEndProof endProof = OwnerEndProof::kNone;
     /// The owner has stopped: another server answered at its address, and an address is reused only
     /// after the server that had it has stopped.
     bool ownerStopped = false;
@@ -234,6 +251,10 @@
   Duration MaxGrantLifetime() const;
   /// Whether @p aOwner can hold no keys: its id is empty, or the registry has another incarnation.
   bool HasStopped(const ServerRef& aOwner) const;
+  /// How the range's owner is known to have stopped.
+  static OwnerEndProof StopProofOf(const Range& aRange);
+  /// Notes that no server holds the range any more.
+  void SetReleased(Range& aRange, OwnerEndProof aProof, Instant aNow);
   void TickRange(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void TickHeld(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void TickReleasing(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -102,6 +102,7 @@
   }
   if (mServersChangedAt >= mServersUpdatedAt || aNow - mServersUpdatedAt >= kServersInterval) {
     UpdateGrantableServers();
+    CheckEarlierLeader();
   }
   WatchRecord(aNow);
   if (mGranter.IsLeader() && aNow - mPlannedAt >= kPlanInterval) {
@@ -310,24 +311,43 @@
     servers[it.id] = { it.incarnation, it.address, true, mServices.selector.IsOpen(it.id) };
   }
   mGranter.SetServers(std::move(servers));
+}
+
+std::optional<EarlierLeaderEnd> RangeRunner::EndOf(const DaemonRef& aLeader) const
+{
+  const DaemonRef& self = mServices.mesh.Self();
+  if (aLeader.id == self.id && aLeader.incarnation < self.incarnation) {
+    return EarlierLeaderEnd::kOwnIncarnation;
+  }
   for (const MeshPeer* it : mServices.mesh.LivePeers()) {
-    // Either it has restarted, or its heartbeat, sent well after the takeover, no longer claims
-    // the ranges: it grants no more.
-    const bool stopped = it->ref.id == mEarlierLeader.id &&
-                         (it->ref.incarnation > mEarlierLeader.incarnation ||
-                          (!it->claims.contains(mService) &&
-                           it->heartbeatAt > mBecameLeaderAt + kHeartbeatSettleTime));
-    if (stopped && mGranter.IsLeader()) {
-      mGranter.OnEarlierLeaderStopped(mServices.timers.Now());
-      mEarlierLeader = DaemonRef();
-      break;
+    if (it->ref.id != aLeader.id) {
+      continue;
+    }
+    if (it->ref.incarnation > aLeader.incarnation) {
+      return EarlierLeaderEnd::kRestarted;
     }
+    // A heartbeat that was sent well after the takeover and no longer claims the ranges.
+    const bool gaveUp =
+      !it->claims.contains(mService) && it->heartbeatAt > mBecameLeaderAt + kHeartbeatSettleTime;
+    return gaveUp ? std::optional(EarlierLeaderEnd::kNoClaim) : std::nullopt;
   }
-  if (mEarlierLeader.id == mServices.mesh.Self().id &&
-      mEarlierLeader.incarnation < mServices.mesh.Self().incarnation && mGranter.IsLeader()) {
-    mGranter.OnEarlierLeaderStopped(mServices.timers.Now());
-    mEarlierLeader = DaemonRef();
+  return std::nullopt;
+}
+
+void RangeRunner::CheckEarlierLeader()
+{
+  const std::optional<EarlierLeaderEnd> end =
+    mGranter.IsLeader() ? EndOf(mEarlierLeader) : std::nullopt;
+  if (!end) {
+    return;
   }
+  mServices.log.Write(EventId::kEarlierLeaderStopped,
+                      { { "service", mService },
+                        { "leader", mEarlierLeader.id },
+                        { "incarnation", mEarlierLeader.incarnation },
+                        { "proof", NameOf(kEarlierLeaderEndNames, *end) } });
+  mGranter.OnEarlierLeaderStopped(mServices.timers.Now());
+  mEarlierLeader = DaemonRef();
 }
 
 void RangeRunner::Plan(Instant aNow)
@@ -480,17 +500,18 @@
 
 void RangeRunner::LogGranterEvents()
 {
+  const Instant now = mServices.timers.Now();
   for (const GranterEvent& it : mGranter.TakeEvents()) {
     EventId id = EventId::kRangeMoved;
     if (it.type == GranterEvent::Type::kTaken) {
       id = EventId::kRangesTaken;
-      mBecameLeaderAt = mServices.timers.Now();
+      mBecameLeaderAt = now;
       mServices.mesh.SendHeartbeatNow();
     } else if (it.type == GranterEvent::Type::kSuperseded) {
       id = EventId::kRangesSuperseded;
       // The daemon that has superseded this one is running, even if no heartbeat of it has arrived
       // yet.
-      mTakeoverRetryAt = mServices.timers.Now() + kSupersededDelay;
+      mTakeoverRetryAt = now + kSupersededDelay;
     }
     mServices.log.Write(id,
                         { { "service", mService },
@@ -499,7 +520,8 @@
                           { "old", it.from },
                           { "new", it.to },
                           { "token", it.token },
-                          { "reason", it.reason } });
+                          { "reason", it.reason },
+                          { "confirmed-ms", Millis(now - mGranter.ConfirmedAt()) } });
   }
 }
 
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -44,6 +44,17 @@
   bool readsRecord = false;
 };
 
+/// How a leader is known to have stopped granting.
+enum class EarlierLeaderEnd
+{
+  kOwnIncarnation, ///< It was an earlier process of this daemon.
+  kRestarted,      ///< A later process of its daemon is heard.
+  kNoClaim,        ///< Its heartbeats no longer claim the service.
+};
+inline constexpr EnumNames<3> kEarlierLeaderEndNames = { "own-incarnation",
+                                                         "restarted",
+                                                         "no-claim" };
+
 /// The key ranges of one service. Every daemon has one for each keyed service; in the leader it
 /// also grants the keys. Runs on the daemon's event loop.
 class RangeRunner
@@ -99,9 +110,12 @@
   /// Watches the range record, as the leader: it must still name this daemon.
   void WatchRecord(Instant aNow);
   void OnRecordWatched(const StoreReading& aReading);
-  /// Passes the service's servers to the granter, and reports the earlier leader as stopped once a
-  /// heartbeat confirms that.
+  /// Passes the service's servers to the granter.
   void UpdateGrantableServers();
+  /// How @p aLeader is known to grant no more; nothing if it may still do so.
+  std::optional<EarlierLeaderEnd> EndOf(const DaemonRef& aLeader) const;
+  /// Reports the earlier leader as stopped once a heartbeat confirms that.
+  void CheckEarlierLeader();
   void Execute(const std::vector<GranterAction>& aActions);
   /// Logs a grant or release command that failed, and passes on the server's notice.
   void OnCommandAnswered(const char* aCommand,
--- a/tests/support/range_simulation.cpp
+++ b/tests/support/range_simulation.cpp
@@ -163,7 +163,15 @@
     }
   }
   Act(aDaemon);
-  for (const GranterEvent& it : granter.TakeEvents()) {
+}
+
+void RangeSimulation::Act(unsigned aDaemon)
+{
+  Daemon& daemon = mDaemons[aDaemon];
+  for (const GranterAction& it : daemon.granter->Tick(mNow)) {
+    Execute(aDaemon, it);
+  }
+  for (const GranterEvent& it : daemon.granter->TakeEvents()) {
     if (it.type == GranterEvent::Type::kTaken) {
       ++mTakeovers;
       AppendLine(daemon.ref.id + " takes over with token " + std::to_string(it.token));
@@ -177,13 +185,6 @@
   }
 }
 
-void RangeSimulation::Act(unsigned aDaemon)
-{
-  for (const GranterAction& it : mDaemons[aDaemon].granter->Tick(mNow)) {
-    Execute(aDaemon, it);
-  }
-}
-
 void RangeSimulation::CheckEarlierLeader(Daemon& aDaemon)
 {
   if (aDaemon.earlierLeader.id.empty()) {
