Range granter: a leader that was paused acts on nothing that it knew before

A leader that had been frozen handled the answers that had come meanwhile first, and sent the renewals that were due by a token that other servers had long been granted past; an answer of the store that had waited for the whole freeze counted as a fresh confirmation that it still led.

Change: the granter itself notices a gap between two of its ticks and resigns; a confirmation counts only if the store was asked for it no longer than maxConfirmationAge ago, and a write from when it was sent.

Tests: range_granter_test 'a leader that was paused', 'an answer of the store that is read late'; both need the new calls, so they were not run on the code before.

--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -78,6 +78,7 @@
   mPendingWrite = std::move(record);
   mWriteSent = false;
   mWriteRetryAt = aNow;
+  mLastTickAt = aNow;
   mState = State::kTakingOver;
 }
 
@@ -336,15 +337,23 @@
     return;
   }
   mWriteSent = true;
+  mWriteSentAt = aNow;
   aActions.emplace_back(WriteRecord{ mRevision, EncodeRangeRecord(*mPendingWrite) });
 }
 
 std::vector<GranterAction> RangeGranter::Tick(Instant aNow)
 {
   std::vector<GranterAction> actions;
+  const Duration gap = aNow - mLastTickAt;
+  mLastTickAt = aNow;
   if (mState == State::kIdle) {
     return actions;
   }
+  if (gap > kMaxTickGap) {
+    AddEvent({ GranterEvent::Type::kPaused, {}, mSelf.id, "", 0, "paused" });
+    Resign();
+    return actions;
+  }
   if (mState == State::kLeading) {
     MergeRanges();
     for (auto& [from, range] : mRanges) {
@@ -387,7 +396,20 @@
   Resign();
 }
 
-void RangeGranter::OnRecordRead(const StoredObject& aRecord, Instant aNow)
+void RangeGranter::ConfirmLeadership(Instant aAskedAt, Instant aNow)
+{
+  // An answer that is older, because this daemon was paused, does not show that it still leads.
+  if (aNow - aAskedAt <= mTiming.maxConfirmationAge) {
+    mLeadershipConfirmedAt = aNow;
+  }
+}
+
+void RangeGranter::OnRecordUnchanged(Instant aAskedAt, Instant aNow)
+{
+  ConfirmLeadership(aAskedAt, aNow);
+}
+
+void RangeGranter::OnRecordRead(const StoredObject& aRecord, Instant aAskedAt, Instant aNow)
 {
   if (mState != State::kLeading || aRecord.revision < mRevision) {
     return;
@@ -395,7 +417,7 @@
   RangeRecord stored;
   const bool readable = DecodeRangeRecord(aRecord.value, stored) && !aRecord.removed;
   if (readable && stored.leader == mSelf && stored.term == mRecord.term) {
-    mLeadershipConfirmedAt = aNow;
+    ConfirmLeadership(aAskedAt, aNow);
     return;
   }
   AddEvent({ GranterEvent::Type::kSuperseded, {}, mSelf.id, stored.leader.id, 0, "record" });
@@ -427,7 +449,7 @@
   mRevision = aRevision;
   mRecord = std::move(*mPendingWrite);
   mPendingWrite.reset();
-  mLeadershipConfirmedAt = aNow;
+  mLeadershipConfirmedAt = mWriteSentAt;
   if (mState == State::kTakingOver) {
     CommitTakeover(aNow);
     return;
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -107,6 +107,7 @@
   {
     kTaken,      ///< This daemon became leader.
     kSuperseded, ///< Another daemon is leader, or a server has seen a higher token.
+    kPaused,     ///< This daemon did not run for a while, so another one may be leader.
     kMoved,      ///< A range has a new owner.
   };
   Type type = Type::kTaken;
@@ -158,10 +159,10 @@
   /// Reports that the earlier leader is confirmed to have stopped. It renews no more, so its grants
   /// expire within the lifetime of one grant from now.
   void OnEarlierLeaderStopped(Instant aNow);
-  /// Reports that @p aRecord was read from the store.
-  void OnRecordRead(const StoredObject& aRecord, Instant aNow);
-  /// Reports that the store was asked and the record has not changed since Revision().
-  void OnRecordUnchanged(Instant aNow) { mLeadershipConfirmedAt = aNow; }
+  /// Reports that @p aRecord was read from the store, which was asked for it at @p aAskedAt.
+  void OnRecordRead(const StoredObject& aRecord, Instant aAskedAt, Instant aNow);
+  /// Reports that the store, asked at @p aAskedAt, has no record later than Revision().
+  void OnRecordUnchanged(Instant aAskedAt, Instant aNow);
   /// When the store last confirmed that the record names this daemon, as the leader.
   Instant ConfirmedAt() const { return mLeadershipConfirmedAt; }
   /// Revision of the record as this daemon last wrote it.
@@ -174,7 +175,8 @@
   /// by the record is older than GrantTiming::maxConfirmationAge.
   void Move(const RangeMove& aMove, Instant aNow);
 
-  /// Advances all ranges to @p aNow and returns the actions to execute.
+  /// Advances all ranges to @p aNow and returns the actions to execute. Resigns if the last call
+  /// was longer than kMaxTickGap ago.
   std::vector<GranterAction> Tick(Instant aNow);
   /// Reports the result of the latest WriteRecord action.
   void OnWritten(const StoreWrite& aWrite, Instant aNow);
@@ -225,6 +227,8 @@
     /// after the server that had it has stopped.
     bool ownerStopped = false;
   };
+  /// A leader that was paused for longer may have been superseded meanwhile.
+  static constexpr Duration kMaxTickGap = milliseconds(900);
   /// All ranges by first key.
   const std::map<RangeKey, Range>& Ranges() const { return mRanges; }
   /// Whether grants to the owner have failed for longer than kUnresponsiveAfter, so that its keys
@@ -255,6 +259,7 @@
   static OwnerEndProof StopProofOf(const Range& aRange);
   /// Notes that no server holds the range any more.
   void SetReleased(Range& aRange, OwnerEndProof aProof, Instant aNow);
+  void ConfirmLeadership(Instant aAskedAt, Instant aNow);
   void TickRange(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void TickHeld(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void TickReleasing(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
@@ -289,7 +294,9 @@
   /// The write that is being made. It is repeated unchanged until its outcome is known.
   std::optional<RangeRecord> mPendingWrite;
   bool mWriteSent = false;
+  Instant mWriteSentAt;
   Instant mWriteRetryAt;
+  Instant mLastTickAt;
   /// The earlier leader is not confirmed to have stopped and may still renew its grants.
   bool mEarlierLeaderMayGrant = false;
   /// When the stored record was last confirmed to name this daemon.
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -12,9 +12,6 @@
 constexpr Duration kLoadHalfLife = milliseconds(2500);
 constexpr Duration kPlanInterval = milliseconds(250);
 constexpr Duration kReportInterval = milliseconds(300);
-/// A daemon whose ticks were further apart than this (it was paused) may have been superseded
-/// meanwhile.
-constexpr Duration kMaxTickGap = milliseconds(900);
 /// After its start a daemon waits this long for the others' heartbeats before it grants anything.
 constexpr Duration kStartupListenTime = milliseconds(1500);
 /// The keys are granted for the first time only when no server has been registered or changed for
@@ -63,23 +60,11 @@
   , mStartedAt(aServices.timers.Now())
   , mServersChangedAt(mStartedAt)
   , mLeaderSeenAt(mStartedAt)
-  , mLastTickAt(mStartedAt)
 {
 }
 
 void RangeRunner::Tick(Instant aNow, const RangeDaemonState& aDaemon)
 {
-  const Duration gap = aNow - mLastTickAt;
-  mLastTickAt = aNow;
-  if (!mGranter.IsIdle() && gap > kMaxTickGap) {
-    // Another daemon may have taken over during the gap, so this one sends no commands based on
-    // what it knew before.
-    mServices.log.Write(
-      EventId::kRangesSuperseded,
-      { { "service", mService }, { "reason", "paused" }, { "gap-ms", Millis(gap) } });
-    mGranter.Resign();
-    mLeaderSeenAt = aNow;
-  }
   ReportWork(aNow);
   if (mGranter.IsIdle()) {
     if (aDaemon.readsRecord) {
@@ -268,6 +253,7 @@
     return;
   }
   mWatching = true;
+  mWatchSentAt = aNow;
   mWatchRevision = std::max(mWatchRevision, mGranter.Revision());
   const auto done = [this](const StoreReading& aReading) { OnRecordWatched(aReading); };
   if (mRecordHistoryGone) {
@@ -294,11 +280,11 @@
   for (const StoredObject& it : aReading.objects) {
     if (it.name == mService) {
       seen = true;
-      mGranter.OnRecordRead(it, now);
+      mGranter.OnRecordRead(it, mWatchSentAt, now);
     }
   }
   if (!seen) {
-    mGranter.OnRecordUnchanged(now);
+    mGranter.OnRecordUnchanged(mWatchSentAt, now);
   }
   LogGranterEvents();
 }
@@ -444,6 +430,7 @@
       const Instant now = mServices.timers.Now();
       mGranter.OnReleased(order, aOutcome, now);
       Execute(mGranter.Tick(now));
+      LogGranterEvents();
     });
 }
 
@@ -507,6 +494,9 @@
       id = EventId::kRangesTaken;
       mBecameLeaderAt = now;
       mServices.mesh.SendHeartbeatNow();
+    } else if (it.type == GranterEvent::Type::kPaused) {
+      id = EventId::kRangesSuperseded;
+      mLeaderSeenAt = now;
     } else if (it.type == GranterEvent::Type::kSuperseded) {
       id = EventId::kRangesSuperseded;
       // The daemon that has superseded this one is running, even if no heartbeat of it has arrived
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -150,7 +150,6 @@
   Instant mPublishedAt;
   /// When there last was a leader.
   Instant mLeaderSeenAt;
-  Instant mLastTickAt;
   Instant mPlannedAt;
   Instant mReportedAt;
   Instant mTableRequestedAt;
@@ -162,6 +161,8 @@
   /// Revision from which the range record is watched.
   Version mWatchRevision = 0;
   bool mWatching = false;
+  /// When the store was last asked for changes of the range record.
+  Instant mWatchSentAt;
   /// The store no longer has the changes since that revision: the record must be listed.
   bool mRecordHistoryGone = false;
   /// Whether a list call for the range record is in progress.
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -46,7 +46,7 @@
   void Advance(Duration aDuration)
   {
     for (const Instant end = now + aDuration; now < end; now += kStep) {
-      granter.OnRecordUnchanged(now);
+      granter.OnRecordUnchanged(now, now);
       for (const GranterAction& it : granter.Tick(now)) {
         Execute(it);
       }
@@ -243,6 +243,32 @@
   CHECK(*elapsed < milliseconds(500));
 }
 
+TEST_CASE("a leader that was paused sends nothing by what it knew before", "[ownership][ranges]")
+{
+  GranterFixture fixture;
+  fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
+  fixture.Advance(seconds(1));
+  fixture.now += RangeGranter::kMaxTickGap + kStep;
+  CHECK(fixture.granter.Tick(fixture.now).empty());
+  CHECK(fixture.granter.IsIdle());
+}
+
+TEST_CASE("an answer of the store that is read late does not confirm the leader",
+          "[ownership][ranges]")
+{
+  GranterFixture fixture;
+  fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
+  fixture.Advance(seconds(1));
+  const Instant confirmedAt = fixture.granter.ConfirmedAt();
+  const Instant askedAt = fixture.now;
+  fixture.now += fixture.timing.maxConfirmationAge + kStep;
+  fixture.granter.OnRecordUnchanged(askedAt, fixture.now);
+  fixture.granter.OnRecordRead(*fixture.record, askedAt, fixture.now);
+  CHECK(fixture.granter.ConfirmedAt() == confirmedAt);
+  fixture.granter.OnRecordRead(*fixture.record, askedAt + kStep, fixture.now);
+  CHECK(fixture.granter.ConfirmedAt() == fixture.now);
+}
+
 TEST_CASE("a leader that a server refuses because of a higher token resigns at once",
           "[ownership][ranges]")
 {
@@ -284,13 +310,14 @@
   GranterFixture fixture;
   fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
   fixture.Advance(seconds(1));
-  fixture.granter.OnRecordRead(*fixture.record, fixture.now);
+  fixture.granter.OnRecordRead(*fixture.record, fixture.now, fixture.now);
   CHECK(fixture.granter.IsLeader());
   RangeRecord other;
   REQUIRE(DecodeRangeRecord(fixture.record->value, other));
   other.leader = { "e", 1 };
   ++other.term;
-  fixture.granter.OnRecordRead({ "service", 99, false, EncodeRangeRecord(other) }, fixture.now);
+  fixture.granter.OnRecordRead(
+    { "service", 99, false, EncodeRangeRecord(other) }, fixture.now, fixture.now);
   CHECK(fixture.granter.IsIdle());
 }
 
--- a/tests/support/range_simulation.cpp
+++ b/tests/support/range_simulation.cpp
@@ -8,8 +8,6 @@
 
 constexpr Duration kTickInterval = milliseconds(20);
 constexpr Duration kRecordReadInterval = milliseconds(1500);
-/// A daemon that has not run for longer than this resigns.
-constexpr Duration kMaxTickGap = milliseconds(900);
 constexpr RangeKey kBucketWidth = 4096;
 /// Slightly less than GrantTiming::maxClockDrift, which the granter allows for.
 constexpr double kServerClockDrift = 0.019;
@@ -45,7 +43,6 @@
     Daemon daemon;
     daemon.ref = { "d" + std::to_string(n), 1 };
     daemon.granter = std::make_unique<RangeGranter>(daemon.ref, DefaultTiming());
-    daemon.lastTickAt = mNow;
     mDaemons.push_back(std::move(daemon));
   }
 }
@@ -132,11 +129,6 @@
     return;
   }
   RangeGranter& granter = *daemon.granter;
-  const Duration gap = mNow - daemon.lastTickAt;
-  daemon.lastTickAt = mNow;
-  if (gap > kMaxTickGap && !granter.IsIdle()) {
-    granter.Resign();
-  }
   UpdateServers(daemon);
   const bool storeReachable = mNow >= daemon.storeUnreachableUntil;
   if (granter.IsIdle()) {
@@ -150,9 +142,9 @@
     if (mNow - daemon.recordReadAt > kRecordReadInterval && storeReachable) {
       daemon.recordReadAt = mNow;
       const std::optional<StoredObject> record = mRecord;
-      Deliver(aDaemon, daemon.ref.incarnation, [this, record](Daemon& aTarget) {
+      Deliver(aDaemon, daemon.ref.incarnation, [this, record, asked = mNow](Daemon& aTarget) {
         if (record) {
-          aTarget.granter->OnRecordRead(*record, mNow);
+          aTarget.granter->OnRecordRead(*record, asked, mNow);
         }
       });
     }
@@ -487,7 +479,6 @@
   Daemon& daemon = mDaemons[aDaemon];
   ++daemon.ref.incarnation;
   daemon.granter = std::make_unique<RangeGranter>(daemon.ref, DefaultTiming());
-  daemon.lastTickAt = mNow;
   daemon.readingRecord = false;
   daemon.earlierLeader = DaemonRef();
   AppendLine("restart " + daemon.ref.id);
--- a/tests/support/range_simulation.h
+++ b/tests/support/range_simulation.h
@@ -104,7 +104,6 @@
   {
     DaemonRef ref;
     std::unique_ptr<RangeGranter> granter;
-    Instant lastTickAt;
     Instant frozenUntil;
     Instant storeUnreachableUntil;
     std::vector<Instant> serverUnreachableUntil = std::vector<Instant>(kServers);
