Range granter: keys leave an owner by its release or the lapse of all grants, whoever sent them

Cause: the end of an owner's hold was inferred. (E1) The record named one leader, and only that one had to be confirmed stopped: a leader cut off with some servers two takeovers ago was in no record, and went on renewing there for 12 s. (E2) Another incarnation of the owner in the registry counted as the end of all grants, although a renewal with the old token reaches the next incarnation, which has forgotten all tokens and takes it. (E3, E4) So did a 421, which a wrong address or an answer written once more gives too, and an entry with another or no `born`. The cells of `serve` have listed every earlier leader since long; ranges did not.

Change: the record lists all earlier leaders that may still grant; a lapse waits for theirs too. A restarted owner's keys are first granted to its new incarnation with a higher token and move from there by release. Within the time of earlier leaders an owner accepts a grant right before it is asked to release, since it may have restarted unnoticed. A 421 is a failed command and no more; a rejected release is no longer turned into one. Cost: keys of an owner whose address another server has wait for the lapse (4.4 s after the last renewal) instead of going at the first 421.

--- a/ownership/key_range.cpp
+++ b/ownership/key_range.cpp
@@ -31,11 +31,15 @@
   for (const OwnedRange& it : aRecord.ranges) {
     ranges.push_back({ it.keys.from, it.keys.to, it.owner.id, it.owner.incarnation, it.token });
   }
-  const Json record = { { "holder", aRecord.leader.id },
-                        { "incarnation", aRecord.leader.incarnation },
-                        { "term", aRecord.term },
-                        { "write", aRecord.writeNumber },
-                        { "ranges", std::move(ranges) } };
+  Json earlier = Json::array();
+  for (const DaemonRef& it : aRecord.earlierLeaders) {
+    earlier.push_back({ it.id, it.incarnation });
+  }
+  const Json record = {
+    { "holder", aRecord.leader.id },   { "incarnation", aRecord.leader.incarnation },
+    { "earlier", std::move(earlier) }, { "term", aRecord.term },
+    { "write", aRecord.writeNumber },  { "ranges", std::move(ranges) }
+  };
   return JsonText(record);
 }
 
@@ -47,6 +51,12 @@
                        record.at("incarnation").get<Incarnation>() };
     aRecord.term = record.at("term").get<std::uint64_t>();
     aRecord.writeNumber = record.at("write").get<std::uint64_t>();
+    aRecord.earlierLeaders.clear();
+    // Daemons of earlier versions do not write the list.
+    for (const Json& it : record.value("earlier", Json::array())) {
+      aRecord.earlierLeaders.push_back(
+        { it.at(0).get<std::string>(), it.at(1).get<Incarnation>() });
+    }
     aRecord.ranges.clear();
     for (const Json& it : record.at("ranges")) {
       OwnedRange range;
--- a/ownership/key_range.h
+++ b/ownership/key_range.h
@@ -39,6 +39,9 @@
 {
   /// The leader: the only daemon that may grant the service's keys to servers.
   DaemonRef leader;
+  /// Leaders before this one that were not known to have stopped when the record was written. Cut
+  /// off from the store, they may still renew their grants at the servers that they reach.
+  std::vector<DaemonRef> earlierLeaders;
   /// Incremented each time a daemon becomes leader.
   std::uint64_t term = 0;
   /// Number of the leader's write. A leader whose write got no answer compares it with the stored
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -35,6 +35,20 @@
   return record;
 }
 
+/// The leaders that may still grant keys once @p aSelf succeeds the leader of @p aRecord.
+std::vector<DaemonRef> EarlierLeadersOf(const RangeRecord& aRecord, const DaemonRef& aSelf)
+{
+  std::vector<DaemonRef> leaders = aRecord.earlierLeaders;
+  leaders.push_back(aRecord.leader);
+  // An earlier process of this daemon has ended, and this one has resigned.
+  std::erase_if(leaders, [&](const DaemonRef& aLeader) {
+    return aLeader.id == aSelf.id && aLeader.incarnation <= aSelf.incarnation;
+  });
+  std::sort(leaders.begin(), leaders.end());
+  leaders.erase(std::unique(leaders.begin(), leaders.end()), leaders.end());
+  return leaders;
+}
+
 } // namespace
 
 RangeGranter::RangeGranter(DaemonRef aSelf, GrantTiming aTiming)
@@ -57,13 +71,14 @@
   }
   RangeRecord record;
   mRevision = 0;
-  mEarlierLeaderMayGrant = false;
+  mEarlierLeaders.clear();
   if (aCurrent) {
     if (!DecodeRangeRecord(aCurrent->value, record)) {
       return;
     }
     mRevision = aCurrent->revision;
-    mEarlierLeaderMayGrant = record.leader != mSelf;
+    mEarlierLeaders = EarlierLeadersOf(record, mSelf);
+    record.earlierLeaders = mEarlierLeaders;
   } else {
     record = InitialRecord(aOwners, mServers);
   }
@@ -108,24 +123,26 @@
   mServers.merge(aServers);
 }
 
-void RangeGranter::OnEarlierLeaderStopped(Instant aNow)
+void RangeGranter::OnEarlierLeaderStopped(const DaemonRef& aLeader, Instant aNow)
 {
-  if (!mEarlierLeaderMayGrant) {
-    return;
-  }
-  mEarlierLeaderMayGrant = false;
-  for (auto& [from, range] : mRanges) {
-    if (range.inherited && !range.tokenAccepted) {
-      range.grantsExpireAt = std::min(range.grantsExpireAt, aNow + MaxGrantLifetime());
-    }
+  if (std::erase(mEarlierLeaders, aLeader) > 0 && mEarlierLeaders.empty()) {
+    mEarlierGrantsExpireAt = std::min(mEarlierGrantsExpireAt, aNow + MaxGrantLifetime());
   }
 }
 
-bool RangeGranter::HasStopped(const ServerRef& aOwner) const
+bool RangeGranter::HaveGrantsExpired(const Range& aRange, Instant aNow) const
+{
+  // Also if the owner has accepted this leader's token: it may have restarted unnoticed, and has
+  // then forgotten that it must refuse earlier leaders.
+  return aNow >= mEarlierGrantsExpireAt && aNow >= aRange.grantsExpireAt &&
+         aRange.pendingGrants == 0;
+}
+
+bool RangeGranter::HasRestarted(const ServerRef& aOwner) const
 {
   const auto it = mServers.find(aOwner.id);
-  return aOwner.id.empty() || (it != mServers.end() && it->second.registered &&
-                               it->second.incarnation != aOwner.incarnation);
+  return it != mServers.end() && it->second.registered &&
+         it->second.incarnation != aOwner.incarnation;
 }
 
 bool RangeGranter::IsOwnerUnresponsive(const Range& aRange, Instant aNow) const
@@ -184,7 +201,7 @@
     return;
   }
   Range* const range = SplitOff(aMove.keys);
-  if (range == nullptr || range->phase == RangePhase::kWriting) {
+  if (range == nullptr || range->phase == RangePhase::kWriting || range->rebinds) {
     return;
   }
   const ServerRef to{ aMove.to, target->second.incarnation };
@@ -198,6 +215,8 @@
     range->retryAt = aNow;
     range->releaseAnswered = false;
     range->handover.clear();
+    // The owner may have restarted unnoticed since it accepted this leader's token.
+    range->needsFencing = aNow < mEarlierGrantsExpireAt;
   }
 }
 
@@ -224,14 +243,6 @@
   aActions.emplace_back(std::move(action));
 }
 
-OwnerEndProof RangeGranter::StopProofOf(const Range& aRange)
-{
-  if (aRange.owned.owner.id.empty()) {
-    return OwnerEndProof::kNone;
-  }
-  return aRange.ownerStopped ? OwnerEndProof::kAddressReused : OwnerEndProof::kRestarted;
-}
-
 void RangeGranter::SetReleased(Range& aRange, OwnerEndProof aProof, Instant aNow)
 {
   aRange.phase = RangePhase::kReleased;
@@ -239,13 +250,22 @@
   aRange.endProof = aProof;
 }
 
+void RangeGranter::Rebind(Range& aRange, Instant aNow)
+{
+  SetReleased(aRange, OwnerEndProof::kRestarted, aNow);
+  aRange.rebinds = true;
+  aRange.target = aRange.owned.owner.id;
+  aRange.handover.clear();
+}
+
 void RangeGranter::TickHeld(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions)
 {
-  if (aRange.ownerStopped || HasStopped(aRange.owned.owner)) {
-    // The incarnation that owned the keys has stopped, so its grants no longer count.
-    SetReleased(aRange, StopProofOf(aRange), aNow);
-    aRange.handover.clear();
-    aRange.target = aRange.ownerStopped ? std::string() : aRange.owned.owner.id;
+  if (aRange.owned.owner.id.empty()) {
+    SetReleased(aRange, OwnerEndProof::kNone, aNow);
+    return;
+  }
+  if (HasRestarted(aRange.owned.owner)) {
+    Rebind(aRange, aNow);
     return;
   }
   const bool unconfirmed = aNow - mLeadershipConfirmedAt > mTiming.unconfirmedRenewalLimit;
@@ -256,14 +276,13 @@
 
 void RangeGranter::TickReleasing(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions)
 {
-  const bool stopped = aRange.ownerStopped || HasStopped(aRange.owned.owner);
-  const bool expired = aNow >= aRange.grantsExpireAt && aRange.pendingGrants == 0;
+  if (HasRestarted(aRange.owned.owner)) {
+    Rebind(aRange, aNow);
+    return;
+  }
   const bool released = aRange.releaseAnswered && aNow >= aRange.unansweredExpireAt;
-  if (stopped || expired || released) {
-    const OwnerEndProof proof = released  ? OwnerEndProof::kReleased
-                                : expired ? OwnerEndProof::kLapsed
-                                          : StopProofOf(aRange);
-    SetReleased(aRange, proof, aNow);
+  if (released || HaveGrantsExpired(aRange, aNow)) {
+    SetReleased(aRange, released ? OwnerEndProof::kReleased : OwnerEndProof::kLapsed, aNow);
     return;
   }
   if (aRange.pendingGrants > 0 || aRange.releaseAnswered || aNow < aRange.retryAt) {
@@ -273,7 +292,7 @@
   if (server == mServers.end()) {
     return;
   }
-  if (aRange.inherited && !aRange.tokenAccepted) {
+  if (aRange.needsFencing) {
     // Until the owner has accepted this leader's token, an earlier leader could renew the keys that
     // it releases. Each grant that gets no answer postpones the expiry, so only a few are sent.
     if (aNow - aRange.phaseSince < kFencingPeriod) {
@@ -313,11 +332,14 @@
   if (!mPendingWrite) {
     bool changes = false;
     RangeRecord record = mRecord;
+    record.earlierLeaders =
+      aNow < mEarlierGrantsExpireAt ? mEarlierLeaders : std::vector<DaemonRef>();
     record.ranges.clear();
     for (auto& [from, range] : mRanges) {
       OwnedRange owned = range.owned;
       const auto target = mServers.find(range.target);
-      if (range.phase == RangePhase::kReleased && target != mServers.end() && target->second.open) {
+      const bool isGrantable = target != mServers.end() && (target->second.open || range.rebinds);
+      if (range.phase == RangePhase::kReleased && isGrantable) {
         owned.owner = { range.target, target->second.incarnation };
         owned.token = mRevision + 1;
         range.phase = RangePhase::kWriting;
@@ -428,17 +450,20 @@
 {
   mState = State::kLeading;
   const bool inherited = mRecord.term > 1;
-  const Duration earlierRenewals = mEarlierLeaderMayGrant
-                                     ? mTiming.unconfirmedRenewalLimit + mTiming.maxConfirmationAge
-                                     : Duration::zero();
+  const Duration earlierRenewals = mEarlierLeaders.empty()
+                                     ? Duration::zero()
+                                     : mTiming.unconfirmedRenewalLimit + mTiming.maxConfirmationAge;
+  // A grant of the earlier leader's may be on its way.
+  const Duration longest = earlierRenewals + mTiming.grantTimeout + MaxGrantLifetime();
+  mEarlierGrantsExpireAt = inherited ? aNow + longest : aNow;
   mRanges.clear();
   for (const OwnedRange& it : mRecord.ranges) {
     Range range;
     range.owned = it;
-    range.inherited = inherited;
+    range.presumedServing = inherited;
     range.renewAt = aNow;
     range.phaseSince = aNow;
-    range.grantsExpireAt = inherited ? aNow + earlierRenewals + MaxGrantLifetime() : aNow;
+    range.grantsExpireAt = aNow;
     mRanges.emplace(it.keys.from, std::move(range));
   }
   AddEvent({ GranterEvent::Type::kTaken, {}, "", mSelf.id, mRecord.ranges.front().token, "" });
@@ -472,6 +497,12 @@
     next.renewAt = aNow;
     next.grantsExpireAt = aNow;
     next.phaseSince = aNow;
+    if (range.rebinds) {
+      // The incarnation that is there now may have accepted grants that were meant for the earlier
+      // one, and has forgotten the tokens by which that one refused earlier leaders.
+      next.grantsExpireAt = std::max(range.grantsExpireAt, range.unansweredExpireAt);
+      next.unansweredExpireAt = range.unansweredExpireAt;
+    }
     range = std::move(next);
   }
 }
@@ -493,11 +524,9 @@
     switch (aResult) {
       case CommandResult::kDone:
         range.tokenAccepted = true;
+        range.needsFencing = false;
         range.grantsFailingSince = kNever;
-        range.grantsExpireAt =
-          std::max(range.inherited ? kNever : range.grantsExpireAt, aNow + MaxGrantLifetime());
-        range.grantsExpireAt = std::max(range.grantsExpireAt, range.unansweredExpireAt);
-        range.inherited = false;
+        range.grantsExpireAt = std::max(range.grantsExpireAt, aNow + MaxGrantLifetime());
         continue;
       case CommandResult::kSuperseded:
         AddEvent(
@@ -509,8 +538,6 @@
         range.grantsExpireAt = std::max(range.grantsExpireAt, range.unansweredExpireAt);
         break;
       case CommandResult::kOtherServer:
-        range.ownerStopped = true;
-        break;
       case CommandResult::kRejected:
       case CommandResult::kNotSent:
       case CommandResult::kConnectionRefused:
@@ -542,10 +569,6 @@
     range.handover = aOutcome.handover;
     return;
   }
-  if (aOutcome.result == CommandResult::kOtherServer) {
-    range.ownerStopped = true;
-    return;
-  }
   range.retryAt = aNow + kCommandRetryDelay;
 }
 
@@ -579,7 +602,7 @@
 DirectoryRange RangeGranter::ToDirectoryRange(const Range& aRange) const
 {
   const bool isServing =
-    aRange.phase == RangePhase::kHeld && (aRange.tokenAccepted || aRange.inherited);
+    aRange.phase == RangePhase::kHeld && (aRange.tokenAccepted || aRange.presumedServing);
   return { aRange.owned.keys, aRange.owned.owner.id, !isServing };
 }
 
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -88,17 +88,12 @@
 /// What showed that a range's earlier owner no longer held it when it got its present one.
 enum class OwnerEndProof
 {
-  kNone,          ///< No server had owned it.
-  kReleased,      ///< The owner has released the keys.
-  kLapsed,        ///< Every grant that may have reached the owner has expired.
-  kRestarted,     ///< The registry has another incarnation of the owner.
-  kAddressReused, ///< Another server has answered at the owner's address.
+  kNone,      ///< No server had owned it.
+  kReleased,  ///< The owner has released the keys.
+  kLapsed,    ///< Every grant that may have reached the owner has expired.
+  kRestarted, ///< The new owner is another incarnation of the same server.
 };
-inline constexpr EnumNames<5> kOwnerEndProofNames = { "none",
-                                                      "released",
-                                                      "lapsed",
-                                                      "restarted",
-                                                      "address-reused" };
+inline constexpr EnumNames<4> kOwnerEndProofNames = { "none", "released", "lapsed", "restarted" };
 
 /// A change made or noticed by the granter, for the event log.
 struct GranterEvent
@@ -136,8 +131,10 @@
 /// write that also names this daemon as leader. The owner of a range changes from S to T only after
 /// one of:
 /// - S has released the keys, and every unanswered grant to S has expired;
-/// - every grant that may have reached S has expired;
-/// - the incarnation of S that owned the keys is confirmed to have stopped.
+/// - every grant that may have reached S has expired, those of earlier leaders included.
+/// Nothing else proves that S has stopped. If the registry has another incarnation of S, the keys
+/// are first granted to that one with a higher token: it may have accepted a renewal that was meant
+/// for the earlier one.
 class RangeGranter
 {
 public:
@@ -156,9 +153,11 @@
   std::uint64_t Term() const { return mRecord.term; }
 
   void SetServers(std::map<std::string, GrantableServer> aServers);
-  /// Reports that the earlier leader is confirmed to have stopped. It renews no more, so its grants
-  /// expire within the lifetime of one grant from now.
-  void OnEarlierLeaderStopped(Instant aNow);
+  /// Earlier leaders that are not confirmed to have stopped.
+  const std::vector<DaemonRef>& EarlierLeaders() const { return mEarlierLeaders; }
+  /// Reports that an earlier leader is confirmed to have stopped. Once all have, no earlier grant
+  /// is renewed, so all expire within the lifetime of one grant.
+  void OnEarlierLeaderStopped(const DaemonRef& aLeader, Instant aNow);
   /// Reports that @p aRecord was read from the store, which was asked for it at @p aAskedAt.
   void OnRecordRead(const StoredObject& aRecord, Instant aAskedAt, Instant aNow);
   /// Reports that the store, asked at @p aAskedAt, has no record later than Revision().
@@ -200,13 +199,15 @@
     RangePhase phase = RangePhase::kHeld;
     /// The owner has accepted a grant with the current token.
     bool tokenAccepted = false;
-    /// The owner may hold the keys by an earlier leader's grant, and has not yet accepted one from
-    /// this leader.
-    bool inherited = false;
+    /// Before it releases the keys, the owner must accept a grant with this leader's token, so that
+    /// it refuses earlier leaders.
+    bool needsFencing = false;
+    /// The owner is taken to serve the keys although it has accepted no grant from this leader.
+    bool presumedServing = false;
     /// Number of grant commands that await their result.
     unsigned pendingGrants = 0;
     Instant renewAt;
-    /// When every grant that may have reached the owner has expired.
+    /// When every grant of this leader that may have reached the owner has expired.
     Instant grantsExpireAt;
     /// When every grant that got no answer has expired.
     Instant unansweredExpireAt;
@@ -223,9 +224,8 @@
     bool releaseAnswered = false;
     /// Set when the range is released.
     OwnerEndProof endProof = OwnerEndProof::kNone;
-    /// The owner has stopped: another server answered at its address, and an address is reused only
-    /// after the server that had it has stopped.
-    bool ownerStopped = false;
+    /// The range is to be granted to the registered incarnation of its owner.
+    bool rebinds = false;
   };
   /// A leader that was paused for longer may have been superseded meanwhile.
   static constexpr Duration kMaxTickGap = milliseconds(900);
@@ -253,13 +253,15 @@
   /// Longest time from now for which a grant that is now in a server's hands can be valid, slow
   /// clock and safety margin included.
   Duration MaxGrantLifetime() const;
-  /// Whether @p aOwner can hold no keys: its id is empty, or the registry has another incarnation.
-  bool HasStopped(const ServerRef& aOwner) const;
-  /// How the range's owner is known to have stopped.
-  static OwnerEndProof StopProofOf(const Range& aRange);
+  /// Whether every grant that may have reached the owner has expired.
+  bool HaveGrantsExpired(const Range& aRange, Instant aNow) const;
+  /// Whether the registry has another incarnation of @p aOwner.
+  bool HasRestarted(const ServerRef& aOwner) const;
+  /// Starts to grant the range to the registered incarnation of its owner.
+  void Rebind(Range& aRange, Instant aNow);
+  void ConfirmLeadership(Instant aAskedAt, Instant aNow);
   /// Notes that no server holds the range any more.
   void SetReleased(Range& aRange, OwnerEndProof aProof, Instant aNow);
-  void ConfirmLeadership(Instant aAskedAt, Instant aNow);
   void TickRange(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void TickHeld(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void TickReleasing(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
@@ -297,8 +299,9 @@
   Instant mWriteSentAt;
   Instant mWriteRetryAt;
   Instant mLastTickAt;
-  /// The earlier leader is not confirmed to have stopped and may still renew its grants.
-  bool mEarlierLeaderMayGrant = false;
+  std::vector<DaemonRef> mEarlierLeaders;
+  /// When every grant of an earlier leader has expired.
+  Instant mEarlierGrantsExpireAt;
   /// When the stored record was last confirmed to name this daemon.
   Instant mLeadershipConfirmedAt;
   /// The directory as last returned by TakeUpdate().
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -87,7 +87,7 @@
   }
   if (mServersChangedAt >= mServersUpdatedAt || aNow - mServersUpdatedAt >= kServersInterval) {
     UpdateGrantableServers();
-    CheckEarlierLeader();
+    CheckEarlierLeaders();
   }
   WatchRecord(aNow);
   if (mGranter.IsLeader() && aNow - mPlannedAt >= kPlanInterval) {
@@ -188,7 +188,7 @@
     const bool ownEarlierIncarnation =
       record.leader.id == self.id && record.leader.incarnation < self.incarnation;
     if (ownEarlierIncarnation && mGranter.IsIdle() && !AnnouncedLeader()) {
-      TakeOver(*object, record.leader);
+      TakeOver(*object);
     }
   });
 }
@@ -205,10 +205,9 @@
   return it == aReading.objects.end() ? nullptr : &*it;
 }
 
-void RangeRunner::TakeOver(const StoredObject& aRecord, const DaemonRef& aEarlierLeader)
+void RangeRunner::TakeOver(const StoredObject& aRecord)
 {
   UpdateGrantableServers();
-  mEarlierLeader = aEarlierLeader;
   mGranter.TakeOver(aRecord, {}, mServices.timers.Now());
 }
 
@@ -233,7 +232,7 @@
       mServices.log.Write(EventId::kObjectUnreadable,
                           { { "object", it->name }, { "reason", "range record" } });
     }
-    TakeOver(*it, record.leader);
+    TakeOver(*it);
     return;
   }
   UpdateGrantableServers();
@@ -241,7 +240,6 @@
   if (servers.empty() || now - mServersChangedAt < kRegistryQuietTime) {
     return;
   }
-  mEarlierLeader = DaemonRef();
   mGranter.TakeOver(std::nullopt, servers, now);
 }
 
@@ -301,10 +299,6 @@
 
 std::optional<EarlierLeaderEnd> RangeRunner::EndOf(const DaemonRef& aLeader) const
 {
-  const DaemonRef& self = mServices.mesh.Self();
-  if (aLeader.id == self.id && aLeader.incarnation < self.incarnation) {
-    return EarlierLeaderEnd::kOwnIncarnation;
-  }
   for (const MeshPeer* it : mServices.mesh.LivePeers()) {
     if (it->ref.id != aLeader.id) {
       continue;
@@ -320,20 +314,24 @@
   return std::nullopt;
 }
 
-void RangeRunner::CheckEarlierLeader()
+void RangeRunner::CheckEarlierLeaders()
 {
-  const std::optional<EarlierLeaderEnd> end =
-    mGranter.IsLeader() ? EndOf(mEarlierLeader) : std::nullopt;
-  if (!end) {
+  if (!mGranter.IsLeader()) {
     return;
   }
-  mServices.log.Write(EventId::kEarlierLeaderStopped,
-                      { { "service", mService },
-                        { "leader", mEarlierLeader.id },
-                        { "incarnation", mEarlierLeader.incarnation },
-                        { "proof", NameOf(kEarlierLeaderEndNames, *end) } });
-  mGranter.OnEarlierLeaderStopped(mServices.timers.Now());
-  mEarlierLeader = DaemonRef();
+  const std::vector<DaemonRef> leaders = mGranter.EarlierLeaders();
+  for (const DaemonRef& it : leaders) {
+    const std::optional<EarlierLeaderEnd> end = EndOf(it);
+    if (!end) {
+      continue;
+    }
+    mServices.log.Write(EventId::kEarlierLeaderStopped,
+                        { { "service", mService },
+                          { "leader", it.id },
+                          { "incarnation", it.incarnation },
+                          { "proof", NameOf(kEarlierLeaderEndNames, *end) } });
+    mGranter.OnEarlierLeaderStopped(it, mServices.timers.Now());
+  }
 }
 
 void RangeRunner::Plan(Instant aNow)
@@ -342,7 +340,7 @@
   std::vector<PlannedServer> servers;
   std::map<std::string, bool> unresponsive;
   for (const auto& [from, range] : mGranter.Ranges()) {
-    if (range.ownerStopped || mGranter.IsOwnerUnresponsive(range, aNow)) {
+    if (mGranter.IsOwnerUnresponsive(range, aNow)) {
       unresponsive[range.owned.owner.id] = true;
     }
   }
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -47,13 +47,10 @@
 /// How a leader is known to have stopped granting.
 enum class EarlierLeaderEnd
 {
-  kOwnIncarnation, ///< It was an earlier process of this daemon.
-  kRestarted,      ///< A later process of its daemon is heard.
-  kNoClaim,        ///< Its heartbeats no longer claim the service.
+  kRestarted, ///< A later process of its daemon is heard.
+  kNoClaim,   ///< Its heartbeats no longer claim the service.
 };
-inline constexpr EnumNames<3> kEarlierLeaderEndNames = { "own-incarnation",
-                                                         "restarted",
-                                                         "no-claim" };
+inline constexpr EnumNames<2> kEarlierLeaderEndNames = { "restarted", "no-claim" };
 
 /// The key ranges of one service. Every daemon has one for each keyed service; in the leader it
 /// also grants the keys. Runs on the daemon's event loop.
@@ -100,7 +97,7 @@
   /// Reads the owners from the store while no range table has been received.
   void ReadRecord(Instant aNow);
   const StoredObject* FindRecord(const StoreReading& aReading) const;
-  void TakeOver(const StoredObject& aRecord, const DaemonRef& aEarlierLeader);
+  void TakeOver(const StoredObject& aRecord);
   void BeginTakeover();
   /// Whether this daemon, as the leader, has lost the store while others reach it: it could finish
   /// no move, and the keys that are moving would be served by nobody.
@@ -114,8 +111,8 @@
   void UpdateGrantableServers();
   /// How @p aLeader is known to grant no more; nothing if it may still do so.
   std::optional<EarlierLeaderEnd> EndOf(const DaemonRef& aLeader) const;
-  /// Reports the earlier leader as stopped once a heartbeat confirms that.
-  void CheckEarlierLeader();
+  /// Reports earlier leaders as stopped once their heartbeats confirm that.
+  void CheckEarlierLeaders();
   void Execute(const std::vector<GranterAction>& aActions);
   /// Logs a grant or release command that failed, and passes on the server's notice.
   void OnCommandAnswered(const char* aCommand,
@@ -167,8 +164,6 @@
   bool mRecordHistoryGone = false;
   /// Whether a list call for the range record is in progress.
   bool mListing = false;
-  /// The leader before this daemon, until it is confirmed that it has stopped granting.
-  DaemonRef mEarlierLeader;
 };
 
 } // namespace hawthornlug
--- a/tests/ownership/range_scenarios_test.cpp
+++ b/tests/ownership/range_scenarios_test.cpp
@@ -128,6 +128,32 @@
   aSimulation.Schedule(seconds(12), [&] { aSimulation.TakeOver(2); });
 }
 
+void EarlierLeaderCutOffWithItsServer(RangeSimulation& aSimulation)
+{
+  aSimulation.Schedule(seconds(10), [&] { aSimulation.CutDomain(0, 2, seconds(30)); });
+  aSimulation.Schedule(seconds(11), [&] { aSimulation.TakeOver(1); });
+  aSimulation.Schedule(seconds(12), [&] { aSimulation.TakeOver(2); });
+  // The second leader restarts; the third one, which succeeds it, hears that.
+  aSimulation.Schedule(milliseconds(12500), [&] { aSimulation.RestartDaemon(1); });
+  aSimulation.Schedule(seconds(14), [&] { aSimulation.MoveBucket(8, 1); });
+}
+
+void ServerRestartedWhileItsKeysMove(RangeSimulation& aSimulation)
+{
+  aSimulation.Schedule(seconds(10), [&] {
+    RangeFaults lagging = NoFaults();
+    lagging.maxRegistryLag = seconds(3);
+    aSimulation.SetFaults(lagging);
+    aSimulation.RestartServer(2);
+  });
+  // The release is lost, so that the keys are still on their way when the registry shows the
+  // restart.
+  aSimulation.Schedule(milliseconds(11200), [&] {
+    aSimulation.IsolateFromServer(0, 2, milliseconds(100));
+    aSimulation.MoveBucket(8, 1);
+  });
+}
+
 const std::vector<RangeScenario>& Scenarios()
 {
   static const std::vector<RangeScenario> scenarios = {
@@ -139,6 +165,8 @@
     { "frozen-leader", FrozenLeader },
     { "two-takeovers-within-a-grant", TwoTakeoversWithinAGrant },
     { "recovery-after-full-restart", RecoveryAfterFullRestart },
+    { "earlier-leader-cut-off-with-its-server", EarlierLeaderCutOffWithItsServer },
+    { "server-restarted-while-its-keys-move", ServerRestartedWhileItsKeysMove },
   };
   return scenarios;
 }
