Store answers: an object that no parser accepts leaves the others of its answer readable

Cause: a page of the store was parsed as one document, so the parser's refusal of one value was that of all.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -199,6 +199,11 @@
     { "10.1.2.3:80", "somewhere:80" },
     { "10.1.2.3:80", "10.1.2.3:99999" },
     { "\"born\":1700000000001", "\"born\":1.5" },
+    { "\"born\":1700000000001", "\"born\":-1" },
+    { "\"born\":1700000000001", "\"born\":123456789012345678901234567890" },
+    { "10.1.2.3:80", "10.1.2.3:70000" },
+    { "10.1.2.3:80", "10.1.2.3:-1" },
+    { "10.1.2.3:80", "10.1.2.3:12345678901234567890" },
     { "\"WarmupLeftS\":1.5", "\"WarmupLeftS\":-2" },
     { "{\"Service\"", "[\"Service\"" },
   }));
@@ -241,28 +246,54 @@
   CHECK_FALSE(headers.Answer(404, terms, Duration::zero()).headers.Find("Retry-After"));
 }
 
-TEST_CASE("an object that is nested too deeply leaves the others of its page readable",
-          "[platform]")
+TEST_CASE("an object that no parser accepts leaves the others of its answer readable", "[platform]")
 {
   constexpr std::size_t kNestingDepth = 300000;
+  constexpr std::size_t kManyDigits = 400;
   const std::string deep = std::string(kNestingDepth, '[') + std::string(kNestingDepth, ']');
-  const std::string page = R"({"At":9,"HasMore":true,"items":[)"
-                           R"({"Metadata":{"Name":"deep","Revision":7},"Spec":{"Service":)" +
-                           deep + R"(}},{"Metadata":{"Name":"good","Revision":8},"Spec":)" +
-                           kServer + "}]}";
+  struct OddRow
+  {
+    std::string name;
+    std::string part;
+    std::string with;
+  };
+  const auto row = GENERATE_COPY(values<OddRow>({
+    { "nested 300,000 deep", "\"s\"", deep },
+    { "number too large", "\"Capacity\":3", "\"Capacity\":1e400" },
+    { "number of 400 digits", "\"Capacity\":3", "\"Capacity\":" + std::string(kManyDigits, '9') },
+    { "lone surrogate", "\"ready\"", "\"\\udcff\"" },
+    { "bytes that are no UTF-8", "\"ready\"", "\"\xff\xfe\"" },
+    { "no JSON", "{\"Service\"", "{Service" },
+    { "brackets that do not match", "3", "[3}" },
+    { "port out of range", "10.1.2.3:80", "10.1.2.3:70000" },
+  }));
+  INFO(row.name);
+  const std::string odd = R"({"Metadata":{"Name":"odd","Revision":7},"Spec":)" +
+                          WithReplacement(kServer, row.part, row.with) + "}";
+  const std::string good = R"({"Metadata":{"Name":"good","Revision":8},"Spec":)" + kServer + "}";
+  const auto check = [](const StorePage& aPage) {
+    REQUIRE(aPage.objects.size() == 2);
+    CHECK(aPage.at == 9);
+    DecisionLog log("test");
+    PlatformObjectReader reader(log);
+    CHECK(aPage.objects[0].name == "odd");
+    CHECK_FALSE(reader.ReadServer(aPage.objects[0]));
+    CHECK(reader.ReadServer(aPage.objects[1]));
+  };
   leaf::try_handle_all(
     [&]() -> Result<void> {
-      BOOST_LEAF_AUTO(read, ReadListAnswer(page));
-      REQUIRE(read.objects.size() == 2);
-      CHECK(read.at == 9);
-      CHECK(read.more);
-      DecisionLog log("test");
-      PlatformObjectReader reader(log);
-      CHECK_FALSE(reader.ReadServer(read.objects[0]));
-      CHECK(reader.ReadServer(read.objects[1]));
+      BOOST_LEAF_AUTO(
+        list, ReadListAnswer(R"({"At":9,"HasMore":true,"items":[)" + odd + "," + good + "]}"));
+      CHECK(list.more);
+      check(list);
+      BOOST_LEAF_AUTO(watch,
+                      ReadWatchAnswer(R"({"At":9,"events":[{"Object":)" + odd + R"(},{"Object":)" +
+                                      good + "}]}"));
+      check(watch);
       return {};
     },
-    [] { FAIL("the page was rejected"); });
+    [](const AnswerError& aError) { FAIL(aError.reason); },
+    [] { FAIL("the answer was rejected"); });
 }
 
 TEST_CASE("malformed responses of the store yield AnswerError", "[platform]")
