--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -116,6 +116,10 @@
     { "[Bind]", "[Bind", "file" },
     { "[Bind]", "\xc7\x90 = 1\n[Bind]", "file" },
     { "[Bind]", "x = \"\\\"\" \xc7\x90\n[Bind]", "file" },
+    { "[Bind]", "x = \"no end\n\xc7\x90 = 1\n[Bind]", "file" },
+    { "[Bind]", "x = 'no end\n\xc7\x90 = 1\n[Bind]", "file" },
+    { "[Bind]", "x = \"\"\"no end\n\xc7\x90 = 1\n[Bind]", "file" },
+    { "[Bind]", "x = \"\"\"a\"\"\"\"\n\xc7\x90 = 1\n[Bind]", "file" },
   }));
   INFO(row.part << " -> " << row.with);
   CHECK(RejectedSetting(WithReplacement(kSettings, row.part, row.with)) == row.setting);
@@ -127,6 +131,8 @@
     { "\"north\"", "\"Mure\xc8\x99 # \\\" \xc7\x90\"" },
     { "\"north\"", "'\xc7\x90\\' # \xc7\x90 \"" },
     { "\"north\"", "\"\"\"\n\xc7\x90\"\"\"" },
+    { "\"north\"", "\"\"\"\xc7\x90\"\"\"\"\"" },
+    { "\"north\"", "'''\n\xc7\x90'''" },
   }));
   INFO(edit.with);
   CHECK(RejectedSetting(WithReplacement(kSettings, edit.part, edit.with)).empty());
