Forwarder: a server that refused a request gets it again on a new connection only

A server that had just restarted answered 421; the request was sent to it again 150 ms later over the same kept connection, and ran; a faulty server had written the earlier 421 once more in front of that answer. Both bear the id of the same client attempt, so the copy was taken for a second refusal and the request sent a third time. Cause: the id alone does not tell two attempts of one request apart; the connection does.

Change: the forwarder remembers which servers have refused a request, and a further attempt at one of them goes out on a new connection, where no answer to an earlier one can arrive.

Evidence: tests/platform/backend_calls_test 'a refusal that is written once more does not refuse the next attempt' (a server that writes the copy on the kept connection), tests/runtime/forwarder_test 'a server that refused a request'.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -382,7 +382,8 @@
                                    const CallOptions& aOptions,
                                    Completion aDone)
 {
-  std::shared_ptr<Connection> it = TakeIdle(aAddress, aOptions.maxIdle);
+  std::shared_ptr<Connection> it =
+    aOptions.freshConnection ? nullptr : TakeIdle(aAddress, aOptions.maxIdle);
   if (!it) {
     it = std::make_shared<Connection>(*this, aAddress);
   }
--- a/http/client.h
+++ b/http/client.h
@@ -48,6 +48,8 @@
   Duration timeout = seconds(1);
   /// Connections that have been idle for longer than this are closed instead of reused.
   Duration maxIdle = seconds(8);
+  /// Sends the call on a new connection, on which no answer to an earlier call can arrive.
+  bool freshConnection = false;
   /// Maximum number of idle connections to the address that are kept for reuse.
   std::size_t keep = 16;
   /// If set: a response that has this header with a value other than echoValue belongs to another
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -74,6 +74,8 @@
   unsigned attempts = 0;
   unsigned notOwnerAnswers = 0;
   std::vector<std::string> triedServers;
+  /// Servers that have refused to run it.
+  std::vector<std::string> refusedBy;
   /// Server, load and time of the attempt that was sent last, for the log.
   std::string lastServer;
   unsigned lastOutstanding = 0;
@@ -428,6 +430,9 @@
   terms.timeLeft = std::max(request.deadline - aNow, Duration(milliseconds(1)));
   terms.keep = mServices.selector.MaxConnectionsTo(server.id);
   terms.maxIdle = request.route.idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent;
+  terms.freshConnection =
+    std::find(request.refusedBy.begin(), request.refusedBy.end(), server.id) !=
+    request.refusedBy.end();
   attempt.call = mServices.backends.Forward(
     request.exchange->Received(), terms, [this, aRequest, id = server.id](ForwardOutcome aOutcome) {
       OnOutcome(aRequest, id, std::move(aOutcome));
@@ -541,6 +546,9 @@
   const bool notRun =
     nothingSent || aResult == ForwardResult::kNotRun || aResult == ForwardResult::kNotOwner;
   request.mayHaveRun = request.mayHaveRun || !notRun;
+  if (notRun && !nothingSent) {
+    request.refusedBy.push_back(request.lastServer);
+  }
   if (request.deadline - aNow < request.work / 2) {
     return false;
   }
--- a/tests/platform/backend_calls_test.cpp
+++ b/tests/platform/backend_calls_test.cpp
@@ -75,13 +75,15 @@
 ForwardOutcome ForwardTo(asio::io_context& aContext,
                          BackendCalls& aCalls,
                          const std::string& aAddress,
-                         const std::string& aId)
+                         const std::string& aId,
+                         bool aFreshConnection = false)
 {
   ForwardTerms terms;
   terms.address = aAddress;
   terms.instance = "me";
   terms.timeLeft = seconds(2);
   terms.maxIdle = seconds(2);
+  terms.freshConnection = aFreshConnection;
   std::optional<ForwardOutcome> outcome;
   aCalls.Forward(
     MakeRequest(aId), terms, [&](ForwardOutcome aOutcome) { outcome = std::move(aOutcome); });
@@ -232,6 +234,23 @@
   CHECK(NameOf(kForwardResultNames, second.result) == NameOf(kForwardResultNames, row.result));
 }
 
+TEST_CASE("a refusal that is written once more does not refuse the next attempt of its request",
+          "[platform][reports]")
+{
+  // The server accepts one connection: what is sent on a new one gets no answer.
+  const std::string refusal = "HTTP/1.1 421 X\r\nX-Hawthornlug-Attempt-Id: r1\r\n"
+                              "X-Hawthornlug-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  asio::io_context context;
+  ByteServer server(context, { refusal, refusal, refusal });
+  DecisionLog log("test");
+  Metrics metrics;
+  BackendCalls calls(context, log, metrics);
+  REQUIRE(ForwardTo(context, calls, server.Address(), "r1").result == ForwardResult::kNotOwner);
+  const ForwardOutcome second = ForwardTo(context, calls, server.Address(), "r1", true);
+  CHECK_FALSE(second.reused);
+  CHECK(NameOf(kForwardResultNames, second.result) == "timed-out");
+}
+
 TEST_CASE("a refusal without an id on a new connection belongs to its only request",
           "[platform][reports]")
 {
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -31,6 +31,7 @@
   {
     std::string server;
     Duration timeLeft = Duration::zero();
+    bool freshConnection = false;
     ForwardDone done;
     bool cancelled = false;
     void Cancel() override { cancelled = true; }
@@ -43,6 +44,7 @@
     auto it = std::make_shared<SentRequest>();
     it->server = aTerms.instance;
     it->timeLeft = aTerms.timeLeft;
+    it->freshConnection = aTerms.freshConnection;
     it->done = std::move(aDone);
     sent.push_back(it);
     return it;
@@ -250,6 +252,21 @@
   CHECK(StatusOf(refused) == 503);
 }
 
+TEST_CASE("a server that refused a request gets it again on a new connection only",
+          "[runtime][forwarder]")
+{
+  ForwarderFixture fixture;
+  fixture.selector.Remove("b", fixture.timers.now);
+  fixture.SendRequest("unsafe");
+  REQUIRE(fixture.backends.sent.size() == 1);
+  CHECK_FALSE(fixture.backends.sent[0]->freshConnection);
+  fixture.backends.Complete(0, ForwardResult::kNotOwner);
+  fixture.AdvanceTime(milliseconds(400));
+  REQUIRE(fixture.backends.sent.size() == 2);
+  CHECK(fixture.backends.sent[1]->server == "a");
+  CHECK(fixture.backends.sent[1]->freshConnection);
+}
+
 TEST_CASE("a caller's disconnect cancels its attempt and releases its slot", "[runtime][forwarder]")
 {
   ForwarderFixture fixture;
