Commands: an answer that is proof arrives on a connection of its own

A faulty server wrote its answer to a grant once more where the answer to the next command on that connection was due; the next one was a release, and the copy (200) was taken for its answer. Cause: commands share kept connections and bear no id, so an answer belongs to whichever command waits there.

Change: a release, and a grant whose answer proves that the server has accepted a token, go out on a new connection. Renewals stay on kept ones: a copy taken for the answer to one only lengthens a wait. Cost: two new connections for each move of keys.

--- a/ownership/grant_commands.h
+++ b/ownership/grant_commands.h
@@ -35,6 +35,9 @@
   FencingToken token = 0;
   /// How long the grant is valid, counted by the server's clock from its arrival.
   Duration hold = Duration::zero();
+  /// The server has not accepted the token yet: its answer is taken as proof that it refuses lower
+  /// ones, so it must belong to this command for certain.
+  bool provesToken = false;
   /// Handover data that the previous owner returned when it released the keys; may be empty.
   std::string handover;
 };
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -236,6 +236,7 @@
   action.grant.range = aRange.owned.keys;
   action.grant.token = aRange.owned.token;
   action.grant.hold = mTiming.hold;
+  action.grant.provesToken = !aRange.tokenAccepted || aRange.needsFencing;
   if (!aRange.tokenAccepted) {
     action.grant.handover = aRange.handover;
   }
--- a/tests/platform/backend_calls_test.cpp
+++ b/tests/platform/backend_calls_test.cpp
@@ -116,7 +116,7 @@
   std::optional<CommandResult> released;
   const auto grantDone = [&](const CommandOutcome& aOutcome) { granted = aOutcome.result; };
   const auto releaseDone = [&](const CommandOutcome& aOutcome) { released = aOutcome.result; };
-  calls.Grant({ address, { "a", 1 }, {}, 3, seconds(4), "" }, seconds(2), grantDone);
+  calls.Grant({ address, { "a", 1 }, {}, 3, seconds(4), false, "" }, seconds(2), grantDone);
   calls.Release({ address, { "a", 1 }, {}, 3 }, seconds(2), releaseDone);
   CHECK(RunUntil(context, [&] { return granted && released; }));
   CHECK(granted == row.grant);
@@ -177,7 +177,7 @@
   std::optional<CommandOutcome> granted;
   std::optional<CommandOutcome> released;
   std::optional<HealthReport> health;
-  calls.Grant({ address, { "me", 1 }, {}, 3, seconds(4), "" },
+  calls.Grant({ address, { "me", 1 }, {}, 3, seconds(4), false, "" },
               seconds(2),
               [&](const CommandOutcome& aOutcome) { granted = aOutcome; });
   calls.Release({ address, { "me", 1 }, {}, 3 }, seconds(2), [&](const CommandOutcome& aOutcome) {
@@ -251,6 +251,36 @@
   CHECK(NameOf(kForwardResultNames, second.result) == "timed-out");
 }
 
+TEST_CASE("an answer that is written once more is not taken for that to the next command",
+          "[platform][reports]")
+{
+  const std::string done = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  asio::io_context context;
+  ByteServer server(context, { done, done, done });
+  DecisionLog log("test");
+  Metrics metrics;
+  BackendCalls calls(context, log, metrics);
+  std::vector<CommandResult> results;
+  const auto take = [&](const CommandOutcome& aOutcome) { results.push_back(aOutcome.result); };
+  GrantCommand grant;
+  grant.address = server.Address();
+  grant.server = { "a", 1 };
+  calls.Grant(grant, seconds(1), take);
+  REQUIRE(RunUntil(context, [&] { return results.size() == 1; }));
+  CHECK(results.back() == CommandResult::kDone);
+  SECTION("a release")
+  {
+    calls.Release({ server.Address(), { "a", 1 }, {}, 1 }, milliseconds(200), take);
+  }
+  SECTION("a grant whose answer proves that the token was accepted")
+  {
+    grant.provesToken = true;
+    calls.Grant(grant, milliseconds(200), take);
+  }
+  REQUIRE(RunUntil(context, [&] { return results.size() == 2; }));
+  CHECK(results.back() == CommandResult::kNoAnswer);
+}
+
 TEST_CASE("a refusal without an id on a new connection belongs to its only request",
           "[platform][reports]")
 {
