--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -132,10 +132,9 @@
 
 bool RangeGranter::HaveGrantsExpired(const Range& aRange, Instant aNow) const
 {
-  // Also if the owner has accepted this leader's token: it may have restarted unnoticed, and has
-  // then forgotten that it must refuse earlier leaders.
-  return aNow >= mEarlierGrantsExpireAt && aNow >= aRange.grantsExpireAt &&
-         aRange.pendingGrants == 0;
+  // An owner that has accepted this leader's token refuses earlier leaders.
+  const bool earlierExpired = aRange.tokenAccepted || aNow >= mEarlierGrantsExpireAt;
+  return earlierExpired && aNow >= aRange.grantsExpireAt && aRange.pendingGrants == 0;
 }
 
 bool RangeGranter::HasRestarted(const ServerRef& aOwner) const
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -131,7 +131,8 @@
 /// write that also names this daemon as leader. The owner of a range changes from S to T only after
 /// one of:
 /// - S has released the keys, and every unanswered grant to S has expired;
-/// - every grant that may have reached S has expired, those of earlier leaders included.
+/// - every grant that may have reached S has expired: also those of earlier leaders, until S has
+///   accepted this leader's token and refuses them.
 /// Nothing else proves that S has stopped. If the registry has another incarnation of S, the keys
 /// are first granted to that one with a higher token: it may have accepted a renewal that was meant
 /// for the earlier one.
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -244,6 +244,21 @@
   CHECK(*elapsed >= third.timing.unconfirmedRenewalLimit + third.timing.hold - seconds(1));
 }
 
+TEST_CASE(
+  "keys of an owner that has accepted the new leader's token move once its own grants expire",
+  "[ownership][ranges]")
+{
+  // The earlier leader is lost for good, and some time later a server too.
+  GranterFixture second = GranterFixture::AfterTakeover({ "e", 1 });
+  second.Advance(seconds(1));
+  second.results["a"] = CommandResult::kNotSent;
+  second.granter.Move({ { 0, 32767 }, "b" }, second.now);
+  const auto elapsed = second.AdvanceUntilOwned(0, "b", seconds(60));
+  REQUIRE(elapsed);
+  CHECK(*elapsed >= second.timing.hold - second.timing.renewalInterval);
+  CHECK(*elapsed <= second.timing.hold + seconds(2));
+}
+
 TEST_CASE("an earlier leader is named in the record until it has stopped or cannot renew any more",
           "[ownership][ranges]")
 {
