Range granter: a leader whose successor has been known for long enough has ended

After the kill of all daemons at 39 s the next leader knew of it from the record alone, never heard it, and gave 14 ranges of servers that had gone away only 20 s after its takeover.

Change: each daemon remembers since when it has known each term (ownership/term_history). Who led in an earlier term was superseded by then, and can renew for 15 s more at the longest (12 s unconfirmed, and the news' age of 3 s). A daemon that takes over leaves such leaders out. The record names the term of each earlier leader.

Evidence: range_granter_test 'an earlier leader is named in the record' (its successor has been known for long enough), 'a term counts as known from when it was first noted'; both need the new calls.

--- a/ownership/key_range.cpp
+++ b/ownership/key_range.cpp
@@ -32,8 +32,8 @@
     ranges.push_back({ it.keys.from, it.keys.to, it.owner.id, it.owner.incarnation, it.token });
   }
   Json earlier = Json::array();
-  for (const DaemonRef& it : aRecord.earlierLeaders) {
-    earlier.push_back({ it.id, it.incarnation });
+  for (const EarlierLeader& it : aRecord.earlierLeaders) {
+    earlier.push_back({ it.daemon.id, it.daemon.incarnation, it.term });
   }
   const Json record = {
     { "holder", aRecord.leader.id },   { "incarnation", aRecord.leader.incarnation },
@@ -55,7 +55,8 @@
     // Daemons of earlier versions do not write the list.
     for (const Json& it : record.value("earlier", Json::array())) {
       aRecord.earlierLeaders.push_back(
-        { it.at(0).get<std::string>(), it.at(1).get<Incarnation>() });
+        { { it.at(0).get<std::string>(), it.at(1).get<Incarnation>() },
+          it.at(2).get<std::uint64_t>() });
     }
     aRecord.ranges.clear();
     for (const Json& it : record.at("ranges")) {
--- a/ownership/key_range.h
+++ b/ownership/key_range.h
@@ -34,6 +34,15 @@
   FencingToken token = 0;
 };
 
+/// A daemon that led before the present leader.
+struct EarlierLeader
+{
+  DaemonRef daemon;
+  std::uint64_t term = 0;
+
+  bool operator==(const EarlierLeader&) const = default;
+};
+
 /// The stored record of a service's ranges: their owners, and the daemon that may change them.
 struct RangeRecord
 {
@@ -41,7 +50,7 @@
   DaemonRef leader;
   /// Leaders before this one that were not known to have stopped when the record was written. Cut
   /// off from the store, they may still renew their grants at the servers that they reach.
-  std::vector<DaemonRef> earlierLeaders;
+  std::vector<EarlierLeader> earlierLeaders;
   /// Incremented each time a daemon becomes leader.
   std::uint64_t term = 0;
   /// Number of the leader's write. A leader whose write got no answer compares it with the stored
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -35,17 +35,20 @@
   return record;
 }
 
-/// The leaders that may still grant keys once @p aSelf succeeds the leader of @p aRecord.
-std::vector<DaemonRef> EarlierLeadersOf(const RangeRecord& aRecord, const DaemonRef& aSelf)
-{
-  std::vector<DaemonRef> leaders = aRecord.earlierLeaders;
-  leaders.push_back(aRecord.leader);
+/// The leaders that may still grant keys once @p aSelf succeeds the leader of @p aRecord; those of
+/// terms below @p aEndedBefore have ended.
+std::vector<EarlierLeader> EarlierLeadersOf(const RangeRecord& aRecord,
+                                            const DaemonRef& aSelf,
+                                            std::uint64_t aEndedBefore)
+{
+  std::vector<EarlierLeader> leaders = aRecord.earlierLeaders;
+  leaders.push_back({ aRecord.leader, aRecord.term });
   // An earlier process of this daemon has ended, and this one has resigned.
-  std::erase_if(leaders, [&](const DaemonRef& aLeader) {
-    return aLeader.id == aSelf.id && aLeader.incarnation <= aSelf.incarnation;
+  std::erase_if(leaders, [&](const EarlierLeader& aLeader) {
+    const bool isSelf =
+      aLeader.daemon.id == aSelf.id && aLeader.daemon.incarnation <= aSelf.incarnation;
+    return isSelf || aLeader.term < aEndedBefore;
   });
-  std::sort(leaders.begin(), leaders.end());
-  leaders.erase(std::unique(leaders.begin(), leaders.end()), leaders.end());
   return leaders;
 }
 
@@ -64,7 +67,8 @@
 
 void RangeGranter::TakeOver(const std::optional<StoredObject>& aCurrent,
                             const std::vector<std::string>& aOwners,
-                            Instant aNow)
+                            Instant aNow,
+                            std::uint64_t aEndedBefore)
 {
   if (mState != State::kIdle) {
     return;
@@ -77,7 +81,7 @@
       return;
     }
     mRevision = aCurrent->revision;
-    mEarlierLeaders = EarlierLeadersOf(record, mSelf);
+    mEarlierLeaders = EarlierLeadersOf(record, mSelf, aEndedBefore);
     record.earlierLeaders = mEarlierLeaders;
   } else {
     record = InitialRecord(aOwners, mServers);
@@ -125,7 +129,9 @@
 
 void RangeGranter::OnEarlierLeaderStopped(const DaemonRef& aLeader, Instant aNow)
 {
-  if (std::erase(mEarlierLeaders, aLeader) > 0 && mEarlierLeaders.empty()) {
+  const std::size_t n = std::erase_if(
+    mEarlierLeaders, [&](const EarlierLeader& aEarlier) { return aEarlier.daemon == aLeader; });
+  if (n > 0 && mEarlierLeaders.empty()) {
     mEarlierGrantsExpireAt = std::min(mEarlierGrantsExpireAt, aNow + MaxGrantLifetime());
   }
 }
@@ -333,7 +339,7 @@
     bool changes = false;
     RangeRecord record = mRecord;
     record.earlierLeaders =
-      aNow < mEarlierGrantsExpireAt ? mEarlierLeaders : std::vector<DaemonRef>();
+      aNow < mEarlierGrantsExpireAt ? mEarlierLeaders : std::vector<EarlierLeader>();
     record.ranges.clear();
     for (auto& [from, range] : mRanges) {
       OwnedRange owned = range.owned;
@@ -450,9 +456,7 @@
 {
   mState = State::kLeading;
   const bool inherited = mRecord.term > 1;
-  const Duration earlierRenewals = mEarlierLeaders.empty()
-                                     ? Duration::zero()
-                                     : mTiming.unconfirmedRenewalLimit + mTiming.maxConfirmationAge;
+  const Duration earlierRenewals = mEarlierLeaders.empty() ? Duration::zero() : RenewalLimit();
   // A grant of the earlier leader's may be on its way.
   const Duration longest = earlierRenewals + mTiming.grantTimeout + MaxGrantLifetime();
   mEarlierGrantsExpireAt = inherited ? aNow + longest : aNow;
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -144,9 +144,16 @@
   /// Starts a takeover: an attempt to become leader.
   /// @p aCurrent: the stored record, if there is one.
   /// @p aOwners: servers among which all keys are divided if there is no record.
+  /// @p aEndedBefore: leaders of lower terms are known to renew no more; see RenewalLimit().
   void TakeOver(const std::optional<StoredObject>& aCurrent,
                 const std::vector<std::string>& aOwners,
-                Instant aNow);
+                Instant aNow,
+                std::uint64_t aEndedBefore = 0);
+  /// How long a leader may go on renewing after another one has taken over.
+  Duration RenewalLimit() const
+  {
+    return mTiming.unconfirmedRenewalLimit + mTiming.maxConfirmationAge;
+  }
   /// Stops being leader. Sends nothing to the servers: their grants stay valid until they expire.
   void Resign();
   bool IsLeader() const { return mState == State::kLeading; }
@@ -155,7 +162,7 @@
 
   void SetServers(std::map<std::string, GrantableServer> aServers);
   /// Earlier leaders that are not confirmed to have stopped.
-  const std::vector<DaemonRef>& EarlierLeaders() const { return mEarlierLeaders; }
+  const std::vector<EarlierLeader>& EarlierLeaders() const { return mEarlierLeaders; }
   /// Reports that an earlier leader is confirmed to have stopped. Once all have, no earlier grant
   /// is renewed, so all expire within the lifetime of one grant.
   void OnEarlierLeaderStopped(const DaemonRef& aLeader, Instant aNow);
@@ -300,7 +307,7 @@
   Instant mWriteSentAt;
   Instant mWriteRetryAt;
   Instant mLastTickAt;
-  std::vector<DaemonRef> mEarlierLeaders;
+  std::vector<EarlierLeader> mEarlierLeaders;
   /// When every grant of an earlier leader has expired.
   Instant mEarlierGrantsExpireAt;
   /// When the stored record was last confirmed to name this daemon.
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -65,6 +65,7 @@
 
 void RangeRunner::Tick(Instant aNow, const RangeDaemonState& aDaemon)
 {
+  mTerms.Note(std::max(mDirectory.Term(), mGranter.Term()), aNow);
   ReportWork(aNow);
   if (mGranter.IsIdle()) {
     if (aDaemon.readsRecord) {
@@ -208,7 +209,8 @@
 void RangeRunner::TakeOver(const StoredObject& aRecord)
 {
   UpdateGrantableServers();
-  mGranter.TakeOver(aRecord, {}, mServices.timers.Now());
+  const Instant now = mServices.timers.Now();
+  mGranter.TakeOver(aRecord, {}, now, mTerms.KnownFor(mGranter.RenewalLimit(), now));
 }
 
 void RangeRunner::BeginTakeover()
@@ -319,18 +321,18 @@
   if (!mGranter.IsLeader()) {
     return;
   }
-  const std::vector<DaemonRef> leaders = mGranter.EarlierLeaders();
-  for (const DaemonRef& it : leaders) {
-    const std::optional<EarlierLeaderEnd> end = EndOf(it);
+  const std::vector<EarlierLeader> leaders = mGranter.EarlierLeaders();
+  for (const auto& [daemon, term] : leaders) {
+    const std::optional<EarlierLeaderEnd> end = EndOf(daemon);
     if (!end) {
       continue;
     }
     mServices.log.Write(EventId::kEarlierLeaderStopped,
                         { { "service", mService },
-                          { "leader", it.id },
-                          { "incarnation", it.incarnation },
+                          { "leader", daemon.id },
+                          { "incarnation", daemon.incarnation },
                           { "proof", NameOf(kEarlierLeaderEndNames, *end) } });
-    mGranter.OnEarlierLeaderStopped(it, mServices.timers.Now());
+    mGranter.OnEarlierLeaderStopped(daemon, mServices.timers.Now());
   }
 }
 
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -6,6 +6,7 @@
 #include "core/metrics.h"
 #include "ownership/range_directory.h"
 #include "ownership/range_granter.h"
+#include "ownership/term_history.h"
 #include "placement/key_load.h"
 #include "placement/range_planner.h"
 #include "ports/backend_port.h"
@@ -137,6 +138,7 @@
   std::function<void()> mOnRangesChanged;
   RangeGranter mGranter;
   RangeDirectory mDirectory;
+  TermHistory mTerms;
   KeyLoad mKeyLoad;
   /// Work of requests that has not been reported to the leader yet.
   std::map<RangeKey, Duration> mUnreportedWork;
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -3,6 +3,7 @@
 /// answer.
 
 #include "ownership/range_granter.h"
+#include "ownership/term_history.h"
 
 #include <catch2/catch.hpp>
 
@@ -269,7 +270,7 @@
     return record.earlierLeaders;
   };
   second.Advance(seconds(1));
-  const std::vector<DaemonRef> first = { { "d", 1 } };
+  const std::vector<EarlierLeader> first = { { { "d", 1 }, 1 } };
   CHECK(earlierInRecord(second) == first);
   SECTION("it has stopped")
   {
@@ -282,7 +283,16 @@
   {
     GranterFixture third = second.SucceededBy({ "d", 2 });
     third.Advance(seconds(1));
-    const std::vector<DaemonRef> left = { { "e", 1 } };
+    const std::vector<EarlierLeader> left = { { { "e", 1 }, 2 } };
+    CHECK(earlierInRecord(third) == left);
+  }
+  SECTION("its successor has been known for long enough")
+  {
+    GranterFixture third({ "f", 1 });
+    third.record = second.record;
+    third.granter.TakeOver(second.record, {}, third.now, 2);
+    third.Advance(seconds(1));
+    const std::vector<EarlierLeader> left = { { { "e", 1 }, 2 } };
     CHECK(earlierInRecord(third) == left);
   }
   SECTION("enough time has passed")
@@ -352,6 +362,20 @@
   CHECK(*elapsed + before <= fixture.timing.hold + seconds(2));
 }
 
+TEST_CASE("a term counts as known from when it was first noted", "[ownership][ranges]")
+{
+  const Instant start{ seconds(100) };
+  TermHistory terms;
+  CHECK(terms.KnownFor(Duration::zero(), start) == 0);
+  terms.Note(3, start);
+  terms.Note(3, start + seconds(5));
+  terms.Note(5, start + seconds(6));
+  terms.Note(4, start + seconds(7));
+  CHECK(terms.KnownFor(seconds(15), start + seconds(14)) == 0);
+  CHECK(terms.KnownFor(seconds(15), start + seconds(15)) == 3);
+  CHECK(terms.KnownFor(seconds(15), start + seconds(21)) == 5);
+}
+
 TEST_CASE("a leader that was paused sends nothing by what it knew before", "[ownership][ranges]")
 {
   GranterFixture fixture;
--- a/tests/support/range_simulation.cpp
+++ b/tests/support/range_simulation.cpp
@@ -129,6 +129,10 @@
     return;
   }
   RangeGranter& granter = *daemon.granter;
+  const Daemon& leader = mDaemons[Leader()];
+  if (mNow >= std::max(leader.silentUntil, daemon.silentUntil)) {
+    daemon.terms.Note(leader.granter->IsLeader() ? leader.granter->Term() : 0, mNow);
+  }
   UpdateServers(daemon);
   const bool storeReachable = mNow >= daemon.storeUnreachableUntil;
   if (granter.IsIdle()) {
@@ -179,8 +183,8 @@
 
 void RangeSimulation::CheckEarlierLeaders(Daemon& aDaemon)
 {
-  const std::vector<DaemonRef> leaders = aDaemon.granter->EarlierLeaders();
-  for (const DaemonRef& it : leaders) {
+  const std::vector<EarlierLeader> leaders = aDaemon.granter->EarlierLeaders();
+  for (const auto& [it, term] : leaders) {
     const Daemon& earlier = mDaemons[static_cast<unsigned>(std::stoul(it.id.substr(1)))];
     const bool heard =
       mNow >= std::max({ earlier.silentUntil, earlier.frozenUntil, aDaemon.silentUntil });
@@ -433,7 +437,8 @@
   const std::optional<StoredObject> record = mRecord;
   Deliver(aDaemon, daemon.ref.incarnation, [this, record](Daemon& aTarget) {
     aTarget.readingRecord = false;
-    aTarget.granter->TakeOver(record, { "s0", "s1", "s2", "s3" }, mNow);
+    const std::uint64_t ended = aTarget.terms.KnownFor(aTarget.granter->RenewalLimit(), mNow);
+    aTarget.granter->TakeOver(record, { "s0", "s1", "s2", "s3" }, mNow, ended);
   });
 }
 
@@ -478,6 +483,7 @@
   ++daemon.ref.incarnation;
   daemon.granter = std::make_unique<RangeGranter>(daemon.ref, DefaultTiming());
   daemon.readingRecord = false;
+  daemon.terms = TermHistory();
   AppendLine("restart " + daemon.ref.id);
 }
 
--- a/tests/support/range_simulation.h
+++ b/tests/support/range_simulation.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "ownership/range_granter.h"
+#include "ownership/term_history.h"
 
 #include <functional>
 #include <map>
@@ -104,6 +105,7 @@
   {
     DaemonRef ref;
     std::unique_ptr<RangeGranter> granter;
+    TermHistory terms;
     Instant frozenUntil;
     Instant storeUnreachableUntil;
     std::vector<Instant> serverUnreachableUntil = std::vector<Instant>(kServers);
