Range granter: a restart loses no pending grant, and a fence is given by its own command only

(2) The answer to a renewal that was sent before a fence was asked for, on a kept connection, passed for the fence. (3) A release that failed was repeated without a new fence, although the owner may have restarted in between; it answers at once and has forgotten the token.

Change: a rebind counts a pending grant as unanswered; only a command that was sent as proof sets tokenAccepted and clears needsFencing; a failed release asks for the fence anew, as long as an earlier leader may grant. The class comment says what a restart shows, and what it does not.

Evidence: range_granter_test 'a renewal that is pending when its owner restarts', 'a fence that was asked for is not given by an earlier renewal's answer'. They were not run on the code before (the fixture's pending grants are new).

--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -221,7 +221,7 @@
     range->releaseAnswered = false;
     range->handover.clear();
     // The owner may have restarted unnoticed since it accepted this leader's token.
-    range->needsFencing = aNow < mEarlierGrantsExpireAt;
+    range->needsFencing = true;
   }
 }
 
@@ -245,7 +245,9 @@
   if (!aRange.tokenAccepted) {
     action.grant.handover = aRange.handover;
   }
-  mPendingCommands[action.order] = { aRange.owned.keys, action.server, aRange.owned.token };
+  mPendingCommands[action.order] = {
+    aRange.owned.keys, action.server, aRange.owned.token, action.grant.provesToken
+  };
   aActions.emplace_back(std::move(action));
 }
 
@@ -298,7 +300,7 @@
   if (server == mServers.end()) {
     return;
   }
-  if (aRange.needsFencing) {
+  if (aRange.needsFencing && aNow < mEarlierGrantsExpireAt) {
     // Until the owner has accepted this leader's token, an earlier leader could renew the keys that
     // it releases. Each grant that gets no answer postpones the expiry, so only a few are sent.
     if (aNow - aRange.phaseSince < kFencingPeriod) {
@@ -506,6 +508,11 @@
       // one, and has forgotten the tokens by which that one refused earlier leaders.
       next.grantsExpireAt = std::max(range.grantsExpireAt, range.unansweredExpireAt);
       next.unansweredExpireAt = range.unansweredExpireAt;
+      if (range.pendingGrants > 0) {
+        // Its result will not be counted any more.
+        next.unansweredExpireAt = aNow + mTiming.grantTimeout + MaxGrantLifetime();
+        next.grantsExpireAt = next.unansweredExpireAt;
+      }
     }
     range = std::move(next);
   }
@@ -527,8 +534,8 @@
     range.pendingGrants -= range.pendingGrants > 0 ? 1 : 0;
     switch (aResult) {
       case CommandResult::kDone:
-        range.tokenAccepted = true;
-        range.needsFencing = false;
+        range.tokenAccepted = range.tokenAccepted || pending.provesToken;
+        range.needsFencing = range.needsFencing && !pending.provesToken;
         range.grantsFailingSince = kNever;
         range.grantsExpireAt = std::max(range.grantsExpireAt, aNow + MaxGrantLifetime());
         continue;
@@ -573,6 +580,8 @@
     range.handover = aOutcome.handover;
     return;
   }
+  // The owner may have restarted meanwhile, and has then forgotten the token.
+  range.needsFencing = true;
   range.retryAt = aNow + kCommandRetryDelay;
 }
 
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -133,9 +133,9 @@
 /// - S has released the keys, and every unanswered grant to S has expired;
 /// - every grant that may have reached S has expired: also those of earlier leaders, until S has
 ///   accepted this leader's token and refuses them.
-/// Nothing else proves that S has stopped. If the registry has another incarnation of S, the keys
-/// are first granted to that one with a higher token: it may have accepted a renewal that was meant
-/// for the earlier one.
+/// If the registry has another incarnation of S, the earlier one has ended, but the new one may
+/// have accepted a renewal that was meant for it. So the keys are granted to the new one, with a
+/// higher token, before they may move.
 class RangeGranter
 {
 public:
@@ -207,8 +207,9 @@
     RangePhase phase = RangePhase::kHeld;
     /// The owner has accepted a grant with the current token.
     bool tokenAccepted = false;
-    /// Before it releases the keys, the owner must accept a grant with this leader's token, so that
-    /// it refuses earlier leaders.
+    /// While earlier leaders may still grant, the owner must accept one more grant with this
+    /// leader's token before it is asked to release the keys: if it has restarted unnoticed, it has
+    /// forgotten the token that makes it refuse them.
     bool needsFencing = false;
     /// The owner is taken to serve the keys although it has accepted no grant from this leader.
     bool presumedServing = false;
@@ -256,6 +257,8 @@
     KeyRange keys;
     std::string server;
     FencingToken token = 0;
+    /// See GrantCommand::provesToken.
+    bool provesToken = false;
   };
 
   /// Longest time from now for which a grant that is now in a server's hands can be valid, slow
@@ -279,7 +282,6 @@
   /// Makes the pending write, which is in the store as @p aRevision, the current record.
   void Commit(Version aRevision, Instant aNow);
   void CommitTakeover(Instant aNow);
-  void Supersede(const StoredObject& aObject);
   /// Splits ranges so that @p aKeys is one, and returns it. Null if the keys span two ranges, or
   /// are part of a range that is being moved.
   Range* SplitOff(const KeyRange& aKeys);
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -6,6 +6,7 @@
 #include "ownership/term_history.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace hawthornlug;
 
@@ -100,6 +101,9 @@
   std::map<std::string, Incarnation> incarnations;
   /// Results of the commands to a server, if not "done".
   std::map<std::string, CommandResult> results;
+  /// Servers whose grants get no result yet, and the numbers of these grants.
+  std::set<std::string> pendingServers;
+  std::vector<std::uint64_t> pending;
   /// Commands that were sent, such as "grant a 0-32767 token 1".
   std::vector<std::string> commands;
 
@@ -125,6 +129,10 @@
   {
     if (const auto* grant = std::get_if<GrantKeys>(&aAction)) {
       AppendCommand("grant", grant->server, grant->grant.range, grant->grant.token);
+      if (pendingServers.contains(grant->server)) {
+        pending.push_back(grant->order);
+        return;
+      }
       granter.OnGranted(grant->order, ResultOf(grant->server), now);
     } else if (const auto* release = std::get_if<ReleaseKeys>(&aAction)) {
       AppendCommand("release", release->server, release->release.range, release->release.token);
@@ -345,6 +353,43 @@
   CHECK(*elapsed >= fixture.timing.hold - fixture.timing.renewalInterval - milliseconds(200));
 }
 
+TEST_CASE("a renewal that is pending when its owner restarts counts until it must have expired",
+          "[ownership][ranges]")
+{
+  GranterFixture fixture;
+  fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
+  fixture.Advance(seconds(2));
+  // The renewal reaches the new incarnation, and its answer is lost.
+  fixture.pendingServers.insert("a");
+  fixture.Advance(milliseconds(1200));
+  const Instant sentAt = fixture.now;
+  fixture.ShowRestart("a");
+  fixture.pendingServers.clear();
+  fixture.results["a"] = CommandResult::kNotSent;
+  fixture.Advance(kStep);
+  fixture.granter.Move({ { 0, 32767 }, "b" }, fixture.now);
+  REQUIRE(fixture.AdvanceUntilOwned(0, "b", seconds(20)));
+  CHECK(fixture.now - sentAt >= fixture.timing.hold);
+}
+
+TEST_CASE("a fence that was asked for is not given by an earlier renewal's answer",
+          "[ownership][ranges]")
+{
+  GranterFixture second = GranterFixture::AfterTakeover({ "e", 1 });
+  second.Advance(seconds(1));
+  second.pendingServers.insert("a");
+  second.Advance(milliseconds(1200));
+  REQUIRE_FALSE(second.pending.empty());
+  second.granter.Move({ { 0, 32767 }, "b" }, second.now);
+  second.granter.OnGranted(second.pending.front(), CommandResult::kDone, second.now);
+  second.pendingServers.clear();
+  second.commands.clear();
+  second.Advance(milliseconds(500));
+  REQUIRE_FALSE(second.commands.empty());
+  CHECK(second.commands.front() == "grant a 0-32767 token 11");
+  CHECK(ContainsLine(second.commands, "release a 0-32767 token 11"));
+}
+
 TEST_CASE("a command answered by another server does not prove that the owner has stopped",
           "[ownership][ranges]")
 {
