Range granter: an unconfirmed leader renews, and grants nothing anew

Cause: a leader that the store does not confirm may renew for 12 s, so that an outage of the store is served through, and took a grant after a gap for a renewal.

Change: once the store has not confirmed it for maxConfirmationAge (3 s), a leader sends grants only to owners whose last accepted grant is still valid. Cost: keys of a server that is silent for more than 4 s while the store is away wait for the store.

--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -136,6 +136,13 @@
   }
 }
 
+bool RangeGranter::MayGrant(const Range& aRange, Instant aNow) const
+{
+  const Duration unconfirmed = aNow - mLeadershipConfirmedAt;
+  const bool isRenewal = aNow - aRange.acceptedAt < mTiming.hold;
+  return unconfirmed <= (isRenewal ? mTiming.unconfirmedRenewalLimit : mTiming.maxConfirmationAge);
+}
+
 bool RangeGranter::HaveGrantsExpired(const Range& aRange, Instant aNow) const
 {
   // An owner that has accepted this leader's token refuses earlier leaders.
@@ -276,8 +283,7 @@
     Rebind(aRange, aNow);
     return;
   }
-  const bool unconfirmed = aNow - mLeadershipConfirmedAt > mTiming.unconfirmedRenewalLimit;
-  if (!unconfirmed && aRange.pendingGrants == 0 && aNow >= aRange.renewAt) {
+  if (MayGrant(aRange, aNow) && aRange.pendingGrants == 0 && aNow >= aRange.renewAt) {
     SendGrant(aRange, aNow, aActions);
   }
 }
@@ -303,7 +309,7 @@
   if (aRange.needsFencing && aNow < mEarlierGrantsExpireAt) {
     // Until the owner has accepted this leader's token, an earlier leader could renew the keys that
     // it releases. Each grant that gets no answer postpones the expiry, so only a few are sent.
-    if (aNow - aRange.phaseSince < kFencingPeriod) {
+    if (aNow - aRange.phaseSince < kFencingPeriod && MayGrant(aRange, aNow)) {
       aRange.retryAt = aNow + kCommandRetryDelay;
       SendGrant(aRange, aNow, aActions);
     }
@@ -537,6 +543,7 @@
         range.tokenAccepted = range.tokenAccepted || pending.provesToken;
         range.needsFencing = range.needsFencing && !pending.provesToken;
         range.grantsFailingSince = kNever;
+        range.acceptedAt = aNow;
         range.grantsExpireAt = std::max(range.grantsExpireAt, aNow + MaxGrantLifetime());
         continue;
       case CommandResult::kSuperseded:
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -216,6 +216,8 @@
     /// Number of grant commands that await their result.
     unsigned pendingGrants = 0;
     Instant renewAt;
+    /// When the owner last accepted a grant from this leader.
+    Instant acceptedAt;
     /// When every grant of this leader that may have reached the owner has expired.
     Instant grantsExpireAt;
     /// When every grant that got no answer has expired.
@@ -264,6 +266,10 @@
   /// Longest time from now for which a grant that is now in a server's hands can be valid, slow
   /// clock and safety margin included.
   Duration MaxGrantLifetime() const;
+  /// Whether this daemon may send the owner a grant now. A leader that the store has not confirmed
+  /// for a while only renews: an owner whose grants have expired may have restarted, and the keys
+  /// may have another owner by now.
+  bool MayGrant(const Range& aRange, Instant aNow) const;
   /// Whether every grant that may have reached the owner has expired.
   bool HaveGrantsExpired(const Range& aRange, Instant aNow) const;
   /// Whether the registry has another incarnation of @p aOwner.
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -483,6 +483,31 @@
   CHECK(lastRenewalAt <= end - seconds(3) + kStep);
 }
 
+TEST_CASE("a leader that the store does not confirm grants no keys anew whose grants have expired",
+          "[ownership][ranges]")
+{
+  // The owner may have restarted while it could not be reached, and forgotten a successor's token.
+  GranterFixture fixture;
+  fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
+  fixture.Advance(seconds(1));
+  const auto grantsDuring = [&](Duration aTime, CommandResult aResult) {
+    std::size_t n = 0;
+    for (const Instant end = fixture.now + aTime; fixture.now < end; fixture.now += kStep) {
+      for (const GranterAction& it : fixture.granter.Tick(fixture.now)) {
+        const auto& grant = std::get<GrantKeys>(it);
+        const bool isToA = grant.server == "a";
+        n += isToA ? 1 : 0;
+        fixture.granter.OnGranted(grant.order, isToA ? aResult : CommandResult::kDone, fixture.now);
+      }
+    }
+    return n;
+  };
+  CHECK(grantsDuring(seconds(5), CommandResult::kNotSent) > 5);
+  CHECK(grantsDuring(seconds(2), CommandResult::kDone) == 0);
+  fixture.granter.OnRecordUnchanged(fixture.now, fixture.now);
+  CHECK(grantsDuring(seconds(2), CommandResult::kDone) > 0);
+}
+
 TEST_CASE("a leader resigns when the record names another leader", "[ownership][ranges]")
 {
   GranterFixture fixture;
