--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -275,8 +275,9 @@
     { "port out of range", "10.1.2.3:80", "10.1.2.3:70000" },
   }));
   INFO(row.name);
-  const std::string odd = R"({"Metadata":{"Name":"odd","Revision":7},"Spec":)" +
-                          WithReplacement(kServer, row.part, row.with) + "}";
+  const std::string odd =
+    R"({"Metadata":{"Name":"odd","Revision":7,"Finalizers":[1e400]},"Spec":)" +
+    WithReplacement(kServer, row.part, row.with) + "}";
   const std::string good = R"({"Metadata":{"Name":"good","Revision":8},"Spec":)" + kServer + "}";
   const auto check = [](const StorePage& aPage) {
     REQUIRE(aPage.objects.size() == 2);
