Forwarder: the server that refused an attempt is noted, not the one asked last

Found by the review: with two attempts under way, a refusal by the first was noted for the second. Evidence: by reading; tests/runtime/forwarder_test 'a server that refused a request' holds.

--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -512,6 +512,9 @@
   mServices.metrics.Count("forwards_total{result=\"" +
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
   UpdateStatistics(aRequest, ended, aOutcome, now);
+  if (aOutcome.result == ForwardResult::kNotRun || aOutcome.result == ForwardResult::kNotOwner) {
+    request.refusedBy.push_back(ended.server);
+  }
   if (!aOutcome.notice.IsEmpty()) {
     mServices.notices.OnServerNotice({ ended.server, ended.incarnation }, aOutcome.notice);
   }
@@ -552,9 +555,6 @@
   const bool notRun =
     nothingSent || aResult == ForwardResult::kNotRun || aResult == ForwardResult::kNotOwner;
   request.mayHaveRun = request.mayHaveRun || !notRun;
-  if (notRun && !nothingSent) {
-    request.refusedBy.push_back(request.lastServer);
-  }
   if (request.deadline - aNow < request.work / 2) {
     return false;
   }
