Range runner: a heartbeat without a claim counts 2 s after the takeover, not 1.2 s

Change: the wait is longer than a write's. Cost: keys of an owner that can't be reached wait up to 0.8 s more after a takeover.

--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -26,9 +26,10 @@
 constexpr Duration kTakeoverRetryDelay = milliseconds(500);
 /// How long a superseded daemon makes no takeover attempt.
 constexpr Duration kSupersededDelay = milliseconds(2500);
-/// Heartbeats that arrive later than this after a takeover were sent by daemons that already knew
-/// of it.
-constexpr Duration kHeartbeatSettleTime = milliseconds(1200);
+/// A heartbeat without a claim counts only if it arrives later than this after a takeover: an
+/// earlier leader's own takeover may have been written without its knowing it yet, for as long as a
+/// write waits for its answer (1.5 s).
+constexpr Duration kHeartbeatSettleTime = milliseconds(2000);
 /// Timeout of the leader's watch on the range record: it confirms at least this often that the
 /// record still names it.
 constexpr Duration kRecordWatchTimeout = milliseconds(1500);
@@ -308,7 +309,7 @@
     if (it->ref.incarnation > aLeader.incarnation) {
       return EarlierLeaderEnd::kRestarted;
     }
-    // A heartbeat that was sent well after the takeover and no longer claims the ranges.
+    // A heartbeat that has arrived well after the takeover and no longer claims the ranges.
     const bool gaveUp =
       !it->claims.contains(mService) && it->heartbeatAt > mBecameLeaderAt + kHeartbeatSettleTime;
     return gaveUp ? std::optional(EarlierLeaderEnd::kNoClaim) : std::nullopt;
