--- /dev/null
+++ b/tests/soak/route_soak.cpp
@@ -0,0 +1,551 @@
+/// @file
+/// Randomized soak of `hawthornlug route`: real daemons on the real clock, stand-ins for the store
+/// and the backend servers, troubles of all kinds in series, rules checked while it runs.
+///
+/// usage: route_soak --seed N --seconds S [--daemons 8] [--servers 27]
+/// The seed chooses the troubles; what the processes make of them differs from run to run. Exits
+/// with 1 if a rule was broken (the daemons' logs are kept then), with 2 if the soak did not start.
+
+#include "tests/standins/flags.h"
+#include "tests/support/platform_fleet.h"
+
+#include <array>
+#include <csignal>
+#include <iomanip>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace {
+
+using namespace hawthornlug::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr unsigned kKeys = 65536;
+/// Of 16 keys, KeysHeld() counts how many are held.
+constexpr unsigned kSampledKeys = 16;
+constexpr milliseconds kCheckInterval{ 50 };
+constexpr milliseconds kHeartbeatInterval{ 1000 };
+constexpr milliseconds kLongestSharing{ 500 };
+constexpr milliseconds kLoadInterval{ 5 };
+constexpr milliseconds kPoll{ 50 };
+/// GraceS of the fleet's settings.
+constexpr milliseconds kGrace{ 6000 };
+constexpr seconds kStart{ 30 };
+constexpr seconds kRecovery{ 20 };
+constexpr std::size_t kTroublesShown = 20;
+
+volatile std::sig_atomic_t gStopped = 0;
+
+void OnSignal(int /*aSignal*/)
+{
+  gStopped = 1;
+}
+
+class Soak
+{
+public:
+  Soak(std::uint64_t aSeed, unsigned aDaemons, unsigned aServers)
+    : mSeed(aSeed)
+    , mRandom(aSeed)
+    , mDaemons(aDaemons)
+    , mFleet(aDaemons, aServers / 4, aServers - aServers / 4)
+    , mSharedSince(kKeys)
+  {
+  }
+
+  int Run(seconds aTime)
+  {
+    if (!Start()) {
+      std::cout << "seed " << mSeed << ": not all daemons were ready and all keys held in time\n";
+      return 2;
+    }
+    mBegan = steady_clock::now();
+    After(milliseconds(0), [this] { PlaySeries(); });
+    RunUntil(mBegan + aTime);
+    mEnding = true;
+    // What was begun is put right, then the fleet gets time to recover.
+    const auto limit = steady_clock::now() + kRecovery;
+    while (steady_clock::now() < limit && Goes() &&
+           !(mActions.empty() && mFleet.KeysHeld() == kSampledKeys)) {
+      RunUntil(std::min(limit, steady_clock::now() + kPoll));
+    }
+    if (Goes()) {
+      mFleet.SetLoad(false);
+      FindBroken();
+    }
+    return Report();
+  }
+
+private:
+  using Trouble = void (Soak::*)();
+
+  bool Start()
+  {
+    for (unsigned n = 0; n < mFleet.Servers(); n += 3) {
+      mFleet.Server(n).SlowClock();
+    }
+    const bool up = mFleet.RunUntil(
+      [this] {
+        for (unsigned n = 0; n < mDaemons; ++n) {
+          if (!mFleet.IsReady(n)) {
+            return false;
+          }
+        }
+        return mFleet.KeysHeld() == kSampledKeys;
+      },
+      kStart);
+    mFleet.SetLoadInterval(kLoadInterval);
+    mFleet.SetLoad(up);
+    return up;
+  }
+
+  bool Goes() const { return mBroken.empty() && gStopped == 0; }
+
+  void RunUntil(steady_clock::time_point aEnd)
+  {
+    while (steady_clock::now() < aEnd && Goes()) {
+      mFleet.RunFor(milliseconds(5));
+      const auto now = steady_clock::now();
+      while (!mActions.empty() && mActions.begin()->first <= now) {
+        const auto action = std::move(mActions.begin()->second);
+        mActions.erase(mActions.begin());
+        action();
+      }
+      if (now >= mNextCheck) {
+        mNextCheck = now + kCheckInterval;
+        CheckHolds(now);
+        CheckProcesses();
+        FindBroken();
+      }
+      WriteHeartbeats(now);
+    }
+  }
+
+  /// Each server's, evenly spread.
+  void WriteHeartbeats(steady_clock::time_point aNow)
+  {
+    while (mNextHeartbeat <= aNow) {
+      mFleet.Server(mHeartbeats++ % mFleet.Servers()).Heartbeat();
+      mNextHeartbeat =
+        std::max(mNextHeartbeat, aNow - kHeartbeatInterval) + kHeartbeatInterval / mFleet.Servers();
+    }
+  }
+
+  // Checks
+
+  void CheckHolds(steady_clock::time_point aNow)
+  {
+    std::vector<std::uint8_t> holders(kKeys);
+    for (unsigned n = 0; n < mFleet.Servers(); ++n) {
+      for (const StandInServer::Hold& it : mFleet.Server(n).AllHolds()) {
+        if (it.until > aNow && !it.excused) {
+          std::for_each(
+            holders.begin() + it.from, holders.begin() + it.to + 1, [](auto& aCount) { ++aCount; });
+        }
+      }
+    }
+    bool shared = false;
+    for (unsigned key = 0; key < kKeys; ++key) {
+      if (holders[key] < 2) {
+        mSharedSince[key] = {};
+        continue;
+      }
+      shared = true;
+      if (mSharedSince[key] == steady_clock::time_point()) {
+        mSharedSince[key] = aNow;
+      } else if (aNow - mSharedSince[key] > kLongestSharing) {
+        Break("OWNER: two servers held key " + std::to_string(key) +
+              " for over 500 ms:" + HoldersOf(key));
+        return;
+      }
+    }
+    mSharedChecks += shared ? 1 : 0;
+    if (!shared) {
+      mFleet.ForgetSharedRuns();
+    }
+  }
+
+  std::string HoldersOf(unsigned aKey)
+  {
+    std::ostringstream text;
+    for (unsigned n = 0; n < mFleet.Servers(); ++n) {
+      const StandInServer::Hold* const hold = mFleet.Server(n).FindHold(aKey);
+      if (hold != nullptr) {
+        text << " " << mFleet.Server(n).Id() << " (life " << mFleet.Server(n).Life() << ") "
+             << hold->from << "-" << hold->to << " token " << hold->token << " for another "
+             << Seconds(hold->until - steady_clock::now()) << " s;";
+      }
+    }
+    return text.str();
+  }
+
+  void CheckProcesses()
+  {
+    for (unsigned n = 0; n < mDaemons; ++n) {
+      if (mFleet.IsUp(n) && mFleet.HasEnded(n)) {
+        Break("Fault: daemon " + std::to_string(n) + " ended by itself");
+      }
+    }
+  }
+
+  void FindBroken()
+  {
+    for (const std::string& it : mFleet.Ledger().broken) {
+      // Without regard to time, which CheckHolds() has.
+      if (!it.starts_with("two servers hold key")) {
+        Break(it);
+      }
+    }
+  }
+
+  void Break(const std::string& aRule)
+  {
+    if (mBroken.empty()) {
+      mBroken = aRule;
+      mBrokenAt = steady_clock::now() - mBegan;
+    }
+  }
+
+  // Troubles
+
+  unsigned Draw(unsigned aFrom, unsigned aTo)
+  {
+    return aFrom + static_cast<unsigned>(mRandom() % (aTo - aFrom + 1));
+  }
+  milliseconds DrawTime(unsigned aFromMs, unsigned aToMs)
+  {
+    return milliseconds(Draw(aFromMs, aToMs));
+  }
+  void After(milliseconds aTime, std::function<void()> aAction)
+  {
+    mActions.emplace(steady_clock::now() + aTime, std::move(aAction));
+  }
+
+  static std::string Seconds(steady_clock::duration aTime)
+  {
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3) << std::chrono::duration<double>(aTime).count();
+    return text.str();
+  }
+
+  void Say(const std::string& aKind, const std::string& aText)
+  {
+    ++mPlayed[aKind];
+    mTold.push_back(Seconds(steady_clock::now() - mBegan) + " " + aKind + " " + aText);
+    std::cout << mTold.back() << std::endl;
+  }
+
+  /// Some troubles close behind one another, then a pause.
+  void PlaySeries()
+  {
+    static constexpr std::array<Trouble, 12> kTroubles = {
+      &Soak::Kill,     &Soak::Terminate, &Soak::Freeze,  &Soak::Freeze,
+      &Soak::Reload,   &Soak::Outage,    &Soak::Restart, &Soak::Quiet,
+      &Soak::DrainOne, &Soak::WriteOdd,  &Soak::Repeat,  &Soak::RestartAndStopGranter
+    };
+    milliseconds at(0);
+    for (unsigned left = Draw(2, 8); left > 0; --left) {
+      const Trouble trouble = kTroubles.at(Draw(0, kTroubles.size() - 1));
+      After(at, [this, trouble] {
+        if (!mEnding) {
+          (this->*trouble)();
+        }
+      });
+      at += DrawTime(0, 600);
+    }
+    After(at + DrawTime(200, 3000), [this] {
+      if (!mEnding) {
+        PlaySeries();
+      }
+    });
+  }
+
+  /// A daemon without a trouble, or -1.
+  int FreeDaemon()
+  {
+    const unsigned first = Draw(0, mDaemons - 1);
+    for (unsigned n = 0; n < mDaemons; ++n) {
+      const unsigned daemon = (first + n) % mDaemons;
+      if (!mBusyDaemons.contains(daemon)) {
+        return static_cast<int>(daemon);
+      }
+    }
+    return -1;
+  }
+
+  /// A server without a trouble, or nullptr.
+  StandInServer* FreeServer(bool aKeyed)
+  {
+    const unsigned first = Draw(0, mFleet.Servers() - 1);
+    for (unsigned n = 0; n < mFleet.Servers(); ++n) {
+      StandInServer& server = mFleet.Server((first + n) % mFleet.Servers());
+      if (!mBusyServers.contains(&server) && (server.IsKeyed() || !aKeyed)) {
+        return &server;
+      }
+    }
+    return nullptr;
+  }
+
+  void StartAgain(unsigned aDaemon, milliseconds aAfter)
+  {
+    After(aAfter, [this, aDaemon] {
+      mFleet.StartDaemon(aDaemon);
+      mBusyDaemons.erase(aDaemon);
+    });
+  }
+
+  void KillDaemon(unsigned aDaemon, milliseconds aAway)
+  {
+    mBusyDaemons.insert(aDaemon);
+    Say("kill", "daemon " + std::to_string(aDaemon) + ", back in " + Seconds(aAway));
+    mFleet.Signal(aDaemon, SIGKILL);
+    StartAgain(aDaemon, aAway);
+  }
+
+  void FreezeDaemon(unsigned aDaemon, milliseconds aTime)
+  {
+    mBusyDaemons.insert(aDaemon);
+    Say("freeze", "daemon " + std::to_string(aDaemon) + " for " + Seconds(aTime));
+    mFleet.Signal(aDaemon, SIGSTOP);
+    After(aTime, [this, aDaemon] {
+      mFleet.Signal(aDaemon, SIGCONT);
+      mBusyDaemons.erase(aDaemon);
+    });
+  }
+
+  void Kill()
+  {
+    if (const int daemon = FreeDaemon(); daemon >= 0) {
+      KillDaemon(daemon, DrawTime(200, 3000));
+    }
+  }
+
+  void Freeze()
+  {
+    if (const int daemon = FreeDaemon(); daemon >= 0) {
+      FreezeDaemon(daemon, DrawTime(500, 8000));
+    }
+  }
+
+  void Reload()
+  {
+    if (const int daemon = FreeDaemon(); daemon >= 0) {
+      Say("hangup", "daemon " + std::to_string(daemon));
+      mFleet.Signal(daemon, SIGHUP);
+    }
+  }
+
+  void Terminate()
+  {
+    const int daemon = FreeDaemon();
+    if (daemon < 0) {
+      return;
+    }
+    const milliseconds away = DrawTime(200, 3000);
+    mBusyDaemons.insert(daemon);
+    Say("terminate",
+        "daemon " + std::to_string(daemon) + ", back " + Seconds(away) + " after its end");
+    mFleet.Signal(daemon, SIGTERM);
+    AwaitStop(daemon, steady_clock::now() + kGrace, away);
+  }
+
+  void AwaitStop(unsigned aDaemon, steady_clock::time_point aLimit, milliseconds aAway)
+  {
+    After(kPoll, [this, aDaemon, aLimit, aAway] {
+      if (mFleet.HasEnded(aDaemon)) {
+        StartAgain(aDaemon, aAway);
+      } else if (steady_clock::now() < aLimit) {
+        AwaitStop(aDaemon, aLimit, aAway);
+      } else {
+        Say("end-of-grace", "daemon " + std::to_string(aDaemon) + " is killed");
+        mFleet.Signal(aDaemon, SIGKILL);
+        StartAgain(aDaemon, aAway);
+      }
+    });
+  }
+
+  /// The store answers 503 to all; at times some entries of servers expire meanwhile.
+  void Outage()
+  {
+    if (mFleet.Store().IsDown()) {
+      return;
+    }
+    const milliseconds time = DrawTime(1000, 6000);
+    const unsigned lost = Draw(0, 1) * Draw(1, 5);
+    Say("outage", "for " + Seconds(time) + ", " + std::to_string(lost) + " entries expire");
+    mFleet.Store().SetDown(true);
+    After(time, [this, lost] {
+      for (unsigned n = 0; n < lost; ++n) {
+        mFleet.Store().Remove("servers", mFleet.Server(Draw(0, mFleet.Servers() - 1)).Id());
+      }
+      mFleet.Store().SetDown(false);
+    });
+  }
+
+  /// Restarts a server in place; it registers later. Returns whether it did.
+  bool RestartServer(bool aKeyed)
+  {
+    StandInServer* const server = FreeServer(aKeyed);
+    if (server == nullptr) {
+      return false;
+    }
+    const milliseconds later = DrawTime(0, 2000);
+    mBusyServers.insert(server);
+    Say("restart", server->Id() + " in place, registers in " + Seconds(later));
+    server->Restart();
+    After(later, [this, server] {
+      server->Register("ready");
+      mBusyServers.erase(server);
+    });
+    return true;
+  }
+
+  void Restart() { RestartServer(Draw(0, 3) > 0); }
+
+  void RestartAndStopGranter()
+  {
+    if (!RestartServer(true)) {
+      return;
+    }
+    After(DrawTime(0, 300), [this, kills = Draw(0, 1) == 1, time = DrawTime(500, 8000)] {
+      const int granter = mFleet.Granter();
+      if (granter < 0 || mBusyDaemons.contains(granter)) {
+        return;
+      }
+      Say("granter", "is daemon " + std::to_string(granter));
+      kills ? KillDaemon(granter, time / 3) : FreezeDaemon(granter, time);
+    });
+  }
+
+  void Quiet()
+  {
+    StandInServer* const server = FreeServer(Draw(0, 3) > 0);
+    if (server == nullptr) {
+      return;
+    }
+    const milliseconds time = DrawTime(1000, 6000);
+    mBusyServers.insert(server);
+    Say("silent", server->Id() + " for " + Seconds(time));
+    server->SetSilent(true);
+    After(time, [this, server] {
+      server->SetSilent(false);
+      mBusyServers.erase(server);
+    });
+  }
+
+  void DrainOne()
+  {
+    StandInServer* const server = FreeServer(Draw(0, 3) > 0);
+    if (server == nullptr) {
+      return;
+    }
+    const milliseconds time = DrawTime(1000, 6000);
+    mBusyServers.insert(server);
+    Say("drain", server->Id() + ", back in " + Seconds(time));
+    server->Register("draining");
+    After(time, [this, server] {
+      server->Register("ready");
+      mBusyServers.erase(server);
+    });
+  }
+
+  /// Another writer's entry, of its own or in place of a server's, whose heartbeat puts it right.
+  void WriteOdd()
+  {
+    const std::array<Json, 6> specs = {
+      Json("no entry at all"),
+      Json{ { "Service", "keyed" }, { "State", "ready" } },
+      Json{ { "Service", "keyed" }, { "State", "odd" }, { "Address", 7 }, { "born", "x" } },
+      Json{ { "Service", "keyed" }, { "State", "ready" }, { "Address", "127.0.0.1:70000" } },
+      Json{ { "Service", Json::array({ 1 }) }, { "born", -1.5 }, { "Seq", nullptr } },
+      Json(nullptr)
+    };
+    const unsigned kind = Draw(0, specs.size() - 1);
+    const bool own = Draw(0, 1) == 0;
+    const std::string name =
+      own ? "i-odd-" + std::to_string(kind) : mFleet.Server(Draw(0, mFleet.Servers() - 1)).Id();
+    Say("odd", "entry " + std::to_string(kind) + " at " + name);
+    mFleet.Store().Put("servers", name, specs.at(kind));
+    if (own) {
+      After(DrawTime(1000, 5000), [this, name] { mFleet.Store().Remove("servers", name); });
+    }
+  }
+
+  void Repeat()
+  {
+    if (StandInServer* const server = FreeServer(true); server != nullptr) {
+      Say("twice", server->Id() + " writes its next answer to an order twice");
+      server->AnswerTwice();
+    }
+  }
+
+  int Report()
+  {
+    const FleetLedger& ledger = mFleet.Ledger();
+    std::cout << "asked " << ledger.asked << ", served " << ledger.served << ", not run "
+              << ledger.notRun << ", failed " << ledger.failed << ", closed " << ledger.closed
+              << "; checks that saw a key shared " << mSharedChecks << "; old tokens in new lives "
+              << ledger.oldTokens << "; keys held at the end " << mFleet.KeysHeld() << "/"
+              << kSampledKeys << "\ntroubles:";
+    for (const auto& [kind, count] : mPlayed) {
+      std::cout << " " << kind << " " << count;
+    }
+    std::cout << "\n";
+    if (mBroken.empty()) {
+      std::cout << "seed " << mSeed << (gStopped != 0 ? ": stopped early" : "")
+                << ": no rule broken" << std::endl;
+      return 0;
+    }
+    std::cout << "seed " << mSeed << ", at " << Seconds(mBrokenAt) << " s: BROKEN: " << mBroken
+              << "\nlogs: " << mFleet.KeepFolder() << "\nlast troubles:\n";
+    const std::size_t skipped = mTold.size() - std::min(mTold.size(), kTroublesShown);
+    for (std::size_t n = skipped; n < mTold.size(); ++n) {
+      std::cout << "  " << mTold[n] << "\n";
+    }
+    std::cout << std::flush;
+    return 1;
+  }
+
+  std::uint64_t mSeed;
+  std::mt19937_64 mRandom;
+  unsigned mDaemons;
+  PlatformFleet mFleet;
+  steady_clock::time_point mBegan = steady_clock::now();
+  steady_clock::time_point mNextCheck = mBegan;
+  steady_clock::time_point mNextHeartbeat = mBegan;
+  unsigned mHeartbeats = 0;
+  bool mEnding = false;
+  std::multimap<steady_clock::time_point, std::function<void()>> mActions;
+  std::set<unsigned> mBusyDaemons;
+  std::set<const StandInServer*> mBusyServers;
+  /// By key: since when two servers have held it.
+  std::vector<steady_clock::time_point> mSharedSince;
+  unsigned mSharedChecks = 0;
+  std::vector<std::string> mTold;
+  std::map<std::string, unsigned> mPlayed;
+  std::string mBroken;
+  steady_clock::duration mBrokenAt{};
+};
+
+} // namespace
+
+int main(int aCount, char** aWords)
+{
+  const standins::Flags flags(aCount, aWords);
+  // A soak that is ended early still ends its daemons.
+  for (const int it : { SIGINT, SIGTERM, SIGHUP }) {
+    std::signal(it, OnSignal);
+  }
+  try {
+    Soak soak(static_cast<std::uint64_t>(flags.Number("seed", 1)),
+              static_cast<unsigned>(flags.Number("daemons", 8)),
+              static_cast<unsigned>(flags.Number("servers", 27)));
+    return soak.Run(seconds(flags.Number("seconds", 40)));
+  } catch (const std::exception& aError) {
+    std::cout << "soak failed: " << aError.what() << std::endl;
+    return 2;
+  }
+}
