--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -526,6 +526,8 @@
   const std::string log = mFolder + "/daemon-" + std::to_string(aDaemon) + ".log";
   ::posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  // A daemon that had our sockets would keep ports and connections open.
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   ::posix_spawn(&daemon.pid, program.c_str(), &actions, nullptr, args.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
   daemon.up = true;
