--- a/tests/soak/route_soak.cpp
+++ b/tests/soak/route_soak.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstring>
 #include <iomanip>
 #include <iostream>
 #include <random>
@@ -44,6 +45,38 @@
   gStopped = 1;
 }
 
+/// A trouble of one server, from one action to another.
+struct ServerTrouble
+{
+  const char* name;
+  unsigned fromMs;
+  unsigned toMs;
+  void (*begin)(StandInServer&);
+  void (*end)(StandInServer&);
+};
+
+void Ready(StandInServer& aServer)
+{
+  aServer.Register("ready");
+}
+
+/// A restart in place: the server registers when the trouble ends.
+constexpr std::array<ServerTrouble, 5> kServerTroubles = {
+  { { "restart", 0, 2000, [](StandInServer& aServer) { aServer.Restart(); }, Ready },
+    { "restart", 0, 2000, [](StandInServer& aServer) { aServer.Restart(); }, Ready },
+    { "drain", 1000, 6000, [](StandInServer& aServer) { aServer.Register("draining"); }, Ready },
+    { "silent",
+      1000,
+      6000,
+      [](StandInServer& aServer) { aServer.SetSilent(true); },
+      [](StandInServer& aServer) { aServer.SetSilent(false); } },
+    { "twice",
+      0,
+      0,
+      [](StandInServer& aServer) { aServer.AnswerTwice(); },
+      [](StandInServer&) {} } }
+};
+
 class Soak
 {
 public:
@@ -80,8 +113,6 @@
   }
 
 private:
-  using Trouble = void (Soak::*)();
-
   bool Start()
   {
     for (unsigned n = 0; n < mFleet.Servers(); n += 3) {
@@ -241,17 +272,11 @@
   /// Some troubles close behind one another, then a pause.
   void PlaySeries()
   {
-    static constexpr std::array<Trouble, 12> kTroubles = {
-      &Soak::Kill,     &Soak::Terminate, &Soak::Freeze,  &Soak::Freeze,
-      &Soak::Reload,   &Soak::Outage,    &Soak::Restart, &Soak::Quiet,
-      &Soak::DrainOne, &Soak::WriteOdd,  &Soak::Repeat,  &Soak::RestartAndStopGranter
-    };
     milliseconds at(0);
     for (unsigned left = Draw(2, 8); left > 0; --left) {
-      const Trouble trouble = kTroubles.at(Draw(0, kTroubles.size() - 1));
-      After(at, [this, trouble] {
+      After(at, [this, kind = Draw(0, 12)] {
         if (!mEnding) {
-          (this->*trouble)();
+          Play(kind);
         }
       });
       at += DrawTime(0, 600);
@@ -263,108 +288,100 @@
     });
   }
 
+  void Play(unsigned aKind)
+  {
+    static constexpr std::array<int, 5> kSignals = { SIGSTOP, SIGSTOP, SIGKILL, SIGTERM, SIGHUP };
+    if (aKind < kSignals.size()) {
+      StopDaemon(FreeDaemon(), kSignals.at(aKind));
+    } else if (aKind < kSignals.size() + kServerTroubles.size()) {
+      Disturb(kServerTroubles.at(aKind - kSignals.size()), Draw(0, 3) > 0);
+    } else if (aKind == 10) {
+      Outage();
+    } else if (aKind == 11) {
+      WriteOdd();
+    } else if (Disturb(kServerTroubles[0], true)) {
+      // The granter of the server that has just restarted stops.
+      After(DrawTime(0, 300), [this, signal = Draw(0, 1) == 0 ? SIGKILL : SIGSTOP] {
+        Say("granter", "stops");
+        StopDaemon(mBusyDaemons.contains(mFleet.Granter()) ? -1 : mFleet.Granter(), signal);
+      });
+    }
+  }
+
   /// A daemon without a trouble, or -1.
   int FreeDaemon()
   {
-    const unsigned first = Draw(0, mDaemons - 1);
-    for (unsigned n = 0; n < mDaemons; ++n) {
-      const unsigned daemon = (first + n) % mDaemons;
-      if (!mBusyDaemons.contains(daemon)) {
-        return static_cast<int>(daemon);
+    for (unsigned n = 0, daemon = Draw(0, mDaemons - 1); n < mDaemons; ++n, ++daemon) {
+      if (!mBusyDaemons.contains(daemon % mDaemons)) {
+        return static_cast<int>(daemon % mDaemons);
       }
     }
     return -1;
   }
 
-  /// A server without a trouble, or nullptr.
-  StandInServer* FreeServer(bool aKeyed)
+  /// Sends a signal to a daemon; it goes on, or is started again, some time later.
+  void StopDaemon(int aDaemon, int aSignal)
   {
-    const unsigned first = Draw(0, mFleet.Servers() - 1);
-    for (unsigned n = 0; n < mFleet.Servers(); ++n) {
-      StandInServer& server = mFleet.Server((first + n) % mFleet.Servers());
-      if (!mBusyServers.contains(&server) && (server.IsKeyed() || !aKeyed)) {
-        return &server;
-      }
+    if (aDaemon < 0) {
+      return;
+    }
+    const bool freezes = aSignal == SIGSTOP;
+    const milliseconds time = freezes ? DrawTime(500, 8000) : DrawTime(200, 3000);
+    Say(::sigabbrev_np(aSignal), "daemon " + std::to_string(aDaemon) + " for " + Seconds(time));
+    mFleet.Signal(aDaemon, aSignal);
+    if (aSignal == SIGHUP) {
+      return;
     }
-    return nullptr;
-  }
-
-  void StartAgain(unsigned aDaemon, milliseconds aAfter)
-  {
-    After(aAfter, [this, aDaemon] {
-      mFleet.StartDaemon(aDaemon);
-      mBusyDaemons.erase(aDaemon);
-    });
-  }
-
-  void KillDaemon(unsigned aDaemon, milliseconds aAway)
-  {
-    mBusyDaemons.insert(aDaemon);
-    Say("kill", "daemon " + std::to_string(aDaemon) + ", back in " + Seconds(aAway));
-    mFleet.Signal(aDaemon, SIGKILL);
-    StartAgain(aDaemon, aAway);
-  }
-
-  void FreezeDaemon(unsigned aDaemon, milliseconds aTime)
-  {
     mBusyDaemons.insert(aDaemon);
-    Say("freeze", "daemon " + std::to_string(aDaemon) + " for " + Seconds(aTime));
-    mFleet.Signal(aDaemon, SIGSTOP);
-    After(aTime, [this, aDaemon] {
+    if (!freezes) {
+      AwaitStop(aDaemon, steady_clock::now() + kGrace, time);
+      return;
+    }
+    After(time, [this, aDaemon] {
       mFleet.Signal(aDaemon, SIGCONT);
       mBusyDaemons.erase(aDaemon);
     });
   }
 
-  void Kill()
+  void AwaitStop(unsigned aDaemon, steady_clock::time_point aLimit, milliseconds aAway)
   {
-    if (const int daemon = FreeDaemon(); daemon >= 0) {
-      KillDaemon(daemon, DrawTime(200, 3000));
+    if (!mFleet.HasEnded(aDaemon) && steady_clock::now() < aLimit) {
+      After(kPoll, [this, aDaemon, aLimit, aAway] { AwaitStop(aDaemon, aLimit, aAway); });
+      return;
     }
-  }
-
-  void Freeze()
-  {
-    if (const int daemon = FreeDaemon(); daemon >= 0) {
-      FreezeDaemon(daemon, DrawTime(500, 8000));
+    if (!mFleet.HasEnded(aDaemon)) {
+      Say("end-of-grace", "daemon " + std::to_string(aDaemon) + " is killed");
+      mFleet.Signal(aDaemon, SIGKILL);
     }
+    After(aAway, [this, aDaemon] {
+      mFleet.StartDaemon(aDaemon);
+      mBusyDaemons.erase(aDaemon);
+    });
   }
 
-  void Reload()
+  /// Begins a trouble at a server that has none, and ends it later; false if all have one.
+  bool Disturb(const ServerTrouble& aTrouble, bool aKeyed)
   {
-    if (const int daemon = FreeDaemon(); daemon >= 0) {
-      Say("hangup", "daemon " + std::to_string(daemon));
-      mFleet.Signal(daemon, SIGHUP);
+    std::vector<StandInServer*> free;
+    for (unsigned n = 0; n < mFleet.Servers(); ++n) {
+      StandInServer* const server = &mFleet.Server(n);
+      if (!mBusyServers.contains(server) && server->IsKeyed() == aKeyed) {
+        free.push_back(server);
+      }
     }
-  }
-
-  void Terminate()
-  {
-    const int daemon = FreeDaemon();
-    if (daemon < 0) {
-      return;
+    if (free.empty()) {
+      return false;
     }
-    const milliseconds away = DrawTime(200, 3000);
-    mBusyDaemons.insert(daemon);
-    Say("terminate",
-        "daemon " + std::to_string(daemon) + ", back " + Seconds(away) + " after its end");
-    mFleet.Signal(daemon, SIGTERM);
-    AwaitStop(daemon, steady_clock::now() + kGrace, away);
-  }
-
-  void AwaitStop(unsigned aDaemon, steady_clock::time_point aLimit, milliseconds aAway)
-  {
-    After(kPoll, [this, aDaemon, aLimit, aAway] {
-      if (mFleet.HasEnded(aDaemon)) {
-        StartAgain(aDaemon, aAway);
-      } else if (steady_clock::now() < aLimit) {
-        AwaitStop(aDaemon, aLimit, aAway);
-      } else {
-        Say("end-of-grace", "daemon " + std::to_string(aDaemon) + " is killed");
-        mFleet.Signal(aDaemon, SIGKILL);
-        StartAgain(aDaemon, aAway);
-      }
+    StandInServer* const server = free[Draw(0, free.size() - 1)];
+    const milliseconds time = DrawTime(aTrouble.fromMs, aTrouble.toMs);
+    Say(aTrouble.name, server->Id() + " for " + Seconds(time));
+    mBusyServers.insert(server);
+    aTrouble.begin(*server);
+    After(time, [this, server, end = aTrouble.end] {
+      end(*server);
+      mBusyServers.erase(server);
     });
+    return true;
   }
 
   /// The store answers 503 to all; at times some entries of servers expire meanwhile.
@@ -385,73 +402,6 @@
     });
   }
 
-  /// Restarts a server in place; it registers later. Returns whether it did.
-  bool RestartServer(bool aKeyed)
-  {
-    StandInServer* const server = FreeServer(aKeyed);
-    if (server == nullptr) {
-      return false;
-    }
-    const milliseconds later = DrawTime(0, 2000);
-    mBusyServers.insert(server);
-    Say("restart", server->Id() + " in place, registers in " + Seconds(later));
-    server->Restart();
-    After(later, [this, server] {
-      server->Register("ready");
-      mBusyServers.erase(server);
-    });
-    return true;
-  }
-
-  void Restart() { RestartServer(Draw(0, 3) > 0); }
-
-  void RestartAndStopGranter()
-  {
-    if (!RestartServer(true)) {
-      return;
-    }
-    After(DrawTime(0, 300), [this, kills = Draw(0, 1) == 1, time = DrawTime(500, 8000)] {
-      const int granter = mFleet.Granter();
-      if (granter < 0 || mBusyDaemons.contains(granter)) {
-        return;
-      }
-      Say("granter", "is daemon " + std::to_string(granter));
-      kills ? KillDaemon(granter, time / 3) : FreezeDaemon(granter, time);
-    });
-  }
-
-  void Quiet()
-  {
-    StandInServer* const server = FreeServer(Draw(0, 3) > 0);
-    if (server == nullptr) {
-      return;
-    }
-    const milliseconds time = DrawTime(1000, 6000);
-    mBusyServers.insert(server);
-    Say("silent", server->Id() + " for " + Seconds(time));
-    server->SetSilent(true);
-    After(time, [this, server] {
-      server->SetSilent(false);
-      mBusyServers.erase(server);
-    });
-  }
-
-  void DrainOne()
-  {
-    StandInServer* const server = FreeServer(Draw(0, 3) > 0);
-    if (server == nullptr) {
-      return;
-    }
-    const milliseconds time = DrawTime(1000, 6000);
-    mBusyServers.insert(server);
-    Say("drain", server->Id() + ", back in " + Seconds(time));
-    server->Register("draining");
-    After(time, [this, server] {
-      server->Register("ready");
-      mBusyServers.erase(server);
-    });
-  }
-
   /// Another writer's entry, of its own or in place of a server's, whose heartbeat puts it right.
   void WriteOdd()
   {
@@ -474,14 +424,6 @@
     }
   }
 
-  void Repeat()
-  {
-    if (StandInServer* const server = FreeServer(true); server != nullptr) {
-      Say("twice", server->Id() + " writes its next answer to an order twice");
-      server->AnswerTwice();
-    }
-  }
-
   int Report()
   {
     const FleetLedger& ledger = mFleet.Ledger();
