Forwarder: any answer of a server, not only a refusal, keeps the next attempt off its connections

The same cause was still there for the other answers: all attempts of a request bear one id, so a copy of an earlier failure (500) or of an answer that was no valid one, written once more by a faulty server on a kept connection, was taken for the answer to the next attempt at that server. Callers of keys, whose requests go to the same owner again, would get the failure of an earlier attempt although the last one had served them. Found by reading; nobody has reported it.

Change: routing/attempt_history remembers the servers that have answered anything at all to a request; its next attempt there goes out on a new connection. Attempts that ended with their connection (time-out, refused, unreachable) leave nothing that could be written once more.

--- a/ports/backend_port.h
+++ b/ports/backend_port.h
@@ -41,8 +41,8 @@
   Duration timeLeft = Duration::zero();
   /// Pooled connections that have been idle for longer than this are not reused.
   Duration maxIdle = Duration::zero();
-  /// Sends the request on a new connection: the server has refused it before, and may write that
-  /// refusal once more on the connection that carried it.
+  /// Sends the request on a new connection: the server has answered it before, and may write that
+  /// answer once more on the connection that carried it.
   bool freshConnection = false;
   /// Maximum number of idle connections to the server that are kept in the pool.
   unsigned keep = 1;
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "runtime/forwarder.h"
 
+#include "routing/attempt_history.h"
 #include "runtime/range_runner.h"
 
 #include <algorithm>
@@ -74,8 +75,7 @@
   unsigned attempts = 0;
   unsigned notOwnerAnswers = 0;
   std::vector<std::string> triedServers;
-  /// Servers that have refused to run it.
-  std::vector<std::string> refusedBy;
+  AttemptHistory history;
   /// Server, load and time of the attempt that was sent last, for the log.
   std::string lastServer;
   unsigned lastOutstanding = 0;
@@ -436,9 +436,7 @@
   terms.timeLeft = std::max(request.deadline - aNow, Duration(milliseconds(1)));
   terms.keep = mServices.selector.MaxConnectionsTo(server.id);
   terms.maxIdle = request.route.idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent;
-  terms.freshConnection =
-    std::find(request.refusedBy.begin(), request.refusedBy.end(), server.id) !=
-    request.refusedBy.end();
+  terms.freshConnection = request.history.NeedsNewConnection(server.id);
   attempt.call = mServices.backends.Forward(
     request.exchange->Received(), terms, [this, aRequest, id = server.id](ForwardOutcome aOutcome) {
       OnOutcome(aRequest, id, std::move(aOutcome));
@@ -512,9 +510,7 @@
   mServices.metrics.Count("forwards_total{result=\"" +
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
   UpdateStatistics(aRequest, ended, aOutcome, now);
-  if (aOutcome.result == ForwardResult::kNotRun || aOutcome.result == ForwardResult::kNotOwner) {
-    request.refusedBy.push_back(ended.server);
-  }
+  request.history.OnResult(ended.server, aOutcome.result);
   if (!aOutcome.notice.IsEmpty()) {
     mServices.notices.OnServerNotice({ ended.server, ended.incarnation }, aOutcome.notice);
   }
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -3,12 +3,13 @@
 
 #include "platform/backend_calls.h"
 #include "runtime/forwarder.h"
+#include "tests/support/forwarder_parts.h"
 #include "tests/support/manual_timers.h"
 
 #include <catch2/catch.hpp>
 
 using namespace hawthornlug;
-using hawthornlug::test::ManualTimers;
+using namespace hawthornlug::test;
 
 namespace {
 
@@ -68,70 +69,6 @@
   std::vector<std::shared_ptr<SentRequest>> sent;
 };
 
-class FakeExchange : public http::Exchange
-{
-public:
-  http::Request& Received() override { return request; }
-  void Respond(http::Response aResponse) override { answer = std::move(aResponse); }
-  std::size_t AnswersBehind() const override { return behind; }
-  void SetAbandoned(Abandoned aAbandoned) override { abandoned = std::move(aAbandoned); }
-
-  http::Request request;
-  std::optional<http::Response> answer;
-  std::size_t behind = 0;
-  Abandoned abandoned;
-};
-
-class NoRanges : public RangeFinder
-{
-public:
-  RangeRunner* FindRanges(const std::string&) override { return nullptr; }
-};
-
-/// Records notices and puts them into effect at once.
-class RecordingNotices : public ServerNoticeSink
-{
-public:
-  RecordingNotices(ServerSelector& aSelector, const ManualTimers& aTimers)
-    : mSelector(aSelector)
-    , mTimers(aTimers)
-  {
-  }
-  void OnServerNotice(const ServerRef& aServer, const ServerNotice& aNotice) override
-  {
-    servers.push_back(aServer);
-    mSelector.OnNotice(aServer, aNotice, mTimers.now);
-  }
-
-  std::vector<ServerRef> servers;
-
-private:
-  ServerSelector& mSelector;
-  const ManualTimers& mTimers;
-};
-
-class RecordingSpans : public SpanPort
-{
-public:
-  void Record(const Span& aSpan) override { spans.push_back(aSpan); }
-
-  std::vector<Span> spans;
-};
-
-RouteRule Rule(const std::string& aName, bool aIdempotent)
-{
-  RouteRule rule;
-  rule.name = aName;
-  rule.host = "h";
-  rule.pathPrefix = "/" + aName + "/";
-  rule.shares = { { "s", 1.0 } };
-  rule.idempotent = aIdempotent;
-  rule.timeout = milliseconds(1200);
-  rule.targetLatency = milliseconds(600);
-  rule.maxAttempts = 2;
-  return rule;
-}
-
 /// A forwarder with two servers of one service.
 class ForwarderFixture
 {
@@ -189,11 +126,6 @@
   unsigned requestCount = 0;
 };
 
-int StatusOf(const std::shared_ptr<FakeExchange>& aExchange)
-{
-  return aExchange->answer ? aExchange->answer->status : 0;
-}
-
 struct RetryCase
 {
   std::string route;
