serve: a connection that has carried a refusal is not used again

In `serve` an order that a server refuses is sent to it again under the same id, by its cell or by a caller who repeats its Idempotency-Key after "not run". A faulty server that wrote the earlier refusal once more on the kept connection had the second attempt taken for refused while it ran, and the order was sent a third time, or its caller was told "not run" for an order that ran. Cause: the id tells orders apart, not attempts.

Change: http::CallOptions names a header after which a connection is not reused; the servers' orders name the refusal's. So no copy of a refusal can be read by another order, whichever attempt it is and whichever daemon sends it.

Evidence: tests/adapters/http_server_test "a refusal that is written once more does not refuse the next attempt of its order", seen failing on the code before, both rows: "refused" == "no-answer", "shed" == "no-answer". Passes with the change. Cost: a new connection for each order that a server refuses.

--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -266,6 +266,9 @@
   options.keep = mAddress.connections;
   options.echoHeader = kRequestIdHeader;
   options.echoValue = aOrder.requestId;
+  // A refused order may be sent again under its id. On a connection that had carried the refusal, a
+  // faulty server could write it once more, and the order would be taken for refused while it runs.
+  options.lastHeader = kRefusedHeader;
   auto call = std::make_shared<OrderCall>(mLoop, std::move(aDone));
   mLoop.Dispatch([call, address = mHostPort, request = MakeRequest(aOrder, aTerms), options] {
     call->Start(address, request, options);
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -248,7 +248,10 @@
       }
       return false;
     }
-    const bool keep = aMayKeep && response.keepAlive && !mOutOfSync && mReader.Buffered() == 0;
+    const bool isLast =
+      !mOptions.lastHeader.empty() && response.headers.Find(mOptions.lastHeader).has_value();
+    const bool keep =
+      aMayKeep && response.keepAlive && !isLast && !mOutOfSync && mReader.Buffered() == 0;
     UpdateReusableUntil(response);
     // A response that arrives before the request is fully sent is delivered at once, but the
     // connection is not kept.
--- a/http/client.h
+++ b/http/client.h
@@ -56,6 +56,8 @@
   /// call and is skipped. A response without the header is accepted.
   std::string echoHeader;
   std::string echoValue;
+  /// If set: the connection is not reused after a response that has this header.
+  std::string lastHeader;
 };
 
 /// Sends requests to any number of addresses. To be used on the thread that runs the given context.
--- a/tests/adapters/http_server_test.cpp
+++ b/tests/adapters/http_server_test.cpp
@@ -99,3 +99,19 @@
     { "HTTP/1.1 409 X\r\nHawthornlug-Refused: token\r\nContent-Length: 0\r\n\r\n" });
   CHECK(SendOrder(*test.server, "r1").result == SendResult::kRefused);
 }
+
+// Guards against an order that runs twice: the copy bears the order's id, as its next answer does.
+TEST_CASE("a refusal that is written once more does not refuse the next attempt of its order",
+          "[adapters][reports]")
+{
+  // The server accepts one connection: what is sent on a new one gets no answer.
+  const std::string refusal = GENERATE(as<std::string>(),
+                                       "HTTP/1.1 409 X\r\nHawthornlug-Request-Id: r1\r\n"
+                                       "Hawthornlug-Refused: token\r\nContent-Length: 0\r\n\r\n",
+                                       "HTTP/1.1 503 X\r\nHawthornlug-Request-Id: r1\r\n"
+                                       "Hawthornlug-Refused: shed\r\nContent-Length: 0\r\n\r\n");
+  ServerUnderTest test({ refusal, refusal, refusal });
+  REQUIRE(SendOrder(*test.server, "r1").result != SendResult::kNoAnswer);
+  const SendAnswer second = SendOrder(*test.server, "r1");
+  CHECK(NameOf(kSendResultNames, second.result) == NameOf(kSendResultNames, SendResult::kNoAnswer));
+}
