Stopping daemon: it does not end while a request is being received or its last answer is on its way

A stopping daemon ended 3 s after its SIGTERM as soon as no request was unanswered. A request whose body was still being received counted for nothing and was cut, though it could have been answered until 5.6 s; and a connection whose last answer had just been written was closed by the end of the process, which resets it if the caller has sent something behind, so that the answer may be lost.

Change: http::Server::IsIdle() counts requests that are being received and connections that linger after their last answer; the stopping daemon waits for it, as before until 0.4 s before the end of its grace.

Evidence: tests/http/engine_test "a server is idle only when nothing would be cut off"; its checks of Unanswered() show the count by which the daemon ended before: 0 in both situations.

--- a/http/server.cpp
+++ b/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 
@@ -118,6 +119,11 @@
     return n + (mWriting ? 1 : 0);
   }
 
+  bool IsIdle() const
+  {
+    return mPending.empty() && !mWriting && !mLingering && !mReader.IsInMessage();
+  }
+
 private:
   class PendingExchange : public Exchange
   {
@@ -464,6 +470,12 @@
   return n;
 }
 
+bool Server::IsIdle() const
+{
+  return std::all_of(
+    mConnections.begin(), mConnections.end(), [](const auto& aIt) { return aIt->IsIdle(); });
+}
+
 void Server::Accept()
 {
   mAcceptor.async_accept(
--- a/http/server.h
+++ b/http/server.h
@@ -78,6 +78,9 @@
   void StopAccepting();
   /// Number of requests without a response, plus the responses that are being written.
   std::size_t Unanswered() const;
+  /// Whether the server can end without cutting anything off: no request is being received or
+  /// waits for its response, and no last response is still on its way to its caller.
+  bool IsIdle() const;
   /// Size of the requests and responses in memory, in bytes.
   std::size_t BufferedBytes() const { return mBufferedBytes; }
   /// Closes the listening socket and all connections; abandons unanswered requests.
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -254,7 +254,7 @@
     mStopAt = mTimers.Now();
     mStopTimer = mTimers.Every(kStopPoll, [this, stopAfter](Instant aNow) {
       const Duration since = aNow - mStopAt;
-      const bool idle = mCallers->Unanswered() == 0 && mDaemon->LeadsNoRange();
+      const bool idle = mCallers->IsIdle() && mDaemon->LeadsNoRange();
       if ((idle && since > kSeenLeaving) || since > stopAfter) {
         mContext.stop();
       }
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -411,6 +411,32 @@
   CHECK(outcome->result != CallResult::kAnswered);
 }
 
+// Guards against LOST: a planned stop that ends the process in the middle of a request or answer.
+TEST_CASE("a server is idle only when nothing would be cut off", "[http]")
+{
+  asio::io_context context;
+  StoringHandler handler;
+  const auto endpoint = FreeEndpoint(context);
+  Server server(context, endpoint, handler);
+  server.Drain();
+  CHECK(server.IsIdle());
+  RawConnection caller(context, endpoint);
+  const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+  caller.Write(head);
+  REQUIRE(RunUntil(context, [&] { return !server.IsIdle(); }));
+  CHECK(server.Unanswered() == 0);
+  caller.Write("body");
+  REQUIRE(RunUntil(context, [&] { return handler.exchanges.size() == 1; }));
+  CHECK_FALSE(server.IsIdle());
+  handler.Answer(0, "done");
+  REQUIRE(RunUntil(context, [&] { return caller.Read().find("done") != std::string::npos; }));
+  REQUIRE(RunUntil(context, [&] { return server.Unanswered() == 0; }));
+  // Until the caller has closed its side too, its answer may still be on its way.
+  CHECK_FALSE(server.IsIdle());
+  caller.Close();
+  CHECK(RunUntil(context, [&] { return server.IsIdle(); }));
+}
+
 TEST_CASE("a connection is reused only if the server allows it", "[http]")
 {
   struct Row
