Answers of servers: bounds for one and for all together, and for answers that callers don't read

Cause: each call could hold 64 MiB, and nothing bounded the sum.

Change, by design: - limits/held_answers: bounds out of the process's memory, an eighth for all answers that are being received, a quarter of that for one. The store's: 4 MiB (its page is about 1 MB, an object 1 MiB). `serve`'s pooled client, which took any length: 16 MiB. - Answers that callers don't read: a connection without progress for the idle timeout is closed; if all answers together exceed the callers' bound, the one with most left to read is. Request bodies: what a connection may hold beyond the bound shrinks with the number of connections.

--- a/adapters/http_pool.cpp
+++ b/adapters/http_pool.cpp
@@ -7,6 +7,8 @@
 /// Shorter than the idle timeout of servers, so that no request is sent on a connection that the
 /// server is closing.
 constexpr std::chrono::seconds kMaxIdleTime{ 20 };
+/// A larger response fails the call: it is no object of the platform and no daemon's answer.
+constexpr std::size_t kMaxResponseBytes = std::size_t{ 16 } << 20;
 
 } // namespace
 
@@ -50,8 +52,19 @@
   std::unique_ptr<httplib::Client> client = Acquire();
   client->set_read_timeout(aTimeout);
   client->set_write_timeout(aTimeout);
-  httplib::Result result = client->send(aRequest);
+  httplib::Request request = aRequest;
+  std::string body;
+  request.content_receiver =
+    [&body](const char* aData, std::size_t aBytes, std::uint64_t, std::uint64_t) {
+      if (body.size() + aBytes > kMaxResponseBytes) {
+        return false;
+      }
+      body.append(aData, aBytes);
+      return true;
+    };
+  httplib::Result result = client->send(request);
   if (result) {
+    result->body = std::move(body);
     Release(std::move(client));
   }
   return result;
--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -105,6 +105,7 @@
       break;
     case http::CallResult::kBroken:
     case http::CallResult::kTimedOut:
+    case http::CallResult::kTooLarge:
       answer.result = SendResult::kNoAnswer;
       break;
   }
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -58,7 +58,7 @@
     , mAddress(std::move(aAddress))
     , mSocket(aClient.mContext)
     , mTimer(aClient.mContext)
-    , mReader(MessageReader::Mode::kResponses, aClient.mLimits)
+    , mReader(MessageReader::Mode::kResponses, aClient.mReadLimits)
   {
   }
 
@@ -101,6 +101,7 @@
     asio::error_code ec;
     mTimer.cancel();
     mSocket.close(ec);
+    EndReceiving();
     if (*mClientAlive) {
       const auto it = mClient.mIdle.find(mAddress);
       if (it != mClient.mIdle.end()) {
@@ -109,6 +110,9 @@
     }
   }
 
+  /// Ends the call because responses take too much memory.
+  void GiveUp() { Fail(CallResult::kTooLarge); }
+
 private:
   /// Closes the connection with a TCP reset, so that bytes still in the send buffer are not
   /// delivered to the server later.
@@ -204,11 +208,35 @@
     if (ParseResponses()) {
       return;
     }
+    CountReceived();
     if (!mClosed) {
       Read();
     }
   }
 
+  /// Counts the bytes of a response that has been received in part. This may end the call.
+  void CountReceived()
+  {
+    if (!mCompletion || !*mClientAlive) {
+      return;
+    }
+    if (mAnswer == 0) {
+      mAnswer = ++mClient.mLastAnswer;
+      mClient.mReceiving[mAnswer] = weak_from_this();
+    }
+    mClient.mHeldAnswers.Update(mAnswer, mAddress, mReader.BufferedBytes());
+    mClient.EnforceLimit();
+  }
+
+  void EndReceiving()
+  {
+    if (mAnswer != 0 && *mClientAlive) {
+      mClient.mHeldAnswers.Remove(mAnswer);
+      mClient.mReceiving.erase(mAnswer);
+    }
+    mAnswer = 0;
+  }
+
   /// Parses the buffered bytes. Returns true if the caller must not start another read.
   bool ParseResponses()
   {
@@ -218,7 +246,9 @@
         return false;
       }
       if (state != ReadState::kComplete) {
-        Fail(CallResult::kBroken);
+        const bool tooLarge =
+          state == ReadState::kBodyTooLarge || state == ReadState::kHeaderTooLarge;
+        Fail(tooLarge ? CallResult::kTooLarge : CallResult::kBroken);
         return true;
       }
       if (HandleResponse(true)) {
@@ -285,6 +315,7 @@
     const Completion done = std::move(mCompletion);
     mCompletion = nullptr;
     mTimer.cancel();
+    EndReceiving();
     if (!aKeep || !*mClientAlive) {
       Close();
     } else {
@@ -337,6 +368,8 @@
   SteadyPoint mDeadline;
   SteadyPoint mIdleSince;
   SteadyPoint mReusableUntil = SteadyPoint::max();
+  /// The response that is being received; 0 if no part of one has been.
+  HeldAnswers::AnswerId mAnswer = 0;
   int mSkippedResponses = 0;
   bool mConnected = false;
   bool mSending = false;
@@ -345,9 +378,10 @@
   bool mClosed = false;
 };
 
-Client::Client(asio::io_context& aContext, ReadLimits aLimits)
+Client::Client(asio::io_context& aContext, const ClientLimits& aLimits)
   : mContext(aContext)
-  , mLimits(aLimits)
+  , mReadLimits{ aLimits.headerBytes, aLimits.bodies.one }
+  , mHeldAnswers(aLimits.bodies.all)
 {
 }
 
@@ -361,6 +395,20 @@
   }
 }
 
+void Client::EnforceLimit()
+{
+  while (const auto answer = mHeldAnswers.ToGiveUp()) {
+    // Giving up ends the call, which removes the answer.
+    const auto it = mReceiving.find(*answer);
+    const auto connection = it == mReceiving.end() ? nullptr : it->second.lock();
+    if (!connection) {
+      mHeldAnswers.Remove(*answer);
+      continue;
+    }
+    connection->GiveUp();
+  }
+}
+
 std::shared_ptr<Client::Connection> Client::TakeIdle(const std::string& aAddress, Duration aMaxIdle)
 {
   const auto found = mIdle.find(aAddress);
--- a/http/client.h
+++ b/http/client.h
@@ -6,6 +6,7 @@
 #include "core/instant.h"
 #include "http/call.h"
 #include "http/message_reader.h"
+#include "limits/held_answers.h"
 
 #include <asio.hpp>
 
@@ -24,12 +25,10 @@
   kNotSent,  ///< No connection was established; nothing was sent.
   kBroken,   ///< Sent, but the connection ended early or the response was malformed or incomplete.
   kTimedOut, ///< Sent, but no response arrived before the timeout; the connection was closed.
+  kTooLarge, ///< Sent, but the response exceeded a limit on memory; the connection was closed.
 };
-inline constexpr EnumNames<5> kCallResultNames = { "answered",
-                                                   "refused",
-                                                   "not-sent",
-                                                   "broken",
-                                                   "timed-out" };
+inline constexpr EnumNames<6> kCallResultNames = { "answered", "refused",   "not-sent",
+                                                   "broken",   "timed-out", "too-large" };
 
 /// The result of a call.
 struct CallOutcome
@@ -60,13 +59,21 @@
   std::string lastHeader;
 };
 
+/// Maximum sizes of responses.
+struct ClientLimits
+{
+  std::size_t headerBytes = ReadLimits().headerBytes;
+  /// Bodies: of one response, and of all that are being received.
+  AnswerLimits bodies;
+};
+
 /// Sends requests to any number of addresses. To be used on the thread that runs the given context.
 class Client
 {
 public:
   using Completion = std::function<void(CallOutcome)>;
 
-  explicit Client(asio::io_context& aContext, ReadLimits aLimits = {});
+  explicit Client(asio::io_context& aContext, const ClientLimits& aLimits = {});
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
@@ -77,14 +84,22 @@
                              const Request& aRequest,
                              const CallOptions& aOptions,
                              Completion aDone);
+  /// Number of bytes of the responses that are being received.
+  std::size_t BufferedBytes() const { return mHeldAnswers.Bytes(); }
 
   class Connection;
 
 private:
   std::shared_ptr<Connection> TakeIdle(const std::string& aAddress, Duration aMaxIdle);
+  /// Gives up responses until those that are left are within the limit.
+  void EnforceLimit();
 
   asio::io_context& mContext;
-  ReadLimits mLimits;
+  ReadLimits mReadLimits;
+  HeldAnswers mHeldAnswers;
+  HeldAnswers::AnswerId mLastAnswer = 0;
+  /// The connections on which a response has been received in part.
+  std::map<HeldAnswers::AnswerId, std::weak_ptr<Connection>> mReceiving;
   std::map<std::string, std::vector<std::shared_ptr<Connection>>> mIdle;
   /// False once the client is destroyed. Shared with the connections, which may outlive the client.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -71,6 +71,11 @@
       }
       return;
     }
+    if (mWriting && aNow - mLastActivityAt > mServer.mLimits.idleTimeout) {
+      // The caller has stopped reading its response.
+      Close();
+      return;
+    }
     if (!mPending.empty() || mWriting) {
       return;
     }
@@ -98,7 +103,9 @@
     asio::error_code ec;
     mSocket.close(ec);
     mServer.mBufferedBytes -= mBufferedBytes;
+    mServer.mResponseBytes -= mResponseBytes;
     mBufferedBytes = 0;
+    mResponseBytes = 0;
     // Abandoning the requests may release the last other references to this connection; `self`
     // keeps it alive.
     const auto self = shared_from_this();
@@ -123,6 +130,7 @@
   {
     return mPending.empty() && !mWriting && !mLingering && !mReader.IsInMessage();
   }
+  std::size_t ResponseBytes() const { return mResponseBytes; }
 
 private:
   class PendingExchange : public Exchange
@@ -153,6 +161,7 @@
       mResponse = std::move(aResponse);
       connection->WriteNextResponse();
       connection->UpdateBufferedBytes();
+      connection->mServer.EnforceResponseLimit();
     }
 
     std::size_t AnswersBehind() const override
@@ -172,7 +181,8 @@
       }
     }
 
-    std::size_t BufferedBytes() const { return mRequest.body.size() + mResponse.body.size(); }
+    std::size_t RequestBytes() const { return mRequest.body.size(); }
+    std::size_t ResponseBytes() const { return mResponse.body.size(); }
     bool IsAnswered() const { return mAnswered; }
     Response& StoredResponse() { return mResponse; }
     bool IsHead() const { return mIsHead; }
@@ -260,13 +270,18 @@
     if (mClosed) {
       return;
     }
-    std::size_t buffered = mReader.BufferedBytes() + mWritingBytes;
+    std::size_t requests = mReader.BufferedBytes();
+    std::size_t responses = mWritingBytes;
     for (const auto& it : mPending) {
-      buffered += it->BufferedBytes();
+      requests += it->RequestBytes();
+      responses += it->ResponseBytes();
     }
-    mServer.mBufferedBytes += buffered;
+    mServer.mBufferedBytes += requests + responses;
     mServer.mBufferedBytes -= mBufferedBytes;
-    mBufferedBytes = buffered;
+    mServer.mResponseBytes += responses;
+    mServer.mResponseBytes -= mResponseBytes;
+    mBufferedBytes = requests + responses;
+    mResponseBytes = responses;
   }
 
   /// Refuses a large request body that is still being received if the server is over its memory
@@ -274,8 +289,10 @@
   void RefuseIfOverMemoryLimit()
   {
     const bool overLimit = mServer.mBufferedBytes > mServer.mLimits.heldBytes;
+    // However many connections there are, what each may hold is within the limit all together.
+    const std::size_t share = mServer.mLimits.heldBytes / mServer.mConnections.size();
     if (overLimit && !mClosed && mReader.HasHeader() &&
-        mReader.BufferedBytes() > kSmallBufferBytes) {
+        mReader.BufferedBytes() > std::min(kSmallBufferBytes, share)) {
       Refuse(kServiceUnavailable, ReadState::kBodyTooLarge);
     }
   }
@@ -358,15 +375,21 @@
     mWriting = true;
     mWritingBytes = aBytes.size();
     auto bytes = std::make_shared<std::string>(std::move(aBytes));
-    asio::async_write(mSocket,
-                      asio::buffer(*bytes),
-                      [self = shared_from_this(), bytes, aCloseAfterwards](
-                        const asio::error_code& aError, std::size_t) {
-                        self->mWriting = false;
-                        self->mWritingBytes = 0;
-                        self->OnWritten(aError, aCloseAfterwards);
-                        self->UpdateBufferedBytes();
-                      });
+    const auto self = shared_from_this();
+    const auto onProgress = [self](const asio::error_code& aError, std::size_t aWritten) {
+      self->mLastActivityAt = std::chrono::steady_clock::now();
+      return asio::transfer_all()(aError, aWritten);
+    };
+    asio::async_write(
+      mSocket,
+      asio::buffer(*bytes),
+      onProgress,
+      [self, bytes, aCloseAfterwards](const asio::error_code& aError, std::size_t) {
+        self->mWriting = false;
+        self->mWritingBytes = 0;
+        self->OnWritten(aError, aCloseAfterwards);
+        self->UpdateBufferedBytes();
+      });
   }
 
   void OnWritten(const asio::error_code& aError, bool aCloseAfterwards)
@@ -415,6 +438,8 @@
   SteadyPoint mLastActivityAt;
   SteadyPoint mMessageStartedAt;
   std::size_t mBufferedBytes = 0;
+  /// The responses' share of mBufferedBytes.
+  std::size_t mResponseBytes = 0;
   std::size_t mWritingBytes = 0;
   bool mReading = false;
   bool mWriting = false;
@@ -476,6 +501,18 @@
     mConnections.begin(), mConnections.end(), [](const auto& aIt) { return aIt->IsIdle(); });
 }
 
+void Server::EnforceResponseLimit()
+{
+  while (mResponseBytes > mLimits.heldBytes) {
+    const auto largest = std::max_element(
+      mConnections.begin(), mConnections.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft->ResponseBytes() < aRight->ResponseBytes();
+      });
+    const std::shared_ptr<Connection> it = *largest;
+    it->Close();
+  }
+}
+
 void Server::Accept()
 {
   mAcceptor.async_accept(
--- a/http/server.h
+++ b/http/server.h
@@ -55,7 +55,8 @@
   /// Maximum number of open connections; further ones are closed as soon as they are accepted.
   std::size_t connections = 65536;
   /// Maximum size of the requests and responses in memory, over all connections. Above it, a
-  /// connection that is sending a large body is answered with 503 and closed.
+  /// connection that is sending a large body is answered with 503 and closed. If responses alone
+  /// are above it, the connection whose caller has most left to read is closed.
   std::size_t heldBytes = std::size_t{ 64 } << 20;
 };
 
@@ -91,6 +92,8 @@
 private:
   void Accept();
   void CheckTimeoutsPeriodically();
+  /// Closes connections whose callers don't read until the responses are within the limit.
+  void EnforceResponseLimit();
 
   asio::ip::tcp::acceptor mAcceptor;
   asio::steady_timer mTimeoutCheckTimer;
@@ -98,6 +101,8 @@
   ServerLimits mLimits;
   bool mDraining = false;
   std::size_t mBufferedBytes = 0;
+  /// The responses' share of mBufferedBytes.
+  std::size_t mResponseBytes = 0;
   std::unordered_set<std::shared_ptr<Connection>> mConnections;
   /// False once the server is destroyed. Shared with the pending handlers, which may run later.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -101,7 +101,7 @@
     , mTimers(mContext)
     , mStore(mContext, mHost.storeAddress, mLog, mMetrics)
     , mReader(mLog)
-    , mBackends(mContext, mLog, mMetrics)
+    , mBackends(mContext, mLog, mMetrics, AnswerLimitsFor(mHost.memoryBytes))
     , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
   {
   }
--- a/routing/attempt_history.cpp
+++ b/routing/attempt_history.cpp
@@ -18,6 +18,7 @@
     case ForwardResult::kUnreachable:
     case ForwardResult::kConnectionRefused:
     case ForwardResult::kTimedOut:
+    case ForwardResult::kTooLarge:
       break;
   }
   return false;
--- a/routing/forward_result.h
+++ b/routing/forward_result.h
@@ -29,9 +29,10 @@
   kConnectionRefused, ///< No process listens at the address; nothing was sent.
   kBroken,            ///< Sent; no valid answer was received; it may have run.
   kTimedOut, ///< Sent; no answer before the timeout; the connection was closed; it may have run.
+  kTooLarge, ///< Sent; the answer took too much memory; the connection was closed; it may have run.
 };
-inline constexpr EnumNames<7> kForwardResultNames = { "answered",    "not-run",      "not-owner",
+inline constexpr EnumNames<8> kForwardResultNames = { "answered",    "not-run",      "not-owner",
                                                       "unreachable", "refused-port", "broken",
-                                                      "timed-out" };
+                                                      "timed-out",   "too-large" };
 
 } // namespace hawthornlug
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -4,6 +4,7 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/support/endless_server.h"
 #include "tests/support/loopback.h"
 
 #include <catch2/catch.hpp>
@@ -360,55 +361,109 @@
 
 TEST_CASE("a response without end is given up, and its connection closed", "[http]")
 {
-  struct Row
-  {
-    std::string start;
-    std::string rest;
-  };
-  const auto row = GENERATE(values<Row>({
-    { "", "x" },
-    { "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
-    { "HTTP/1.1 200 OK\r\nA: ", "b" },
-    { "HTTP/1.1 200 OK\r\n\r\n", "b" },
-    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nb\r\n" },
-    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
-    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x" },
-    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
-  }));
-  INFO(row.start << row.rest);
-  std::string rest;
-  while (rest.size() < 16384) {
-    rest += row.rest;
-  }
+  const auto form = GENERATE(from_range(EndlessForms()));
+  INFO(form.name);
   asio::io_context context;
-  bool ended = false;
-  std::size_t sent = 0;
-  std::function<void(Tcp::socket&)> sendOn = [&](Tcp::socket& aSocket) {
-    asio::async_write(aSocket,
-                      asio::buffer(rest),
-                      [&, socket = &aSocket](const asio::error_code& aError, std::size_t aBytes) {
-                        sent += aBytes;
-                        if (aError) {
-                          ended = true;
-                        } else {
-                          sendOn(*socket);
-                        }
-                      });
-  };
-  ScriptedServer server(context, [&](Tcp::socket& aSocket, std::size_t) {
-    asio::write(aSocket, asio::buffer(row.start));
-    sendOn(aSocket);
-  });
+  EndlessServer server(context, form);
   const std::size_t maxBody = std::size_t{ 1 } << 20;
-  Client client(context, { 16384, maxBody });
+  Client client(context, { 16384, { maxBody, std::size_t{ 1 } << 40 } });
   CallOptions options;
   options.timeout = milliseconds(500);
   std::optional<CallOutcome> outcome;
   client.Send(server.Address(), MakeGetRequest(), options, [&](CallOutcome aOutcome) {
     outcome = std::move(aOutcome);
   });
-  REQUIRE(RunUntil(context, [&] { return outcome.has_value() && ended; }));
+  REQUIRE(RunUntil(context, [&] { return outcome.has_value() && server.Ended() > 0; }));
   CHECK(outcome->result != CallResult::kAnswered);
+  CHECK((outcome->result == CallResult::kTooLarge) == form.fillsMemory);
+  CHECK(client.BufferedBytes() == 0);
+}
+
+// Guards against a process that runs out of memory by answers none of which is too large.
+TEST_CASE("many responses without end stay within the limit for all, and sound ones come through",
+          "[http][reports]")
+{
+  const auto form = GENERATE(from_range(EndlessForms()));
+  INFO(form.name);
+  asio::io_context context;
+  EndlessServer faulty(context, form);
+  const std::string large(200000, 's');
+  ScriptedServer sound(context, [&](Tcp::socket& aSocket, std::size_t) {
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(large.size());
+    asio::write(aSocket, asio::buffer(head + "\r\n\r\n" + large));
+  });
+  constexpr std::size_t kAllBytes = std::size_t{ 2 } << 20;
+  constexpr std::size_t kCalls = 40;
+  Client client(context, { 16384, { kAllBytes / 2, kAllBytes } });
+  CallOptions options;
+  options.timeout = milliseconds(700);
+  std::size_t faultyDone = 0;
+  std::size_t soundDone = 0;
+  for (std::size_t n = 0; n < kCalls; ++n) {
+    client.Send(faulty.Address(), MakeGetRequest(), options, [&](const CallOutcome& aOutcome) {
+      CHECK(aOutcome.result != CallResult::kAnswered);
+      ++faultyDone;
+    });
+    if (n % 10 == 0) {
+      client.Send(sound.Address(), MakeGetRequest(), options, [&](const CallOutcome& aOutcome) {
+        CHECK(aOutcome.result == CallResult::kAnswered);
+        CHECK(aOutcome.response.body == large);
+        ++soundDone;
+      });
+    }
+  }
+  std::size_t most = 0;
+  REQUIRE(RunUntil(context, [&] {
+    most = std::max(most, client.BufferedBytes());
+    return faultyDone == kCalls && soundDone == kCalls / 10;
+  }));
+  CHECK(most <= kAllBytes);
+  CHECK(client.BufferedBytes() == 0);
+}
+
+TEST_CASE("responses that callers don't read are bounded, and other callers get theirs",
+          "[http][reports]")
+{
+  asio::io_context context;
+  StoringHandler handler;
+  const auto endpoint = FreeEndpoint(context);
+  Server server(context, endpoint, handler);
+  constexpr std::size_t kLimit = std::size_t{ 32 } << 20;
+  ServerLimits limits;
+  limits.heldBytes = kLimit;
+  server.SetLimits(limits);
+  const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::vector<std::unique_ptr<RawConnection>> silent;
+  for (std::size_t n = 0; n < 8; ++n) {
+    silent.push_back(std::make_unique<RawConnection>(context, endpoint));
+    silent.back()->Write(request);
+    REQUIRE(RunUntil(context, [&] { return handler.exchanges.size() == n + 1; }));
+    // More than the sockets' buffers hold.
+    handler.Answer(n, std::string(std::size_t{ 8 } << 20, 'x'));
+    CHECK(server.BufferedBytes() <= kLimit);
+  }
+  RawConnection reader(context, endpoint);
+  reader.Write(request);
+  REQUIRE(RunUntil(context, [&] { return handler.exchanges.size() == 9; }));
+  handler.Answer(8, "small");
+  CHECK(RunUntil(context, [&] { return reader.Read().find("small") != std::string::npos; }));
+}
+
+TEST_CASE("a connection whose caller has stopped reading its response is closed", "[http]")
+{
+  asio::io_context context;
+  StoringHandler handler;
+  const auto endpoint = FreeEndpoint(context);
+  Server server(context, endpoint, handler);
+  ServerLimits limits;
+  limits.idleTimeout = milliseconds(300);
+  server.SetLimits(limits);
+  RawConnection silent(context, endpoint);
+  silent.Write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(RunUntil(context, [&] { return handler.exchanges.size() == 1; }));
+  handler.Answer(0, std::string(std::size_t{ 16 } << 20, 'x'));
+  REQUIRE(server.BufferedBytes() > 0);
+  CHECK(RunUntil(context, [&] { return server.BufferedBytes() == 0; }));
 }
 
 // Guards against LOST: a planned stop that ends the process in the middle of a request or answer.
--- /dev/null
+++ b/tests/process/memory_test.cpp
@@ -0,0 +1,80 @@
+/// @file
+/// Memory of daemons on the users' platform while a faulty server sends answers without end.
+
+#include "tests/support/endless_server.h"
+#include "tests/support/platform_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace hawthornlug::test;
+using hawthornlug::testing::EndlessForm;
+using hawthornlug::testing::EndlessForms;
+using hawthornlug::testing::EndlessServer;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr unsigned kDaemons = 2;
+constexpr unsigned kAllKeys = 16;
+constexpr unsigned kMemoryMb = 96;
+constexpr unsigned kFaulty = 4;
+/// The others are servers of the keyed service.
+constexpr unsigned kFaultyPlain = 3;
+constexpr seconds kStart{ 12 };
+constexpr seconds kLoad{ 4 };
+
+/// The forms of which bytes have to be kept, as fast as they are read, and one slow one: each call
+/// then takes its time, and many are under way at once.
+std::vector<EndlessForm> FormsInBodies()
+{
+  std::vector<EndlessForm> forms;
+  for (const EndlessForm& it : EndlessForms()) {
+    if (it.fillsMemory && it.start.find("\r\n\r\n") != std::string::npos) {
+      forms.push_back(it);
+    }
+  }
+  forms.push_back(forms.front());
+  forms.back().name += ", slowly";
+  forms.back().pause = milliseconds(2);
+  return forms;
+}
+
+} // namespace
+
+// Guards against processes that end by themselves (LOST): answers without end took all memory.
+TEST_CASE("a server whose answers have no end ends no daemon, and others' callers are served",
+          "[process][platform][reports]")
+{
+  const auto form = GENERATE(from_range(FormsInBodies()));
+  INFO(form.name);
+  PlatformFleet fleet(kDaemons, 3, 1, kMemoryMb);
+  std::vector<std::unique_ptr<EndlessServer>> faulty;
+  for (unsigned n = 0; n < kFaulty; ++n) {
+    faulty.push_back(std::make_unique<EndlessServer>(fleet.Context(), form));
+  }
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    REQUIRE(fleet.RunUntil([&] { return fleet.IsReady(n); }, kStart));
+  }
+  REQUIRE(fleet.RunUntil([&] { return fleet.KeysHeld() == kAllKeys; }, kStart));
+  fleet.SetLoad(true);
+  for (unsigned n = 0; n < kFaulty; ++n) {
+    const std::string service = n < kFaultyPlain ? "plain" : "keyed";
+    fleet.RegisterOther("faulty-" + std::to_string(n), service, faulty[n]->Address());
+  }
+  fleet.RunFor(kLoad);
+  fleet.SetLoad(false);
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    CHECK_FALSE(fleet.HasEnded(n));
+    CHECK(fleet.PeakMemory(n) > 0);
+    CHECK(fleet.PeakMemory(n) < std::size_t{ kMemoryMb } << 20);
+  }
+  // All were asked: by requests, health checks and commands.
+  for (const auto& it : faulty) {
+    CHECK(it->Begun() > 0);
+  }
+  const FleetLedger& ledger = fleet.Ledger();
+  CHECK(ledger.safeAsked > 200);
+  CHECK(ledger.safeUnserved == 0);
+  CHECK(ledger.broken.empty());
+}
--- a/tests/routing/attempt_history_test.cpp
+++ b/tests/routing/attempt_history_test.cpp
@@ -24,6 +24,7 @@
     { ForwardResult::kUnreachable, false },
     { ForwardResult::kConnectionRefused, false },
     { ForwardResult::kTimedOut, false },
+    { ForwardResult::kTooLarge, false },
   }));
   INFO(NameOf(kForwardResultNames, row.result));
   AttemptHistory history;
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -61,6 +61,18 @@
   return response;
 }
 
+/// What a server says of itself in the store.
+Json ServerObject(const std::string& aService,
+                  const std::string& aAddress,
+                  const std::string& aState,
+                  unsigned aSeq,
+                  std::int64_t aBorn)
+{
+  return { { "Service", aService }, { "Address", aAddress }, { "Zone", "here" },
+           { "Version", "v1" },     { "Capacity", kSlots },  { "State", aState },
+           { "WarmupLeftS", 0 },    { "Seq", aSeq },         { "born", aBorn } };
+}
+
 /// The number behind @p aName in a query, 0 if there is none.
 std::uint64_t QueryNumber(const std::string& aTarget, const std::string& aName)
 {
@@ -250,17 +262,7 @@
   if (mState.empty() || mFleet.Store().IsDown()) {
     return;
   }
-  mFleet.Store().Put("servers",
-                     mId,
-                     { { "Service", mService },
-                       { "Address", mAddress },
-                       { "Zone", "here" },
-                       { "Version", "v1" },
-                       { "Capacity", kSlots },
-                       { "State", mState },
-                       { "WarmupLeftS", 0 },
-                       { "Seq", ++mSeq },
-                       { "born", mBorn } });
+  mFleet.Store().Put("servers", mId, ServerObject(mService, mAddress, mState, ++mSeq, mBorn));
 }
 
 void StandInServer::Restart()
@@ -422,10 +424,14 @@
   });
 }
 
-PlatformFleet::PlatformFleet(unsigned aDaemons, unsigned aPlainServers, unsigned aKeyedServers)
+PlatformFleet::PlatformFleet(unsigned aDaemons,
+                             unsigned aPlainServers,
+                             unsigned aKeyedServers,
+                             unsigned aMemoryMb)
   : mClient(mContext)
   , mStoreAddress(FreeAddress())
   , mStore(std::make_unique<StandInStore>(mContext, mStoreAddress))
+  , mMemoryMb(aMemoryMb)
   , mLastGrants(kKeys)
   , mLoadTimer(mContext)
 {
@@ -509,7 +515,8 @@
   }
   file << "]\n[Bind]\nFrontHttp = \"" << daemon.callers << "\"\nReadyAddr = \"" << daemon.readiness
        << "\"\nControlPlane = \"" << daemon.mesh << "\"\n[ContractBounds]\nGraceS = 6\n"
-       << "RetryBudgetRatio = 0.2\nRetrySlack = 58\n[Provider]\nAddress = \"" << mStoreAddress
+       << "RetryBudgetRatio = 0.2\nRetrySlack = 58\n[Limits]\nMemoryMb = " << mMemoryMb
+       << "\n[Provider]\nAddress = \"" << mStoreAddress
        << "\"\n";
 }
 
@@ -604,6 +611,26 @@
   mLedger.oldTokens += oldToken ? 1 : 0;
 }
 
+std::size_t PlatformFleet::PeakMemory(unsigned aDaemon) const
+{
+  constexpr std::string_view kPeak = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(mDaemons.at(aDaemon).pid) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with(kPeak)) {
+      return std::stoul(line.substr(kPeak.size())) * 1024;
+    }
+  }
+  return 0;
+}
+
+void PlatformFleet::RegisterOther(const std::string& aId,
+                                  const std::string& aService,
+                                  const std::string& aAddress)
+{
+  mStore->Put("servers", aId, ServerObject(aService, aAddress, "ready", 1, 1));
+}
+
 int PlatformFleet::AwaitEnd(unsigned aDaemon, std::chrono::seconds aLongest)
 {
   Daemon& daemon = mDaemons[aDaemon];
@@ -720,12 +747,19 @@
     request.body = "x";
   }
   ++mLedger.asked;
+  mLedger.safeAsked += aUnsafe ? 0 : 1;
   ++mUnderWay;
   http::CallOptions options;
   options.timeout = kPatience;
   mClient.Send(
-    mDaemons[aDaemon].callers, request, options, [this, id](const http::CallOutcome& aOutcome) {
+    mDaemons[aDaemon].callers,
+    request,
+    options,
+    [this, id, aUnsafe](const http::CallOutcome& aOutcome) {
       --mUnderWay;
+      const bool served =
+        aOutcome.result == http::CallResult::kAnswered && aOutcome.response.status == 200;
+      mLedger.safeUnserved += !aUnsafe && !served ? 1 : 0;
       if (aOutcome.result != http::CallResult::kAnswered) {
         ++mLedger.closed;
         return;
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -29,6 +29,9 @@
   unsigned notRun = 0;
   unsigned failed = 0;
   unsigned closed = 0;
+  /// Requests that may be repeated, and those of them that were not served.
+  unsigned safeAsked = 0;
+  unsigned safeUnserved = 0;
   /// Runs by request id.
   std::map<std::string, unsigned> runs;
   /// Ids of requests that were answered with the promise that they never run.
@@ -172,7 +175,15 @@
     : PlatformFleet(aDaemons, aServers, aServers)
   {
   }
-  PlatformFleet(unsigned aDaemons, unsigned aPlainServers, unsigned aKeyedServers);
+  /// Each daemon is told that it may use @p aMemoryMb megabytes.
+  PlatformFleet(unsigned aDaemons,
+                unsigned aPlainServers,
+                unsigned aKeyedServers,
+                unsigned aMemoryMb = 256);
+  /// Registers a server that this fleet doesn't run.
+  void RegisterOther(const std::string& aId,
+                     const std::string& aService,
+                     const std::string& aAddress);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -184,6 +195,8 @@
   bool IsUp(unsigned aDaemon) const { return mDaemons.at(aDaemon).up; }
   /// Whether a daemon's process has ended; it is reaped then.
   bool HasEnded(unsigned aDaemon);
+  /// The most memory that a daemon's process has had, in bytes; 0 if it has ended.
+  std::size_t PeakMemory(unsigned aDaemon) const;
   /// Waits for a daemon's process; its exit status, or -1 if it did not end in time.
   int AwaitEnd(unsigned aDaemon, std::chrono::seconds aLongest);
 
@@ -248,6 +261,7 @@
   std::vector<std::unique_ptr<StandInServer>> mServers;
   std::vector<Daemon> mDaemons;
   std::string mFolder;
+  unsigned mMemoryMb;
   bool mKeepsFolder = false;
   FleetLedger mLedger;
   /// By key.
