serve: a stopping daemon answers the orders that other daemons have sent it before it ends

A stopping daemon handed its cells over, waited for its own callers' requests and ended, a second after its SIGTERM; orders that other daemons had sent it, and that were at work, lost their answer with it. Their callers got 504 `unknown`, and a request that may run once was not repeated.

Change: the daemon waits for these orders as it does for its own callers' requests, 30 s at the most, and its last messages have 0.1 s to leave the process. Own callers' requests whose body is still being received, and last answers that are on their way, are waited for as in `route`.

Evidence: tests/process/operations_test "a graceful shutdown of a daemon answers the orders that other daemons have sent it", seen failing with the wait taken out (504 `unknown` in place of 200 `done`), passes with it. An order that is at work while its cell changes hands is refused by its server and begun anew, so its deadline has to leave room for that; this is as before.

--- a/adapters/http_callers.cpp
+++ b/adapters/http_callers.cpp
@@ -128,11 +128,11 @@
   mLoop.DispatchAndWait([this] { mServer->Drain(); });
 }
 
-std::size_t HttpCallers::Unanswered()
+bool HttpCallers::IsIdle()
 {
-  std::size_t n = 0;
-  mLoop.DispatchAndWait([&] { n = mServer->Unanswered(); });
-  return n;
+  bool idle = false;
+  mLoop.DispatchAndWait([&] { idle = mServer->IsIdle(); });
+  return idle;
 }
 
 void HttpCallers::Stop(Duration aTimeout)
@@ -141,7 +141,7 @@
     return;
   }
   mLoop.DispatchAndWait([this] { mServer->StopAccepting(); });
-  for (Duration waited = Duration::zero(); waited < aTimeout && Unanswered() > 0;
+  for (Duration waited = Duration::zero(); waited < aTimeout && !IsIdle();
        waited += kStopPollInterval) {
     std::this_thread::sleep_for(kStopPollInterval);
   }
--- a/adapters/http_callers.h
+++ b/adapters/http_callers.h
@@ -28,8 +28,8 @@
   Result<void> Listen(const std::string& aHost, int aPort);
   /// From now on, each connection is closed after its next response.
   void Drain();
-  /// Stops accepting connections, waits up to @p aTimeout until all requests are answered, then
-  /// closes all connections and returns.
+  /// Stops accepting connections, waits up to @p aTimeout until all requests that have begun to
+  /// arrive are answered, then closes all connections and returns.
   void Stop(Duration aTimeout);
 
   void OnRequest(std::shared_ptr<http::Exchange> aExchange) override;
@@ -43,7 +43,7 @@
   /// Sets the service, key and target of @p aOrder from the request target. Returns false if the
   /// service or key is missing, or the key is too long.
   bool ParseTarget(const http::Request& aRequest, Order& aOrder) const;
-  std::size_t Unanswered();
+  bool IsIdle();
 
   HttpLoop& mLoop;
   RequestHandler& mRequests;
--- a/adapters/zmq_peers.cpp
+++ b/adapters/zmq_peers.cpp
@@ -15,6 +15,8 @@
 constexpr int kIoThreads = 1;
 constexpr int kSendHighWaterMark = 4096;
 constexpr int kReconnectMs = 50;
+/// At the end of the process, messages that were sent last have this long to leave it.
+constexpr int kLingerMs = 100;
 constexpr int kReconnectMaxMs = 200;
 /// Maximum number of messages that are received before queued messages are retried.
 constexpr std::size_t kMaxReceiveBatch = 256;
@@ -169,7 +171,7 @@
     return it->second;
   }
   zmq::socket_t socket(mContext, zmq::socket_type::dealer);
-  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::linger, kLingerMs);
   socket.set(zmq::sockopt::immediate, true);
   socket.set(zmq::sockopt::sndhwm, kSendHighWaterMark);
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
--- a/main/serve_command.cpp
+++ b/main/serve_command.cpp
@@ -81,6 +81,7 @@
     }
   }
   callers.Stop(kAnswerPatience);
+  daemon.AwaitRemoteOrders(kAnswerPatience);
   orderWorkers.Join();
   peers->Stop();
   daemon.Stop();
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -87,6 +87,14 @@
                         " domain=" + mSettings.self.domain);
 }
 
+void Daemon::AwaitRemoteOrders(Duration aTimeout) const
+{
+  const Instant end = mServices.timers.Now() + aTimeout;
+  while (mRemoteOrders.Count() > 0 && mServices.timers.Now() < end) {
+    std::this_thread::sleep_for(kLeavePollInterval);
+  }
+}
+
 void Daemon::Leave(Duration aTimeout)
 {
   mServices.log.Write(EventId::kStopping, "id=" + mSettings.self.id);
--- a/runtime/daemon.h
+++ b/runtime/daemon.h
@@ -43,6 +43,8 @@
   /// Hands all cells over; returns when that is done or @p aTimeout has passed. Requests are served
   /// meanwhile.
   void Leave(Duration aTimeout);
+  /// Waits up to @p aTimeout until the orders that other daemons have sent are answered.
+  void AwaitRemoteOrders(Duration aTimeout) const;
   /// Ends the daemon's timers and its watch thread; does not hand over any cell.
   void Stop();
 
--- a/runtime/remote_orders.cpp
+++ b/runtime/remote_orders.cpp
@@ -40,4 +40,10 @@
   }
 }
 
+std::size_t RemoteOrders::Count() const
+{
+  const std::lock_guard lock(mMutex);
+  return mOrders.size();
+}
+
 } // namespace hawthornlug
--- a/runtime/remote_orders.h
+++ b/runtime/remote_orders.h
@@ -24,11 +24,12 @@
   void Set(const DaemonRef& aFrom, std::uint64_t aCall, std::shared_ptr<OrderInProgress> aOrder);
   void End(const DaemonRef& aFrom, std::uint64_t aCall);
   void Abandon(const DaemonRef& aFrom, std::uint64_t aCall);
+  std::size_t Count() const;
 
 private:
   using Key = std::pair<DaemonRef, std::uint64_t>;
 
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   std::map<Key, std::shared_ptr<OrderInProgress>> mOrders;
 };
 
--- a/tests/process/operations_test.cpp
+++ b/tests/process/operations_test.cpp
@@ -124,6 +124,31 @@
   CHECK_THAT(fleet.CheckLedger(fleet.LoadLog("leave")), Catch::Equals(std::string()));
 }
 
+// Guards against LOST: the daemon ended while answers to orders of other daemons were due from it.
+TEST_CASE("a graceful shutdown of a daemon answers the orders that other daemons have sent it",
+          "[process]")
+{
+  FleetShape shape;
+  // Longer than it takes to hand the cells over; half of the deadline, since an order that is at
+  // work when its cell changes hands is begun anew.
+  shape.workUs = 3000000;
+  shape.deadlineMs = 9500;
+  Fleet fleet(shape);
+  Process& leaving = fleet.Daemon(fleet.Explain("k1")["attached"]["id"]);
+  std::size_t entry = 0;
+  while (fleet.Daemons()[entry].id == leaving.id) {
+    ++entry;
+  }
+  auto answer = std::async(std::launch::async, [&] { return fleet.Call(entry, "POST", "k1"); });
+  answer.wait_for(milliseconds(500));
+  fleet.Signal(leaving, SIGTERM);
+  CHECK(fleet.WaitForEnd(leaving) == 0);
+  const CallerAnswer got = answer.get();
+  INFO(got.reason);
+  CHECK(got.status == 200);
+  CHECK(got.outcome == "done");
+}
+
 TEST_CASE("a graceful shutdown of a server cuts no request", "[process]")
 {
   Fleet fleet(FleetShape{});
