route: a process that has stopped its work ends within 0.3 s, whoever reads its log

One way to this was known from a trial: a full pipe at standard output that nobody reads keeps the log's thread in its write, and the destructor that joins it for good. Cause: the end of the process waited for threads and for a reader without a limit of its own.

Change: when the work is done and `stopped` is logged, the destructors have 0.3 s; then the process ends. That is within the 0.4 s that a stop leaves before the end of the grace time. Nothing is owed by then.

Evidence: tests/process/platform_test "a daemon whose log nobody reads ends within its grace time", seen failing without the limit (still there after 6 s), passes with it. That this was the cause on the grown site is not shown; whatever holds a tear-down up there is bounded by the same limit.

--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -15,7 +15,9 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
+#include <thread>
 
 namespace hawthornlug {
 
@@ -33,6 +35,18 @@
 /// Requests and answers in memory may take one part in this many of it.
 constexpr std::size_t kHeldPart = 4;
 constexpr Duration kStopPoll = milliseconds(50);
+/// Time for the destructors, out of kStopMargin.
+constexpr Duration kTearDownLimit = milliseconds(300);
+
+/// Ends the process after @p aLimit with this exit code, if it has not ended by then: the destructors
+/// wait for threads, and one of them for whoever reads the log.
+void ExitWithin(Duration aLimit, int aCode)
+{
+  std::thread([aLimit, aCode] {
+    std::this_thread::sleep_for(aLimit);
+    std::_Exit(aCode);
+  }).detach();
+}
 
 /// Answers the platform's balancer and shows the metrics.
 class SideHandler : public http::Handler
@@ -151,6 +165,7 @@
     });
     mPeers->Stop();
     mLog.Write(EventId::kStopped, {});
+    ExitWithin(kTearDownLimit, kExitDone);
     return kExitDone;
   }
 
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -14,6 +14,8 @@
 
 constexpr unsigned kAllKeys = 16;
 constexpr seconds kStart{ 12 };
+/// GraceS in the daemons' settings.
+constexpr seconds kGrace{ 6 };
 
 /// Waits until all daemons are ready and all keys are held.
 void AwaitStart(PlatformFleet& aFleet, unsigned aDaemons)
@@ -128,6 +130,24 @@
   CheckNothingBroken(fleet);
 }
 
+// Guards against a daemon that never ends: the last lines of its log waited for a reader.
+TEST_CASE("a daemon whose log nobody reads ends within its grace time", "[process][platform]")
+{
+  PlatformFleet fleet(2, 2);
+  AwaitStart(fleet, 2);
+  fleet.Signal(1, SIGTERM);
+  REQUIRE(fleet.AwaitEnd(1, kGrace) == 0);
+  fleet.StartUnreadDaemon(1);
+  REQUIRE(fleet.RunUntil([&] { return fleet.IsReady(1); }, kStart));
+  // Each answer is a line of the log: the pipe is full soon.
+  fleet.SetLoad(true);
+  fleet.RunFor(seconds(2));
+  fleet.SetLoad(false);
+  fleet.Signal(1, SIGTERM);
+  CHECK(fleet.AwaitEnd(1, kGrace) == 0);
+  CheckNothingBroken(fleet);
+}
+
 TEST_CASE("everything is killed and started again: owners are kept", "[process][platform]")
 {
   PlatformFleet fleet(3, 3);
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds kUnfreezeSlack{ 300 };
 constexpr milliseconds kPatience{ 2000 };
 constexpr unsigned kSlots = 3;
+constexpr int kSmallPipeBytes = 4096;
 constexpr unsigned kKeyStep = 4096;
 constexpr unsigned kKeys = 65536;
 constexpr std::string_view kObjects = "/objects/";
@@ -466,6 +467,9 @@
       ::waitpid(it.pid, nullptr, 0);
     }
   }
+  for (const int it : mUnreadPipes) {
+    ::close(it);
+  }
   if (!mKeepsFolder) {
     std::error_code ec;
     std::filesystem::remove_all(mFolder, ec);
@@ -521,6 +525,26 @@
 }
 
 void PlatformFleet::StartDaemon(unsigned aDaemon)
+{
+  const std::string log = mFolder + "/daemon-" + std::to_string(aDaemon) + ".log";
+  const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  Spawn(aDaemon, output);
+  ::close(output);
+}
+
+void PlatformFleet::StartUnreadDaemon(unsigned aDaemon)
+{
+  std::array<int, 2> ends{};
+  if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
+    throw std::runtime_error("can't make a pipe");
+  }
+  ::fcntl(ends[1], F_SETPIPE_SZ, kSmallPipeBytes);
+  Spawn(aDaemon, ends[1]);
+  ::close(ends[1]);
+  mUnreadPipes.push_back(ends[0]);
+}
+
+void PlatformFleet::Spawn(unsigned aDaemon, int aOutput)
 {
   Daemon& daemon = mDaemons[aDaemon];
   const std::string program = testing::BuildFolder() / "hawthornlug";
@@ -530,9 +554,7 @@
   };
   posix_spawn_file_actions_t actions;
   ::posix_spawn_file_actions_init(&actions);
-  const std::string log = mFolder + "/daemon-" + std::to_string(aDaemon) + ".log";
-  ::posix_spawn_file_actions_addopen(
-    &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  ::posix_spawn_file_actions_adddup2(&actions, aOutput, STDOUT_FILENO);
   // A daemon that had our sockets would keep ports and connections open.
   ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   ::posix_spawn(&daemon.pid, program.c_str(), &actions, nullptr, args.data(), environ);
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -191,6 +191,8 @@
   /// Puts a configuration with this version in force; @p aMore adds a route for /more/.
   void Configure(unsigned aVersion, bool aMore);
   void StartDaemon(unsigned aDaemon);
+  /// Starts a daemon whose log goes to a small pipe that nobody reads.
+  void StartUnreadDaemon(unsigned aDaemon);
   void Signal(unsigned aDaemon, int aSignal);
   bool IsUp(unsigned aDaemon) const { return mDaemons.at(aDaemon).up; }
   /// Whether a daemon's process has ended; it is reaped then.
@@ -250,6 +252,8 @@
     unsigned life = 0;
   };
 
+  /// Starts a daemon's process with @p aOutput as its standard output.
+  void Spawn(unsigned aDaemon, int aOutput);
   void WriteSettings(unsigned aDaemon);
   void Load();
   void Send(unsigned aDaemon, bool aKeyed, bool aUnsafe);
@@ -262,6 +266,8 @@
   std::vector<Daemon> mDaemons;
   std::string mFolder;
   unsigned mMemoryMb;
+  /// Ends of pipes that are not read.
+  std::vector<int> mUnreadPipes;
   bool mKeepsFolder = false;
   FleetLedger mLedger;
   /// By key.
