--- a/adapters/http_pool.h
+++ b/adapters/http_pool.h
@@ -22,8 +22,8 @@
   /// are kept.
   HttpPool(std::string aUrl, std::size_t aMaxIdle, Duration aConnectTimeout);
 
-  /// Sends @p aRequest and waits for the response. @p aTimeout applies to each read and write. Fails
-  /// if the response has a body of more than 16 MiB.
+  /// Sends @p aRequest and waits for the response. @p aTimeout applies to each read and write.
+  /// Fails if the response has a body of more than 16 MiB.
   httplib::Result Send(const httplib::Request& aRequest, Duration aTimeout);
 
 private:
