--- a/http/server.cpp
+++ b/http/server.cpp
@@ -18,6 +18,8 @@
 /// A connection that buffers no more than this many bytes is not refused when memory is short, so
 /// that small requests are still served.
 constexpr std::size_t kSmallBufferBytes = 65536;
+/// Responses may take one part in this many of the limit for requests and responses.
+constexpr std::size_t kResponsePart = 2;
 constexpr std::chrono::milliseconds kTimeoutCheckInterval{ 200 };
 /// How long a connection that is being closed is still read, so that its last response isn't lost.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
@@ -386,16 +388,15 @@
       self->mLastActivityAt = std::chrono::steady_clock::now();
       return asio::transfer_all()(aError, aWritten);
     };
-    asio::async_write(
-      mSocket,
-      asio::buffer(*bytes),
-      onProgress,
-      [self, bytes, aCloseAfterwards](const asio::error_code& aError, std::size_t) {
-        self->mWriting = false;
-        self->mWritingBytes = 0;
-        self->OnWritten(aError, aCloseAfterwards);
-        self->UpdateBufferedBytes();
-      });
+    asio::async_write(mSocket,
+                      asio::buffer(*bytes),
+                      onProgress,
+                      [self, bytes, aCloseAfterwards](const asio::error_code& aError, std::size_t) {
+                        self->mWriting = false;
+                        self->mWritingBytes = 0;
+                        self->OnWritten(aError, aCloseAfterwards);
+                        self->UpdateBufferedBytes();
+                      });
   }
 
   void OnWritten(const asio::error_code& aError, bool aCloseAfterwards)
@@ -509,7 +510,7 @@
 
 void Server::EnforceResponseLimit()
 {
-  while (mResponseBytes > mLimits.heldBytes) {
+  while (mResponseBytes > mLimits.heldBytes / kResponsePart) {
     const auto largest = std::max_element(
       mConnections.begin(), mConnections.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft->ResponseBytes() < aRight->ResponseBytes();
--- a/http/server.h
+++ b/http/server.h
@@ -59,7 +59,7 @@
   std::size_t connections = 65536;
   /// Maximum size of the requests and responses in memory, over all connections. Above it, a
   /// connection that is sending a large body is answered with 503 and closed. If responses alone
-  /// are above it, the connection whose caller has most left to read is closed.
+  /// take more than half of it, the connection whose caller has most left to read is closed.
   std::size_t heldBytes = std::size_t{ 64 } << 20;
 };
 
