--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -38,8 +38,8 @@
 /// Time for the destructors, out of kStopMargin.
 constexpr Duration kTearDownLimit = milliseconds(300);
 
-/// Ends the process after @p aLimit with this exit code, if it has not ended by then: the destructors
-/// wait for threads, and one of them for whoever reads the log.
+/// Ends the process after @p aLimit with this exit code, if it has not ended by then: the
+/// destructors wait for threads, and one of them for whoever reads the log.
 void ExitWithin(Duration aLimit, int aCode)
 {
   std::thread([aLimit, aCode] {
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -322,12 +322,11 @@
       continue;
     }
     mVetting.OnCheckSent(server, aNow);
-    mServices.backends.CheckHealth(it.address,
-                                   mServices.selector.HealthPathOf(mService),
-                                   kVettingTimeout,
-                                   [this, server](const HealthReport& aReport) {
-                                     OnVettingAnswered(server, aReport);
-                                   });
+    mServices.backends.CheckHealth(
+      it.address,
+      mServices.selector.HealthPathOf(mService),
+      kVettingTimeout,
+      [this, server](const HealthReport& aReport) { OnVettingAnswered(server, aReport); });
   }
   mVetting.KeepOnly(known);
 }
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -520,8 +520,7 @@
   file << "]\n[Bind]\nFrontHttp = \"" << daemon.callers << "\"\nReadyAddr = \"" << daemon.readiness
        << "\"\nControlPlane = \"" << daemon.mesh << "\"\n[ContractBounds]\nGraceS = 6\n"
        << "RetryBudgetRatio = 0.2\nRetrySlack = 58\n[Limits]\nMemoryMb = " << mMemoryMb
-       << "\n[Provider]\nAddress = \"" << mStoreAddress
-       << "\"\n";
+       << "\n[Provider]\nAddress = \"" << mStoreAddress << "\"\n";
 }
 
 void PlatformFleet::StartDaemon(unsigned aDaemon)
@@ -773,40 +772,40 @@
   ++mUnderWay;
   http::CallOptions options;
   options.timeout = kPatience;
-  mClient.Send(
-    mDaemons[aDaemon].callers,
-    request,
-    options,
-    [this, id, aUnsafe](const http::CallOutcome& aOutcome) {
-      --mUnderWay;
-      const bool served =
-        aOutcome.result == http::CallResult::kAnswered && aOutcome.response.status == 200;
-      mLedger.safeUnserved += !aUnsafe && !served ? 1 : 0;
-      if (aOutcome.result != http::CallResult::kAnswered) {
-        ++mLedger.closed;
-        return;
-      }
-      const http::Response& response = aOutcome.response;
-      const std::set<int> promises = { 408, 421, 429, 503 };
-      if (promises.contains(response.status)) {
-        mLedger.refused.insert(id);
-      }
-      if (response.status == 200) {
-        const bool whole = response.body == "answer to " + id &&
-                           response.headers.Find("X-Hawthornlug-Server-Seal").has_value();
-        if (!whole) {
-          mLedger.broken.insert("an answer that is not the server's whole answer");
-        }
-        ++mLedger.served;
-      } else if (response.status == 503) {
-        ++mLedger.notRun;
-        if (mLedger.runs.contains(id)) {
-          mLedger.broken.insert("a request that was refused as not run had run");
-        }
-      } else {
-        ++mLedger.failed;
-      }
-    });
+  mClient.Send(mDaemons[aDaemon].callers,
+               request,
+               options,
+               [this, id, aUnsafe](const http::CallOutcome& aOutcome) {
+                 --mUnderWay;
+                 const bool served = aOutcome.result == http::CallResult::kAnswered &&
+                                     aOutcome.response.status == 200;
+                 mLedger.safeUnserved += !aUnsafe && !served ? 1 : 0;
+                 if (aOutcome.result != http::CallResult::kAnswered) {
+                   ++mLedger.closed;
+                   return;
+                 }
+                 const http::Response& response = aOutcome.response;
+                 const std::set<int> promises = { 408, 421, 429, 503 };
+                 if (promises.contains(response.status)) {
+                   mLedger.refused.insert(id);
+                 }
+                 if (response.status == 200) {
+                   const bool whole =
+                     response.body == "answer to " + id &&
+                     response.headers.Find("X-Hawthornlug-Server-Seal").has_value();
+                   if (!whole) {
+                     mLedger.broken.insert("an answer that is not the server's whole answer");
+                   }
+                   ++mLedger.served;
+                 } else if (response.status == 503) {
+                   ++mLedger.notRun;
+                   if (mLedger.runs.contains(id)) {
+                     mLedger.broken.insert("a request that was refused as not run had run");
+                   }
+                 } else {
+                   ++mLedger.failed;
+                 }
+               });
 }
 
 int PlatformFleet::Ask(unsigned aDaemon, const std::string& aTarget, int aKey)
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -278,7 +278,10 @@
   Answer(aCommand.server.id, aDone);
 }
 
-void GrantingBackends::CheckHealth(const std::string&, const std::string&, Duration, HealthDone aDone)
+void GrantingBackends::CheckHealth(const std::string&,
+                                   const std::string&,
+                                   Duration,
+                                   HealthDone aDone)
 {
   HealthReport report;
   report.answered = true;
