--- a/http/server.cpp
+++ b/http/server.cpp
@@ -296,11 +296,12 @@
   /// limit. No part of that request has reached the handler.
   void RefuseIfOverMemoryLimit()
   {
-    const bool overLimit = mServer.mBufferedBytes > mServer.mLimits.heldBytes;
+    if (mClosed || mServer.mBufferedBytes <= mServer.mLimits.heldBytes) {
+      return;
+    }
     // However many connections there are, what each may hold is within the limit all together.
     const std::size_t share = mServer.mLimits.heldBytes / mServer.mConnections.size();
-    if (overLimit && !mClosed && mReader.HasHeader() &&
-        mReader.BufferedBytes() > std::min(kSmallBufferBytes, share)) {
+    if (mReader.HasHeader() && mReader.BufferedBytes() > std::min(kSmallBufferBytes, share)) {
       Refuse(kServiceUnavailable, ReadState::kBodyTooLarge);
     }
   }
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -458,6 +458,41 @@
   CHECK(RunUntil(context, [&] { return reader.Read().find("small") != std::string::npos; }));
 }
 
+/// Answers at once, with more than a server may hold.
+class LargeAnswers : public Handler
+{
+public:
+  void OnRequest(std::shared_ptr<Exchange> aExchange) override
+  {
+    Response response;
+    response.status = 200;
+    response.body.assign(std::size_t{ 1 } << 20, 'x');
+    aExchange->Respond(response);
+  }
+  void OnBadRequest(int, ReadState) override {}
+  void OnUnreadResponse(std::size_t) override { ++unread; }
+
+  std::size_t unread = 0;
+};
+
+// Guards against a division by the number of connections when the last one has just been closed.
+TEST_CASE("a response beyond the limit closes its own connection, and the server goes on", "[http]")
+{
+  asio::io_context context;
+  LargeAnswers handler;
+  const auto endpoint = FreeEndpoint(context);
+  Server server(context, endpoint, handler);
+  ServerLimits limits;
+  limits.heldBytes = 4096;
+  server.SetLimits(limits);
+  for (std::size_t n = 1; n <= 2; ++n) {
+    RawConnection caller(context, endpoint);
+    caller.Write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(RunUntil(context, [&] { return handler.unread == n; }));
+  }
+  CHECK(server.BufferedBytes() == 0);
+}
+
 TEST_CASE("a connection whose caller has stopped reading its response is closed", "[http]")
 {
   asio::io_context context;
