HTTP client: a call with more than 16 interim responses is given up

Cause: interim responses were bounded by their bytes only, twice the largest body. At 25 bytes each a call could read 84,000 of them there, 670,000 in a daemon of 260 MB, each parsed as a whole message, and the event loop serves nobody else meanwhile.

Change: 16 interim responses a call, then it ends as broken. Responses to other calls had such a bound.

Evidence: tests/http "only a complete response ..." has a row of 17 before the answer, which fails without the change ("answered" == "broken"), and one of 16, which is answered.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -16,14 +16,17 @@
 constexpr std::chrono::seconds kConnectTimeout{ 1 };
 /// Number of responses to other calls that are skipped while waiting for the expected one.
 constexpr int kMaxSkippedResponses = 3;
+/// A call with more interim responses than this is given up: each costs as much time as a whole
+/// message, in few bytes.
+constexpr int kMaxInterimResponses = 16;
 /// An idle connection is no longer reused this long before the end of the idle timeout that the
 /// server announced, so that no request is sent while the server closes the connection.
 constexpr std::chrono::milliseconds kKeepAliveMargin{ 1500 };
 /// Parameter of the Keep-Alive header; its value is the idle timeout in seconds.
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
-/// A call may receive this multiple of the largest body: chunk sizes, trailer fields, interim
-/// responses and responses to other calls take no memory, but must have an end, too.
+/// A call may receive this multiple of the largest body: chunk sizes, trailer fields and responses
+/// to other calls take no memory, but must have an end, too.
 constexpr std::size_t kMaxBytesPerBodyByte = 2;
 
 bool IsInterim(int aStatus)
@@ -75,6 +78,7 @@
       mReader.ExpectHeadResponse();
     }
     mSkippedResponses = 0;
+    mInterimResponses = 0;
     mReceivedBytes = 0;
     mDeadline = std::chrono::steady_clock::now() + aOptions.timeout;
     if (mConnected) {
@@ -277,6 +281,9 @@
   {
     Response response = mReader.TakeResponse();
     if (IsInterim(response.status)) {
+      if (++mInterimResponses > kMaxInterimResponses) {
+        Fail(CallResult::kBroken);
+      }
       return false;
     }
     const auto echo =
@@ -381,6 +388,7 @@
   /// The response that is being received; 0 if no part of one has been.
   HeldAnswers::AnswerId mAnswer = 0;
   int mSkippedResponses = 0;
+  int mInterimResponses = 0;
   /// Bytes received since the call was sent, of whatever kind.
   std::size_t mReceivedBytes = 0;
   bool mConnected = false;
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -43,6 +43,15 @@
   std::vector<std::size_t> unread;
 };
 
+std::string Repeated(const std::string& aText, std::size_t aTimes)
+{
+  std::string text;
+  for (std::size_t n = 0; n < aTimes; ++n) {
+    text += aText;
+  }
+  return text;
+}
+
 /// A client connection on which a test writes and reads raw bytes.
 class RawConnection
 {
@@ -320,6 +329,7 @@
 {
   const std::string ok = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok";
   const std::string other = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno";
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
   const auto row = GENERATE_COPY(values<ResponseCase>({
     { "complete", ok, false, CallResult::kAnswered },
     { "after a response to another call", other + ok, false, CallResult::kAnswered },
@@ -327,6 +337,8 @@
       "HTTP/1.1 100 Continue\r\n\r\n" + ok,
       false,
       CallResult::kAnswered },
+    { "after 16 interim responses", Repeated(interim, 16) + ok, false, CallResult::kAnswered },
+    { "after 17 interim responses", Repeated(interim, 17) + ok, false, CallResult::kBroken },
     { "response to another call only", other, true, CallResult::kBroken },
     { "truncated", ok.substr(0, ok.size() - 1), true, CallResult::kBroken },
     { "not HTTP", "hello\r\n\r\n", false, CallResult::kBroken },
