Message reader: trailer fields are not added to the header's fields

What callers would see: fields behind a chunked body were taken for header fields, against the reader's own comment: one there could stand for a field that the header didn't have (an id, a refusal), and went on to the caller as a header field. Nobody has reported it.

Cause: the parser's callbacks for fields are the same for trailers; only the last field was left out.

Change: fields are read over once the header is complete.

Evidence: tests/http "trailer fields are not taken for header fields", failing before in all four sizes of pieces (5 fields == 2).

--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -47,6 +47,9 @@
   static int OnField(http_parser* aParser, const char* aAt, std::size_t aLength)
   {
     Parser& it = From(aParser);
+    if (it.headerDone) {
+      return 0;
+    }
     if (it.fieldHasValue) {
       it.FlushField();
       it.fieldHasValue = false;
@@ -58,6 +61,9 @@
   static int OnValue(http_parser* aParser, const char* aAt, std::size_t aLength)
   {
     Parser& it = From(aParser);
+    if (it.headerDone) {
+      return 0;
+    }
     it.fieldHasValue = true;
     it.fieldValue.append(aAt, aLength);
     return 0;
@@ -68,7 +74,6 @@
     Parser& it = From(aParser);
     // From here on, fields are trailer fields after a chunked body. They are ignored.
     it.FlushField();
-    it.fieldHasValue = true;
     it.headerDone = true;
     return it.isHeadResponse ? 1 : 0;
   }
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -119,6 +119,21 @@
   CHECK(NameOf(kReadStateNames, state) == NameOf(kReadStateNames, row.state));
 }
 
+TEST_CASE("trailer fields are not taken for header fields", "[http]")
+{
+  const std::size_t step = GENERATE(1u, 2u, 7u, 1000u);
+  MessageReader reader(MessageReader::Mode::kResponses, Limits());
+  REQUIRE(AppendInPieces(
+            reader,
+            "HTTP/1.1 200 OK\r\nX-One: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "2\r\nhi\r\n0\r\nX-One: 2\r\nConnection: close\r\nX-Two: 2\r\nX-Three: 3\r\n\r\n",
+            step) == ReadState::kComplete);
+  const Response response = reader.TakeResponse();
+  CHECK(response.body == "hi");
+  CHECK(response.headers.Get("X-One") == "1");
+  CHECK(response.headers.Fields().size() == 2);
+}
+
 TEST_CASE("a response without a length ends when its connection is closed", "[http]")
 {
   MessageReader reader(MessageReader::Mode::kResponses, Limits());
