serve: calls to the platform have a bound for the head, and a timeout for the whole call

Change: adapters/http_pool calls with http::Client, whose event loop runs on the thread of the call: 16 KiB a head, 16 MiB a body, 16 interim responses, one timeout. The host of the URL may still be a name. Names of objects are percent-encoded by http::EncodePercent, which takes the place of two of its functions.

--- a/adapters/http_platform.cpp
+++ b/adapters/http_platform.cpp
@@ -1,5 +1,7 @@
 #include "adapters/http_platform.h"
 
+#include "http/target.h"
+
 #include <nlohmann/json.hpp>
 
 namespace hawthornlug {
@@ -18,6 +20,17 @@
   return leaf::new_error(PlatformError::kMalformed);
 }
 
+std::string PathOf(const std::string& aObject)
+{
+  return "/objects/" + http::EncodePercent(aObject, "/");
+}
+
+/// Whether no part of the request has reached the platform.
+bool IsUnsent(http::CallResult aResult)
+{
+  return aResult == http::CallResult::kRefused || aResult == http::CallResult::kNotSent;
+}
+
 PlatformObject ReadObject(const json& aValue)
 {
   return { aValue.at("name").get<std::string>(),
@@ -29,31 +42,31 @@
 
 HttpPlatform::HttpPlatform(const std::string& aUrl, Duration aTimeout)
   : mTimeout(aTimeout)
-  , mPool(aUrl, kIdleConnections, aTimeout)
+  , mPool(aUrl, kIdleConnections)
 {
 }
 
 Result<std::string> HttpPlatform::Fetch(const std::string& aPath, Duration aTimeout)
 {
-  httplib::Request request;
+  http::Request request;
   request.method = "GET";
-  request.path = aPath;
-  const httplib::Result result = mPool.Send(request, aTimeout);
-  if (!result) {
+  request.target = aPath;
+  http::CallOutcome outcome = mPool.Send(std::move(request), aTimeout);
+  if (outcome.result != http::CallResult::kAnswered) {
     return leaf::new_error(PlatformError::kUnavailable);
   }
-  if (result->status == kNotFound) {
+  if (outcome.response.status == kNotFound) {
     return leaf::new_error(PlatformError::kNotFound);
   }
-  if (result->status != kOk) {
+  if (outcome.response.status != kOk) {
     return leaf::new_error(PlatformError::kUnavailable);
   }
-  return result->body;
+  return std::move(outcome.response.body);
 }
 
 Result<PlatformObject> HttpPlatform::Get(const std::string& aName)
 {
-  BOOST_LEAF_AUTO(body, Fetch("/objects/" + aName, mTimeout));
+  BOOST_LEAF_AUTO(body, Fetch(PathOf(aName), mTimeout));
   try {
     return ReadObject(json::parse(body));
   } catch (const json::exception&) {
@@ -65,23 +78,23 @@
                                   Version aExpected,
                                   const std::string& aValue)
 {
-  httplib::Request request;
+  http::Request request;
   request.method = "PUT";
-  request.path = "/objects/" + aName + "?expected=" + std::to_string(aExpected);
+  request.target = PathOf(aName) + "?expected=" + std::to_string(aExpected);
   request.body = aValue;
-  request.set_header("Content-Type", "application/json");
-  const httplib::Result result = mPool.Send(request, mTimeout);
-  if (!result) {
-    const bool sent = result.error() != httplib::Error::Connection;
-    return leaf::new_error(sent ? PlatformError::kUnknown : PlatformError::kUnavailable);
+  request.headers.Add("Content-Type", "application/json");
+  const http::CallOutcome outcome = mPool.Send(std::move(request), mTimeout);
+  if (outcome.result != http::CallResult::kAnswered) {
+    return leaf::new_error(IsUnsent(outcome.result) ? PlatformError::kUnavailable
+                                                    : PlatformError::kUnknown);
   }
-  if (result->status == kConflict) {
+  if (outcome.response.status == kConflict) {
     return leaf::new_error(PlatformError::kConflict);
   }
-  if (result->status != kOk) {
+  if (outcome.response.status != kOk) {
     return leaf::new_error(PlatformError::kUnavailable);
   }
-  const json doc = json::parse(result->body, nullptr, false);
+  const json doc = json::parse(outcome.response.body, nullptr, false);
   if (!doc.is_object() || !doc.contains("version")) {
     return leaf::new_error(PlatformError::kUnknown);
   }
--- a/adapters/http_platform.h
+++ b/adapters/http_platform.h
@@ -7,7 +7,7 @@
 
 namespace hawthornlug {
 
-/// PlatformPort that uses cpp-httplib.
+/// PlatformPort over blocking calls.
 class HttpPlatform : public PlatformPort
 {
 public:
--- a/adapters/http_pool.h
+++ b/adapters/http_pool.h
@@ -1,46 +1,47 @@
 /// @file
-/// Pool of keep-alive HTTP connections to one address.
+/// Blocking HTTP calls to one address, over pooled keep-alive connections.
 #pragma once
 
 #include "core/instant.h"
+#include "http/client.h"
 
-#include <chrono>
-#include <httplib.h>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornlug {
 
 /// Sends each request on an idle connection, or on a new one if there is none. A connection whose
-/// call failed is closed.
+/// call failed is closed. Safe to use from any thread.
 class HttpPool
 {
 public:
-  /// @p aUrl is the base URL, such as http://127.0.0.1:8080. At most @p aMaxIdle idle connections
-  /// are kept.
-  HttpPool(std::string aUrl, std::size_t aMaxIdle, Duration aConnectTimeout);
-
-  /// Sends @p aRequest and waits for the response. @p aTimeout applies to each read and write.
-  /// Fails if the response has a body of more than 16 MiB.
-  httplib::Result Send(const httplib::Request& aRequest, Duration aTimeout);
+  /// @p aUrl is the base URL, such as http://127.0.0.1:8080; the host may be a name. At most
+  /// @p aMaxIdle idle connections are kept.
+  HttpPool(std::string_view aUrl, std::size_t aMaxIdle);
+  ~HttpPool();
+  HttpPool(const HttpPool&) = delete;
+  HttpPool& operator=(const HttpPool&) = delete;
+
+  /// Sends @p aRequest, whose Host header is set here, and waits for the whole response, for
+  /// @p aTimeout at most. Fails if the response has a header of more than 16 KiB or a body of more
+  /// than 16 MiB.
+  http::CallOutcome Send(http::Request aRequest, Duration aTimeout);
 
 private:
-  struct IdleClient
-  {
-    std::unique_ptr<httplib::Client> client;
-    std::chrono::steady_clock::time_point since;
-  };
+  struct Lane;
 
-  std::unique_ptr<httplib::Client> Acquire();
-  void Release(std::unique_ptr<httplib::Client> aClient);
+  std::unique_ptr<Lane> Acquire();
+  void Release(std::unique_ptr<Lane> aLane);
+  /// Addresses of the host, each with its port; empty if its name is not known.
+  std::vector<std::string> Addresses() const;
 
-  const std::string mUrl;
+  const std::string mHostPort;
   const std::size_t mMaxIdle;
-  const Duration mConnectTimeout;
   std::mutex mMutex;
-  std::vector<IdleClient> mIdleClients;
+  std::vector<std::unique_ptr<Lane>> mIdleLanes;
 };
 
 } // namespace hawthornlug
--- a/http/target.cpp
+++ b/http/target.cpp
@@ -9,6 +9,15 @@
 
 constexpr std::size_t kHexDigits = 2;
 constexpr int kHexBase = 16;
+constexpr std::string_view kHexDigitTable = "0123456789ABCDEF";
+constexpr std::string_view kUnreservedMarks = "-._~";
+
+bool IsUnreserved(char aByte)
+{
+  const bool isLetter = (aByte >= 'a' && aByte <= 'z') || (aByte >= 'A' && aByte <= 'Z');
+  const bool isDigit = aByte >= '0' && aByte <= '9';
+  return isLetter || isDigit || kUnreservedMarks.find(aByte) != std::string_view::npos;
+}
 
 } // namespace
 
@@ -28,6 +37,23 @@
   return text;
 }
 
+std::string EncodePercent(std::string_view aText, std::string_view aKept)
+{
+  std::string text;
+  text.reserve(aText.size());
+  for (const char it : aText) {
+    if (IsUnreserved(it) || aKept.find(it) != std::string_view::npos) {
+      text.push_back(it);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(it);
+    text.push_back('%');
+    text.push_back(kHexDigitTable[byte / kHexBase]);
+    text.push_back(kHexDigitTable[byte % kHexBase]);
+  }
+  return text;
+}
+
 std::string QueryValue(std::string_view aQuery, std::string_view aName)
 {
   while (!aQuery.empty()) {
--- a/main/tool_commands.cpp
+++ b/main/tool_commands.cpp
@@ -4,6 +4,7 @@
 #include "config/stored_config.h"
 #include "core/json_text.h"
 #include "core/trace_context.h"
+#include "http/target.h"
 #include "main/serve_command.h"
 #include "main/settings.h"
 
@@ -120,15 +121,15 @@
 
 std::optional<json> Fetch(const std::string& aUrl, const std::string& aPath)
 {
-  HttpPool pool(aUrl, 1, kDaemonTimeout);
-  httplib::Request request;
+  HttpPool pool(aUrl, 1);
+  http::Request request;
   request.method = "GET";
-  request.path = aPath;
-  const httplib::Result result = pool.Send(request, kDaemonTimeout);
-  if (!result || result->status != kOk) {
+  request.target = aPath;
+  const http::CallOutcome outcome = pool.Send(std::move(request), kDaemonTimeout);
+  if (outcome.result != http::CallResult::kAnswered || outcome.response.status != kOk) {
     return std::nullopt;
   }
-  json doc = json::parse(result->body, nullptr, false);
+  json doc = json::parse(outcome.response.body, nullptr, false);
   return doc.is_discarded() ? std::nullopt : std::optional<json>(std::move(doc));
 }
 
@@ -242,11 +243,6 @@
   }
 }
 
-std::string Escape(const std::string& aText)
-{
-  return httplib::detail::encode_query_param(aText);
-}
-
 /// Marks a server or an entry host as draining; false if there is none of that name.
 bool MarkDraining(Configuration& aConfig, const std::string& aName, bool aIsHost)
 {
@@ -342,8 +338,8 @@
   shape.usesDaemon = true;
   shape.hasJson = true;
   return RunTool(shape, aArgs, [](const ToolSettings& aSettings) -> Result<int> {
-    const std::string path =
-      "/-/explain?service=" + Escape(aSettings.words[0]) + "&key=" + Escape(aSettings.words[1]);
+    const std::string path = "/-/explain?service=" + http::EncodePercent(aSettings.words[0]) +
+                             "&key=" + http::EncodePercent(aSettings.words[1]);
     auto doc = Fetch(aSettings.daemonUrl, path);
     if (!doc) {
       return Unreachable(aSettings.daemonUrl + " about service " + aSettings.words[0]);
--- a/tests/http/target_test.cpp
+++ b/tests/http/target_test.cpp
@@ -29,6 +29,27 @@
   CHECK(http::DecodePercent(row.text) == row.decoded);
 }
 
+TEST_CASE("text is percent-encoded, and decoded to what it was", "[http]")
+{
+  struct Row
+  {
+    std::string text;
+    std::string encoded;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "", "" },
+    { "aZ09-._~", "aZ09-._~" },
+    { "cells/s/d/0", "cells/s/d/0" },
+    { "a b&c=d+e", "a%20b%26c%3Dd%2Be" },
+    { "100%41?#", "100%2541%3F%23" },
+    { "\xc3\xa9\r\n", "%C3%A9%0D%0A" },
+  }));
+  INFO(row.text);
+  CHECK(http::EncodePercent(row.text, "/") == row.encoded);
+  CHECK(http::DecodePercent(row.encoded) == row.text);
+  CHECK(http::EncodePercent("a/b") == "a%2Fb");
+}
+
 TEST_CASE("query parameters are found by name", "[http]")
 {
   const std::string query = "service=s&key=a%26b+c&empty=&lone&key=second";
