--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -81,6 +81,15 @@
   const DecisionLog& mLog;
 };
 
+LoadFeatures FeaturesOf(const RouteSettings& aSettings, const platform::HostSettings& aHost)
+{
+  LoadFeatures features = aHost.highLoad ? LoadFeatures::All() : LoadFeatures();
+  for (const LoadFeature it : aSettings.without) {
+    features.Set(it, false);
+  }
+  return features;
+}
+
 RouterSettings MakeRouterSettings(const platform::HostSettings& aHost)
 {
   using std::chrono::system_clock;
@@ -125,6 +134,7 @@
     RouterSettings settings = MakeRouterSettings(mHost);
     // Nobody would read what is not written anywhere.
     settings.traceSample = mSettings.spanFile.empty() ? 0.0 : mSettings.traceSample;
+    settings.features = FeaturesOf(mSettings, mHost);
     if (!mSpans.IsOpen()) {
       mLog.Write(EventId::kSpanLost, { { "file", mSettings.spanFile } });
       return kExitRefused;
@@ -218,13 +228,13 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(host, platform::ReadHostSettings(mSettings.settingsPath));
         const bool changed = !(host == mHost);
-        const bool needsRestart = host.callerAddress != mHost.callerAddress ||
-                                  host.readinessAddress != mHost.readinessAddress ||
-                                  host.meshAddress != mHost.meshAddress ||
-                                  host.storeAddress != mHost.storeAddress ||
-                                  host.longestHold != mHost.longestHold ||
-                                  host.cores != mHost.cores || host.linkMbps != mHost.linkMbps ||
-                                  host.daemonId != mHost.daemonId || host.domain != mHost.domain;
+        const bool needsRestart =
+          host.callerAddress != mHost.callerAddress ||
+          host.readinessAddress != mHost.readinessAddress ||
+          host.meshAddress != mHost.meshAddress || host.storeAddress != mHost.storeAddress ||
+          host.longestHold != mHost.longestHold || host.highLoad != mHost.highLoad ||
+          host.cores != mHost.cores || host.linkMbps != mHost.linkMbps ||
+          host.daemonId != mHost.daemonId || host.domain != mHost.domain;
         if (changed || aAsked) {
           mLog.Write(
             EventId::kSettingsReloaded,
--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -167,6 +167,22 @@
   }
 }
 
+/// Reads a list of features, separated by commas; notes names that there are not.
+void ReadFeatures(const std::string& aText,
+                  std::vector<LoadFeature>& aFeatures,
+                  std::vector<SettingError>& aErrors)
+{
+  std::istringstream names(aText);
+  std::string name;
+  while (std::getline(names, name, ',')) {
+    if (const auto feature = ValueOf<LoadFeature>(kLoadFeatureNames, name)) {
+      aFeatures.push_back(*feature);
+    } else {
+      aErrors.push_back({ "without", "there is no feature '" + name + "'" });
+    }
+  }
+}
+
 bool IsShare(double aValue)
 {
   return aValue >= 0.0 && aValue <= 1.0;
@@ -299,11 +315,14 @@
   const auto metrics = flags.Add("metrics-port", "Port of /metrics, 0 for none", "0");
   const auto spans = flags.Add("trace-file", "Where spans go, '-' for standard output", "");
   const auto sample = flags.Add("trace-sample", "Share of new traces that are kept", "0.01");
+  const auto without = flags.Add(
+    "without", "Features under heavy load that stay off, such as contention,placement", "");
   const ParseResult parsed = Parse(line, aArgs);
   if (parsed != ParseResult::kRun) {
     return parsed;
   }
   std::vector<SettingError> errors;
+  ReadFeatures(without->getValue(), aSettings.without, errors);
   ReadFlag(*metrics, aSettings.metricsPort, errors);
   ReadFlag(*sample, aSettings.traceSample, errors);
   aSettings.settingsPath = file->getValue();
--- a/main/settings.h
+++ b/main/settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/errors.h"
+#include "core/load_features.h"
 #include "ports/caller_port.h"
 #include "runtime/daemon.h"
 
@@ -45,6 +46,8 @@
   /// Where spans go, empty for nowhere.
   std::string spanFile;
   double traceSample = 0.0;
+  /// Features that stay off although the platform's file asks for them.
+  std::vector<LoadFeature> without;
 };
 
 /// Settings of the operators' commands.
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -211,6 +211,8 @@
     case wire::Envelope::kWarmUpAnswer:
     case wire::Envelope::kServersLeaving:
     case wire::Envelope::kRelayedBeatsQuestion:
+    case wire::Envelope::kQuotaReport:
+    case wire::Envelope::kQuotaAnswer:
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -2,6 +2,7 @@
 /// A daemon that routes callers' requests to backend servers; connects the components for that.
 #pragma once
 
+#include "core/load_features.h"
 #include "limits/shared_retry_budget.h"
 #include "membership/pending_removals.h"
 #include "ports/object_store.h"
@@ -40,6 +41,7 @@
   double linkBytesPerSecond = 0.0;
   /// Share (0 to 1) of the requests without a trace header whose spans are recorded.
   double traceSample = 0.0;
+  LoadFeatures features;
 };
 
 /// The components that a routing daemon uses. Everything runs on one event loop.
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -102,6 +102,9 @@
     { { "route", "--settings", "f", "--trace-sample", "2" }, ParseResult::kUsageError },
     { { "route", "--settings", "f", "--trace-sample", "much" }, ParseResult::kUsageError },
     { { "route", "--settings", "f", "--nonsense" }, ParseResult::kUsageError },
+    { { "route", "--settings", "f", "--without", "contention,placement" }, ParseResult::kRun },
+    { { "route", "--settings", "f", "--without", "contention;placement" },
+      ParseResult::kUsageError },
   }));
   RouteSettings settings;
   CHECK(ParseRoute(row.words, settings) == row.result);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -98,6 +98,29 @@
     [] { FAIL("settings rejected"); });
 }
 
+TEST_CASE("the features for heavy load are on only where the operators' terms ask for them",
+          "[platform]")
+{
+  struct Row
+  {
+    std::string terms;
+    bool highLoad;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "", false },
+    { "Invariants = []\n", false },
+    { "Invariants = [\"base\", \"own\"]\n", false },
+    { "Invariants = [\"base\", \"pressure\"]\n", true },
+  }));
+  leaf::try_handle_all(
+    [&]() -> Result<void> {
+      BOOST_LEAF_AUTO(settings, ParseHostSettings(row.terms + kSettings));
+      CHECK(settings.highLoad == row.highLoad);
+      return {};
+    },
+    [] { FAIL("settings rejected"); });
+}
+
 TEST_CASE("an invalid setting is rejected with its name", "[platform]")
 {
   struct Row
