Routes: downloads may run more than once

Callers of a route of the kind 'download' got a failure of its first server as their answer: the reader took every kind but 'safe' for one that may run once, so that no attempt was repeated or hedged. 'upload' stays with 'unsafe'.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -185,6 +185,30 @@
   CHECK(config->bounds.idleTimeout == seconds(15));
 }
 
+TEST_CASE("the kind of a route says whether its requests may run more than once", "[platform]")
+{
+  struct Row
+  {
+    std::string kind;
+    bool idempotent;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "safe", true },
+    { "download", true },
+    { "unsafe", false },
+    { "upload", false },
+    { "unknown", false },
+  }));
+  INFO(row.kind);
+  DecisionLog log("test");
+  PlatformObjectReader reader(log);
+  const std::string text =
+    WithReplacement(kConfiguration, R"("Kind":"unsafe")", R"("Kind":")" + row.kind + '"');
+  const auto config = reader.ReadConfiguration({ "main", 12, false, text });
+  REQUIRE(config);
+  CHECK(config->routes[1].idempotent == row.idempotent);
+}
+
 TEST_CASE("a malformed configuration is rejected", "[platform]")
 {
   const auto edit = GENERATE(values<Edit>({
