--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -213,6 +213,7 @@
     case wire::Envelope::kRelayedBeatsQuestion:
     case wire::Envelope::kQuotaReport:
     case wire::Envelope::kQuotaAnswer:
+    case wire::Envelope::kServiceTimes:
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
