Ranges: keys stay with an owner that serves them while a grant to it is unanswered

Cause: a move for balance began while a renewal to the owner was pending. Besides, keys counted as moving from the decision on, before the owner had been told to stop. Change: a move whose owner serves the keys is not begun while a grant to it is unanswered, and is given up if that turns out before the release is sent; until then the directory goes on naming the owner. Moves off owners that leave, have restarted or do not respond are made as before. When an owner may change is unchanged.

--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -163,6 +163,26 @@
          aNow - aRange.grantsFailingSince > kUnresponsiveAfter;
 }
 
+bool RangeGranter::IsServed(const Range& aRange)
+{
+  return aRange.tokenAccepted || aRange.presumedServing;
+}
+
+bool RangeGranter::ShouldStay(const Range& aRange, Instant aNow) const
+{
+  const auto owner = mServers.find(aRange.owned.owner.id);
+  const bool mayServe = owner != mServers.end() && owner->second.open &&
+                        !HasRestarted(aRange.owned.owner) && !IsOwnerUnresponsive(aRange, aNow);
+  return mayServe && IsServed(aRange) && aNow < aRange.unansweredExpireAt;
+}
+
+void RangeGranter::CancelMove(Range& aRange, Instant aNow)
+{
+  aRange.phase = RangePhase::kHeld;
+  aRange.phaseSince = aNow;
+  aRange.target.clear();
+}
+
 void RangeGranter::SplitAt(RangeKey aAt)
 {
   auto it = mRanges.upper_bound(aAt);
@@ -217,14 +237,16 @@
     return;
   }
   const ServerRef to{ aMove.to, target->second.incarnation };
-  if (range->phase == RangePhase::kHeld && range->owned.owner == to) {
+  const bool isHeld = range->phase == RangePhase::kHeld;
+  if (isHeld && (range->owned.owner == to || ShouldStay(*range, aNow))) {
     return;
   }
   range->target = aMove.to;
-  if (range->phase == RangePhase::kHeld) {
+  if (isHeld) {
     range->phase = RangePhase::kReleasing;
     range->phaseSince = aNow;
     range->retryAt = aNow;
+    range->releaseSent = false;
     range->releaseAnswered = false;
     range->handover.clear();
     // The owner may have restarted unnoticed since it accepted this leader's token.
@@ -302,6 +324,10 @@
   if (aRange.pendingGrants > 0 || aRange.releaseAnswered || aNow < aRange.retryAt) {
     return;
   }
+  if (!aRange.releaseSent && ShouldStay(aRange, aNow)) {
+    CancelMove(aRange, aNow);
+    return;
+  }
   const auto server = mServers.find(aRange.owned.owner.id);
   if (server == mServers.end()) {
     return;
@@ -316,6 +342,7 @@
     return;
   }
   aRange.retryAt = aNow + mTiming.releaseTimeout + kCommandRetryDelay;
+  aRange.releaseSent = true;
   ReleaseKeys action;
   action.order = mNextCommandId++;
   action.server = aRange.owned.owner.id;
@@ -621,9 +648,11 @@
 
 DirectoryRange RangeGranter::ToDirectoryRange(const Range& aRange) const
 {
-  const bool isServing =
-    aRange.phase == RangePhase::kHeld && (aRange.tokenAccepted || aRange.presumedServing);
-  return { aRange.owned.keys, aRange.owned.owner.id, !isServing };
+  // Until it is told to release the keys, the owner goes on serving them.
+  const bool isHeld = aRange.phase == RangePhase::kHeld ||
+                      (aRange.phase == RangePhase::kReleasing && !aRange.releaseSent &&
+                       aRange.grantsFailingSince == kNever);
+  return { aRange.owned.keys, aRange.owned.owner.id, !(isHeld && IsServed(aRange)) };
 }
 
 DirectoryUpdate RangeGranter::DirectorySnapshot() const
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -178,8 +178,9 @@
   /// Starts to move the keys; if exactly these keys are being moved already, changes their target.
   /// Ignored if the keys are not all within one range, are a part of a range that is being moved,
   /// belong to the target already, or have a new owner that is being written. Also ignored if the
-  /// target may not be granted keys, and while this daemon is not leader or its last confirmation
-  /// by the record is older than GrantTiming::maxConfirmationAge.
+  /// target may not be granted keys, while this daemon is not leader or its last confirmation
+  /// by the record is older than GrantTiming::maxConfirmationAge, and if the move can wait (see
+  /// ShouldStay()).
   void Move(const RangeMove& aMove, Instant aNow);
 
   /// Advances all ranges to @p aNow and returns the actions to execute. Resigns if the last call
@@ -231,6 +232,8 @@
     Instant phaseSince;
     /// When the next command to give up the keys may be sent.
     Instant retryAt;
+    /// The owner has been sent a command to give up the keys: it starts no more work on them.
+    bool releaseSent = false;
     /// The owner has reported that it released the keys.
     bool releaseAnswered = false;
     /// Set when the range is released.
@@ -277,6 +280,14 @@
   /// Starts to grant the range to the registered incarnation of its owner.
   void Rebind(Range& aRange, Instant aNow);
   void ConfirmLeadership(Instant aAskedAt, Instant aNow);
+  /// Whether the owner is taken to serve the keys for as long as it holds them.
+  static bool IsServed(const Range& aRange);
+  /// Whether a move of the range should wait: its owner serves it, but has left a grant unanswered.
+  /// That grant may be applied late, so that after a release no server could be given the keys
+  /// until it has expired, and nobody would serve them.
+  bool ShouldStay(const Range& aRange, Instant aNow) const;
+  /// Gives up a move whose release has not been sent.
+  static void CancelMove(Range& aRange, Instant aNow);
   /// Notes that no server holds the range any more.
   void SetReleased(Range& aRange, OwnerEndProof aProof, Instant aNow);
   void TickRange(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -93,6 +93,17 @@
     return "";
   }
 
+  /// The owner that the directory names for a key; empty while nobody serves it.
+  std::string ServingOwnerOf(RangeKey aKey) const
+  {
+    for (const DirectoryRange& it : granter.DirectorySnapshot().ranges) {
+      if (it.keys.Contains(aKey)) {
+        return it.moving ? "" : it.server;
+      }
+    }
+    return "";
+  }
+
   GrantTiming timing;
   Instant now{ seconds(100) };
   RangeGranter granter;
@@ -182,6 +193,44 @@
   CHECK(ContainsLine(fixture.commands, "grant b 100-200 token 11"));
 }
 
+TEST_CASE("keys stay with an owner that serves them while a grant to it is unanswered",
+          "[ownership][ranges]")
+{
+  // The grant may be applied late. A release would leave the keys without an owner until it has
+  // expired.
+  const bool pendingWhenMoved = GENERATE(true, false);
+  INFO(
+    "the grant " << (pendingWhenMoved ? "is pending when the move begins" : "has failed before"));
+  GranterFixture fixture;
+  fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
+  fixture.Advance(seconds(1));
+  fixture.pendingServers = { "a" };
+  while (fixture.pending.empty()) {
+    fixture.Advance(kStep);
+  }
+  const auto failGrant = [&] {
+    fixture.granter.OnGranted(fixture.pending.front(), CommandResult::kNoAnswer, fixture.now);
+    fixture.pendingServers.clear();
+  };
+  if (!pendingWhenMoved) {
+    failGrant();
+  }
+  fixture.granter.Move({ { 100, 200 }, "b" }, fixture.now);
+  fixture.Advance(kStep);
+  CHECK(fixture.ServingOwnerOf(150) == "a");
+  if (pendingWhenMoved) {
+    failGrant();
+  }
+  fixture.Advance(seconds(1));
+  CHECK(fixture.ServingOwnerOf(150) == "a");
+  CHECK_FALSE(ContainsLine(fixture.commands, "release a 100-200 token 1"));
+
+  // Once the unanswered grant has expired, the keys move at once.
+  fixture.Advance(seconds(4));
+  fixture.granter.Move({ { 100, 200 }, "b" }, fixture.now);
+  CHECK(fixture.AdvanceUntilOwned(150, "b", milliseconds(500)));
+}
+
 TEST_CASE("a takeover keeps the owners and grants with a higher token", "[ownership][ranges]")
 {
   GranterFixture second = GranterFixture::AfterTakeover({ "d", 2 });
