True answers: what a server ends before it is sent counts as not run

A server with too many connections resets a new one; by then the request had been written, so that nobody could tell. Change: a request that may run once waits on a new connection for about as long as it took to establish it, 1 to 20 ms. If the server ends the connection meanwhile, nothing has been sent (not-accepted): it goes to another server or gets 503. A call whose time ends before it was written counts as not sent, too.

--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -101,6 +101,7 @@
       return ParseSendAnswer(std::move(aOutcome.response), aRequestId, aOutcome.reused);
     case http::CallResult::kRefused:
     case http::CallResult::kNotSent:
+    case http::CallResult::kNotAccepted:
       answer.result = SendResult::kUnreachable;
       break;
     case http::CallResult::kBroken:
--- a/http/client.cpp
+++ b/http/client.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::size_t kReadBufferBytes = 16384;
 constexpr std::chrono::seconds kConnectTimeout{ 1 };
+/// Bounds of the wait for a server to accept or end a new connection.
+constexpr std::chrono::milliseconds kMinAcceptanceWait{ 1 };
+constexpr std::chrono::milliseconds kMaxAcceptanceWait{ 20 };
 /// Number of responses to other calls that are skipped while waiting for the expected one.
 constexpr int kMaxSkippedResponses = 3;
 /// A call with more interim responses than this is given up: each costs as much time as a whole
@@ -29,6 +32,16 @@
 /// to other calls take no memory, but must have an end, too.
 constexpr std::size_t kMaxBytesPerBodyByte = 2;
 
+CallResult ResultOfConnecting(const asio::error_code& aError)
+{
+  if (aError == asio::error::connection_refused) {
+    return CallResult::kRefused;
+  }
+  // It was established and reset before that was noticed here.
+  const bool wasReset = aError == asio::error::connection_reset;
+  return wasReset ? CallResult::kNotAccepted : CallResult::kNotSent;
+}
+
 bool IsInterim(int aStatus)
 {
   return aStatus >= 100 && aStatus < 200;
@@ -80,6 +93,7 @@
     mSkippedResponses = 0;
     mInterimResponses = 0;
     mReceivedBytes = 0;
+    mWritten = false;
     mDeadline = std::chrono::steady_clock::now() + aOptions.timeout;
     if (mConnected) {
       mReused = true;
@@ -142,7 +156,8 @@
                  [self = shared_from_this()] { self->Fail(CallResult::kNotSent); });
       return;
     }
-    ArmTimer(std::min<SteadyPoint>(mDeadline, std::chrono::steady_clock::now() + kConnectTimeout));
+    mConnectingSince = std::chrono::steady_clock::now();
+    ArmTimer(std::min<SteadyPoint>(mDeadline, mConnectingSince + kConnectTimeout));
     mSocket.async_connect(*endpoint, [self = shared_from_this()](const asio::error_code& aError) {
       self->OnConnected(aError);
     });
@@ -154,20 +169,41 @@
       return;
     }
     if (aError) {
-      Fail(aError == asio::error::connection_refused ? CallResult::kRefused : CallResult::kNotSent);
+      Fail(ResultOfConnecting(aError));
       return;
     }
     mConnected = true;
     asio::error_code ec;
     mSocket.set_option(Tcp::no_delay(true), ec);
+    Read();
+    if (mOptions.awaitAcceptance) {
+      AwaitAcceptance();
+      return;
+    }
     ArmTimer(mDeadline);
     Write();
-    Read();
+  }
+
+  /// Writes the request once the server has had the time to end the connection.
+  void AwaitAcceptance()
+  {
+    const SteadyPoint now = std::chrono::steady_clock::now();
+    const auto wait = std::clamp<SteadyPoint::duration>(
+      now - mConnectingSince, kMinAcceptanceWait, kMaxAcceptanceWait);
+    mTimer.expires_at(std::min(mDeadline, now + wait));
+    mTimer.async_wait([self = shared_from_this()](const asio::error_code& aError) {
+      if (aError || self->mClosed) {
+        return;
+      }
+      self->ArmTimer(self->mDeadline);
+      self->Write();
+    });
   }
 
   void Write()
   {
     mSending = true;
+    mWritten = true;
     asio::async_write(mSocket,
                       asio::buffer(mRequestBytes),
                       [self = shared_from_this()](const asio::error_code& aError, std::size_t) {
@@ -202,6 +238,11 @@
       Close();
       return;
     }
+    if (!mWritten) {
+      // A server sends nothing before it has got a request, so bytes end the connection too.
+      Fail(CallResult::kNotAccepted);
+      return;
+    }
     if (aError) {
       const bool ended = aError == asio::error::eof && mReader.HasHeader() &&
                          mReader.Finish() == ReadState::kComplete;
@@ -367,7 +408,7 @@
       // If the timer was re-armed while this handler was already queued, it has not expired yet.
       const bool due = std::chrono::steady_clock::now() >= self->mTimer.expiry();
       if (!aError && due && self->mCompletion) {
-        self->Fail(self->mConnected ? CallResult::kTimedOut : CallResult::kNotSent);
+        self->Fail(self->mWritten ? CallResult::kTimedOut : CallResult::kNotSent);
       }
     });
   }
@@ -383,6 +424,7 @@
   std::string mRequestBytes;
   std::array<char, kReadBufferBytes> mBuffer{};
   SteadyPoint mDeadline;
+  SteadyPoint mConnectingSince;
   SteadyPoint mIdleSince;
   SteadyPoint mReusableUntil = SteadyPoint::max();
   /// The response that is being received; 0 if no part of one has been.
@@ -392,6 +434,8 @@
   /// Bytes received since the call was sent, of whatever kind.
   std::size_t mReceivedBytes = 0;
   bool mConnected = false;
+  /// The call has been handed to the connection, in whole or in part.
+  bool mWritten = false;
   bool mSending = false;
   bool mReused = false;
   bool mOutOfSync = false;
--- a/http/client.h
+++ b/http/client.h
@@ -21,14 +21,16 @@
 enum class CallResult
 {
   kAnswered,
-  kRefused,  ///< The port refused the connection: no process listens there. Nothing was sent.
-  kNotSent,  ///< No connection was established; nothing was sent.
+  kRefused,     ///< The port refused the connection: no process listens there. Nothing was sent.
+  kNotSent,     ///< No connection was established; nothing was sent.
+  kNotAccepted, ///< The server ended a new connection before anything was sent on it.
   kBroken,   ///< Sent, but the connection ended early or the response was malformed or incomplete.
   kTimedOut, ///< Sent, but no response arrived before the timeout; the connection was closed.
   kTooLarge, ///< Sent, but the response exceeded a limit on its size; the connection was closed.
 };
-inline constexpr EnumNames<6> kCallResultNames = { "answered", "refused",   "not-sent",
-                                                   "broken",   "timed-out", "too-large" };
+inline constexpr EnumNames<7> kCallResultNames = { "answered",     "refused", "not-sent",
+                                                   "not-accepted", "broken",  "timed-out",
+                                                   "too-large" };
 
 /// The result of a call.
 struct CallOutcome
@@ -49,6 +51,9 @@
   Duration maxIdle = seconds(8);
   /// Sends the call on a new connection, on which no answer to an earlier call can arrive.
   bool freshConnection = false;
+  /// Waits on a new connection for about a round trip before the call is sent. A server with too
+  /// many connections ends a new one at once; then it is certain that it has not got the call.
+  bool awaitAcceptance = false;
   /// Maximum number of idle connections to the address that are kept for reuse.
   std::size_t keep = 16;
   /// If set: a response that has this header with a value other than echoValue belongs to another
--- a/ports/backend_port.h
+++ b/ports/backend_port.h
@@ -44,6 +44,9 @@
   /// Sends the request on a new connection: the server has answered it before, and may write that
   /// answer once more on the connection that carried it.
   bool freshConnection = false;
+  /// Sends the request on a new connection only once the server has had the time to end it, as one
+  /// with too many connections does: what was not sent has not run.
+  bool awaitAcceptance = false;
   /// Maximum number of idle connections to the server that are kept in the pool.
   unsigned keep = 1;
 };
--- a/routing/attempt_history.cpp
+++ b/routing/attempt_history.cpp
@@ -17,6 +17,7 @@
       return true;
     case ForwardResult::kUnreachable:
     case ForwardResult::kConnectionRefused:
+    case ForwardResult::kNotAccepted:
     case ForwardResult::kTimedOut:
     case ForwardResult::kTooLarge:
       break;
--- a/routing/forward_result.h
+++ b/routing/forward_result.h
@@ -27,12 +27,13 @@
   kNotOwner,          ///< The server doesn't own the key, or is another instance; not run.
   kUnreachable,       ///< The server could not be reached; nothing was sent.
   kConnectionRefused, ///< No process listens at the address; nothing was sent.
+  kNotAccepted,       ///< The server ended the new connection at once; nothing was sent.
   kBroken,            ///< Sent; no valid answer was received; it may have run.
   kTimedOut, ///< Sent; no answer before the timeout; the connection was closed; it may have run.
   kTooLarge, ///< Sent; the answer took too much memory; the connection was closed; it may have run.
 };
-inline constexpr EnumNames<8> kForwardResultNames = { "answered",    "not-run",      "not-owner",
-                                                      "unreachable", "refused-port", "broken",
-                                                      "timed-out",   "too-large" };
+inline constexpr EnumNames<9> kForwardResultNames = { "answered",    "not-run",      "not-owner",
+                                                      "unreachable", "refused-port", "not-accepted",
+                                                      "broken",      "timed-out",    "too-large" };
 
 } // namespace hawthornlug
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -443,6 +443,7 @@
   terms.keep = mServices.selector.MaxConnectionsTo(server.id);
   terms.maxIdle = request.route.idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent;
   terms.freshConnection = request.history.NeedsNewConnection(server.id);
+  terms.awaitAcceptance = !request.route.idempotent;
   attempt.call = mServices.backends.Forward(
     request.exchange->Received(), terms, [this, aRequest, id = server.id](ForwardOutcome aOutcome) {
       OnOutcome(aRequest, id, std::move(aOutcome));
@@ -552,8 +553,9 @@
 bool Forwarder::Retry(const RoutedRequestPtr& aRequest, ForwardResult aResult, Instant aNow)
 {
   RoutedRequest& request = *aRequest;
-  const bool nothingSent =
-    aResult == ForwardResult::kUnreachable || aResult == ForwardResult::kConnectionRefused;
+  const bool nothingSent = aResult == ForwardResult::kUnreachable ||
+                           aResult == ForwardResult::kConnectionRefused ||
+                           aResult == ForwardResult::kNotAccepted;
   const bool notRun =
     nothingSent || aResult == ForwardResult::kNotRun || aResult == ForwardResult::kNotOwner;
   request.mayHaveRun = request.mayHaveRun || !notRun;
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -4,6 +4,7 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/support/byte_server.h"
 #include "tests/support/endless_server.h"
 #include "tests/support/loopback.h"
 
@@ -635,6 +636,62 @@
   CHECK(outcome->result == CallResult::kRefused);
 }
 
+TEST_CASE("a call whose new connection the server ends at once is known not to have been sent",
+          "[http]")
+{
+  // A server that has too many connections resets new ones. Without the wait the request is on its
+  // way by then, and nobody can tell whether it was run.
+  struct Row
+  {
+    bool awaitAcceptance;
+    bool withReset;
+    CallResult result;
+  };
+  const auto row = GENERATE(values<Row>({
+    { true, true, CallResult::kNotAccepted },
+    { true, false, CallResult::kNotAccepted },
+    { false, true, CallResult::kBroken },
+  }));
+  asio::io_context context;
+  Tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+  Tcp::socket peer(context);
+  asio::steady_timer untilEnd(context);
+  acceptor.async_accept(peer, [&](const asio::error_code&) {
+    // The client has noticed by then that the connection is established.
+    untilEnd.expires_after(std::chrono::microseconds(200));
+    untilEnd.async_wait([&](const asio::error_code&) {
+      peer.set_option(asio::socket_base::linger(row.withReset, 0));
+      peer.close();
+    });
+  });
+  Client client(context);
+  CallOptions options;
+  options.awaitAcceptance = row.awaitAcceptance;
+  std::optional<CallOutcome> outcome;
+  client.Send("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+              MakeGetRequest(),
+              options,
+              [&](CallOutcome aOutcome) { outcome = std::move(aOutcome); });
+  REQUIRE(RunUntil(context, [&] { return outcome.has_value(); }));
+  CHECK(outcome->result == row.result);
+}
+
+TEST_CASE("a call on a new connection is sent once the server has had the time to end it", "[http]")
+{
+  asio::io_context context;
+  testing::ByteServer server(context, { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" });
+  Client client(context);
+  CallOptions options;
+  options.awaitAcceptance = true;
+  std::optional<CallOutcome> outcome;
+  client.Send(server.Address(), MakeGetRequest(), options, [&](CallOutcome aOutcome) {
+    outcome = std::move(aOutcome);
+  });
+  REQUIRE(RunUntil(context, [&] { return outcome.has_value(); }));
+  CHECK(outcome->result == CallResult::kAnswered);
+  CHECK(outcome->response.body == "ok");
+}
+
 TEST_CASE("the completion of a cancelled call is not called", "[http]")
 {
   asio::io_context context;
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -149,6 +149,7 @@
     { "unsafe", ForwardResult::kTimedOut, false, 504 },
     { "unsafe", ForwardResult::kNotRun, true, 0 },
     { "unsafe", ForwardResult::kUnreachable, true, 0 },
+    { "unsafe", ForwardResult::kNotAccepted, true, 0 },
   }));
   INFO(row.route << " " << NameOf(kForwardResultNames, row.result));
   ForwarderFixture fixture;
