--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -20,10 +20,6 @@
 constexpr int kFirstFailureStatus = 500;
 /// A server gets hedges only while at most one in this many of its slots is taken.
 constexpr unsigned kHedgeSlotsPerRequest = 2;
-/// Retry-After of a stopping daemon; short, since other daemons can serve the caller at once.
-constexpr Duration kStoppingRetryAfter = milliseconds(20);
-constexpr const char* kTraceHeader = "traceparent";
-constexpr std::uint64_t kSampleResolution = 1000000;
 /// Waits in the queue that are no longer than this get no span.
 constexpr Duration kMinWaitSpan = milliseconds(1);
 /// Spreads the retries of rejected callers evenly: the fractional parts of n times the golden
@@ -95,14 +91,14 @@
   /// A server may have executed it, so the caller must not be told that it was not executed.
   bool mayHaveRun = false;
   bool done = false;
-  TraceContext trace;
-  /// The caller's span; 0 if the caller sent none.
-  std::uint64_t parentSpan = 0;
+  RequestTrace trace;
 };
 
 Forwarder::Forwarder(ForwarderServices aServices, const RetryAllowance& aRetries)
   : mServices(aServices)
   , mAllowance(aRetries)
+  , mAdmission(aServices.routes, aServices.headers)
+  , mSpans(aServices.spans)
 {
 }
 
@@ -116,62 +112,6 @@
   }
 }
 
-void Forwarder::BeginTrace(RoutedRequest& aRequest) const
-{
-  const auto caller = TraceContext::Parse(aRequest.exchange->Received().headers.Get(kTraceHeader));
-  if (caller) {
-    aRequest.trace = caller->Child();
-    aRequest.parentSpan = caller->span;
-  } else if (mTraceSample > 0.0) {
-    const double draw = static_cast<double>(RandomId() % kSampleResolution);
-    aRequest.trace =
-      TraceContext::Make(draw < mTraceSample * static_cast<double>(kSampleResolution));
-  }
-}
-
-void Forwarder::Record(const RoutedRequest& aRequest, Span aSpan) const
-{
-  aSpan.service = aRequest.service;
-  aSpan.requestId = aRequest.terms.requestId;
-  mServices.spans.Record(aSpan);
-}
-
-void Forwarder::RecordSpan(const RoutedRequest& aRequest,
-                           const char* aName,
-                           Instant aStart,
-                           Instant aEnd,
-                           std::string_view aOutcome) const
-{
-  if (aRequest.trace.sampled) {
-    Record(aRequest,
-           { aRequest.trace.Child(),
-             aRequest.trace.span,
-             aName,
-             aStart,
-             aEnd,
-             {},
-             {},
-             std::string(aOutcome) });
-  }
-}
-
-void Forwarder::RecordRequestSpan(const RoutedRequest& aRequest,
-                                  Instant aEnd,
-                                  const std::string& aOutcome) const
-{
-  if (aRequest.trace.sampled) {
-    Record(aRequest,
-           { aRequest.trace,
-             aRequest.parentSpan,
-             "entry",
-             aRequest.receivedAt,
-             aEnd,
-             {},
-             {},
-             aOutcome });
-  }
-}
-
 SharedRetryBudget& Forwarder::BudgetOf(const std::string& aService)
 {
   return mBudgets.try_emplace(aService, mAllowance).first->second;
@@ -198,7 +138,7 @@
   request->exchange = std::move(aExchange);
   request->receivedAt = mServices.timers.Now();
   request->waitingSince = request->receivedAt;
-  BeginTrace(*request);
+  request->trace = mSpans.Begin(request->exchange->Received().headers);
   if (!Admit(request)) {
     return;
   }
@@ -216,39 +156,23 @@
 bool Forwarder::Admit(const RoutedRequestPtr& aRequest)
 {
   RoutedRequest& request = *aRequest;
-  const http::Request& received = request.exchange->Received();
-  const auto terms = mServices.headers.Read(received);
-  if (!terms) {
-    Answer(aRequest, 400, Duration::zero(), EventId::kRequestMalformed, "headers");
-    return false;
-  }
-  request.terms = *terms;
-  if (mServices.routes.IsEmpty()) {
-    Answer(aRequest, 503, milliseconds(500), EventId::kRequestRefused, "no-configuration");
-    return false;
-  }
-  if (request.receivedAt >= mRejectFrom) {
-    Answer(aRequest, 503, kStoppingRetryAfter, EventId::kRequestRefused, "stopping");
-    return false;
-  }
-  const RouteRule* const route =
-    mServices.routes.Find(received.headers.Get("Host"), received.Path());
-  if (route == nullptr) {
-    Answer(aRequest, 404, Duration::zero(), EventId::kRequestRefused, "no-route");
-    return false;
-  }
-  request.route = *route;
-  request.service = mServices.routes.ChooseService(*route);
-  const ServiceRule* const rule = mServices.routes.FindService(request.service);
-  request.keyed = rule != nullptr && rule->keyed;
-  if (request.keyed && !request.terms.key) {
-    Answer(aRequest, 400, Duration::zero(), EventId::kRequestMalformed, "no-key");
+  AdmissionResult admission =
+    mAdmission.Check(request.exchange->Received(), request.receivedAt >= mRejectFrom);
+  request.terms = std::move(admission.terms);
+  request.route = std::move(admission.route);
+  request.service = std::move(admission.service);
+  request.keyed = admission.keyed;
+  request.trace.service = request.service;
+  request.trace.requestId = request.terms.requestId;
+  if (const auto& refusal = admission.refusal) {
+    Answer(aRequest, refusal->status, refusal->retryAfter, refusal->event, refusal->reason);
     return false;
   }
-  request.targetAt = request.receivedAt + route->targetLatency;
+  request.targetAt = request.receivedAt + request.route.targetLatency;
+  const Duration timeout = request.route.timeout;
   request.deadline =
-    request.receivedAt + std::min(route->timeout, request.terms.timeout.value_or(route->timeout));
-  request.work = mRouteWork.Of(route->name, route->targetLatency);
+    request.receivedAt + std::min(timeout, request.terms.timeout.value_or(timeout));
+  request.work = mRouteWork.Of(request.route.name, request.route.targetLatency);
   if (request.keyed) {
     // Requests that can't be served count too: they show where capacity is missing.
     RangeRunner* const ranges = mServices.ranges.FindRanges(request.service);
@@ -422,7 +346,7 @@
   RoutedRequest& request = *aRequest;
   const ServerEntry& server = *aChoice.server;
   if (aNow - request.waitingSince > kMinWaitSpan) {
-    RecordSpan(request, "queue", request.waitingSince, aNow, "sent");
+    mSpans.RecordStep(request.trace, "queue", request.waitingSince, aNow, "sent");
   }
   request.lastServer = server.id;
   request.lastOutstanding = aChoice.outstanding;
@@ -512,7 +436,8 @@
   ended.slot.Release();
   const Instant now = mServices.timers.Now();
   request.lastResult = aOutcome.result;
-  RecordSpan(request, "server", ended.sentAt, now, NameOf(kForwardResultNames, aOutcome.result));
+  mSpans.RecordStep(
+    request.trace, "server", ended.sentAt, now, NameOf(kForwardResultNames, aOutcome.result));
   mServices.metrics.Count("forwards_total{result=\"" +
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
   UpdateStatistics(aRequest, ended, aOutcome, now);
@@ -637,7 +562,7 @@
         request.attempts > 0 ? NameOf(kForwardResultNames, request.lastResult) : "none" },
       { "status", aResponse.status },
       { "reason", aWhy } });
-  RecordRequestSpan(request, now, std::to_string(aResponse.status));
+  mSpans.RecordRequest(request.trace, request.receivedAt, now, std::to_string(aResponse.status));
   request.exchange->Respond(std::move(aResponse));
 }
 
@@ -657,14 +582,14 @@
                         { "open-attempts", request.openAttempts.size() },
                         { "elapsed-ms", Millis(mServices.timers.Now() - request.receivedAt) } });
   CancelAttempts(request);
-  RecordRequestSpan(request, mServices.timers.Now(), "abandoned");
+  mSpans.RecordRequest(request.trace, request.receivedAt, mServices.timers.Now(), "abandoned");
 }
 
 void Forwarder::CancelAttempts(RoutedRequest& aRequest)
 {
   for (const Attempt& it : aRequest.openAttempts) {
     it.call->Cancel();
-    RecordSpan(aRequest, "server", it.sentAt, mServices.timers.Now(), "cancelled");
+    mSpans.RecordStep(aRequest.trace, "server", it.sentAt, mServices.timers.Now(), "cancelled");
   }
   aRequest.openAttempts.clear();
 }
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -16,6 +16,8 @@
 #include "routing/route_table.h"
 #include "routing/server_selector.h"
 #include "runtime/range_finder.h"
+#include "runtime/request_admission.h"
+#include "runtime/request_spans.h"
 #include "runtime/server_notice_sink.h"
 
 #include <list>
@@ -67,7 +69,7 @@
   void SetDaemonCounts(unsigned aDaemons) { mDaemons = aDaemons; }
   /// Sets the share (0 to 1) of requests whose spans are recorded, among those that come without
   /// a trace header.
-  void SetTraceSample(double aShare) { mTraceSample = aShare; }
+  void SetTraceSample(double aShare) { mSpans.SetSample(aShare); }
   void SetRetryAllowance(const RetryAllowance& aAllowance);
   std::size_t Waiting() const { return mWaiting.size(); }
   /// Requests that wait for an owner that is warming up, by server.
@@ -78,7 +80,7 @@
   struct RoutedRequest;
   using RoutedRequestPtr = std::shared_ptr<RoutedRequest>;
 
-  /// Validates a new request and finds its route; answers it and returns false if that fails.
+  /// Checks a new request and sets its terms; answers it and returns false if it is refused.
   bool Admit(const RoutedRequestPtr& aRequest);
   /// Sends the request if a server has room for it; otherwise stores why none has.
   bool TrySend(const RoutedRequestPtr& aRequest, Instant aNow);
@@ -95,19 +97,6 @@
                         Instant aNow);
   void TryHedge(const RoutedRequestPtr& aRequest, Instant aNow);
   void CancelAttempts(RoutedRequest& aRequest);
-  /// Continues the caller's trace, or starts a new one for a sample of the other requests.
-  void BeginTrace(RoutedRequest& aRequest) const;
-  /// Records a child span of the request's span, if the trace is sampled.
-  void RecordSpan(const RoutedRequest& aRequest,
-                  const char* aName,
-                  Instant aStart,
-                  Instant aEnd,
-                  std::string_view aOutcome) const;
-  /// Records the span of the whole request.
-  void RecordRequestSpan(const RoutedRequest& aRequest,
-                         Instant aEnd,
-                         const std::string& aOutcome) const;
-  void Record(const RoutedRequest& aRequest, Span aSpan) const;
   static ServerRequirements NeedOf(const RoutedRequest& aRequest, Instant aNow);
   /// Queues the request for another attempt if limits and budget allow it; returns false if it
   /// must be answered now.
@@ -139,6 +128,8 @@
 
   ForwarderServices mServices;
   RetryAllowance mAllowance;
+  RequestAdmission mAdmission;
+  RequestSpans mSpans;
   std::map<std::string, SharedRetryBudget> mBudgets;
   RouteWork mRouteWork;
   std::list<RoutedRequestPtr> mWaiting;
@@ -151,7 +142,6 @@
   Instant mRejectFrom = Instant::max();
   /// When the process ends.
   Instant mEndsAt = Instant::max();
-  double mTraceSample = 0.0;
 };
 
 } // namespace hawthornlug
--- /dev/null
+++ b/runtime/request_admission.cpp
@@ -0,0 +1,55 @@
+#include "runtime/request_admission.h"
+
+namespace hawthornlug {
+
+namespace {
+
+/// Retry-After of a daemon that has no configuration yet.
+constexpr Duration kUnconfiguredRetryAfter = milliseconds(500);
+
+AdmissionRefusal Malformed(const char* aReason)
+{
+  return { 400, Duration::zero(), EventId::kRequestMalformed, aReason };
+}
+
+} // namespace
+
+AdmissionResult RequestAdmission::Check(const http::Request& aRequest, bool aStopping)
+{
+  AdmissionResult result;
+  result.refusal = Fill(result, aRequest, aStopping);
+  return result;
+}
+
+std::optional<AdmissionRefusal> RequestAdmission::Fill(AdmissionResult& aResult,
+                                                       const http::Request& aRequest,
+                                                       bool aStopping)
+{
+  const auto terms = mHeaders.Read(aRequest);
+  if (!terms) {
+    return Malformed("headers");
+  }
+  aResult.terms = *terms;
+  if (mRoutes.IsEmpty()) {
+    return AdmissionRefusal{
+      503, kUnconfiguredRetryAfter, EventId::kRequestRefused, "no-configuration"
+    };
+  }
+  if (aStopping) {
+    return AdmissionRefusal{ 503, kStoppingRetryAfter, EventId::kRequestRefused, "stopping" };
+  }
+  const RouteRule* const route = mRoutes.Find(aRequest.headers.Get("Host"), aRequest.Path());
+  if (route == nullptr) {
+    return AdmissionRefusal{ 404, Duration::zero(), EventId::kRequestRefused, "no-route" };
+  }
+  aResult.route = *route;
+  aResult.service = mRoutes.ChooseService(*route);
+  const ServiceRule* const rule = mRoutes.FindService(aResult.service);
+  aResult.keyed = rule != nullptr && rule->keyed;
+  if (aResult.keyed && !aResult.terms.key) {
+    return Malformed("no-key");
+  }
+  return std::nullopt;
+}
+
+} // namespace hawthornlug
