--- /dev/null
+++ b/runtime/forwarder_request.h
@@ -0,0 +1,76 @@
+/// @file
+/// The state of a request in the forwarder. Only the forwarder's own source files include this.
+#pragma once
+
+#include "routing/attempt_history.h"
+#include "runtime/forwarder.h"
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornlug {
+
+/// One request at one server, until its outcome is known.
+struct Forwarder::Attempt
+{
+  std::string server;
+  Incarnation incarnation = 0;
+  /// Time that the server takes for work, relative to a server of normal speed.
+  double pace = 1.0;
+  /// Requests known to be at the server when this one was sent, this one excluded.
+  unsigned outstanding = 0;
+  Instant sentAt;
+  InFlightSlot slot;
+  std::shared_ptr<http::Call> call;
+};
+
+/// One request of a caller, from its arrival to its answer.
+struct Forwarder::RoutedRequest
+{
+  std::shared_ptr<http::Exchange> exchange;
+  CallerTerms terms;
+  RouteRule route;
+  std::string service;
+  bool keyed = false;
+  Instant receivedAt;
+  /// When the route's target latency is exceeded.
+  Instant targetAt;
+  /// When the timeout of the route or of the caller ends, whichever is sooner.
+  Instant deadline;
+  /// When it last began to wait for a server.
+  Instant waitingSince;
+  /// No attempt is sent before this time.
+  Instant notBefore;
+  /// Estimated time that a server of normal speed takes for it.
+  Duration work = Duration::zero();
+  /// Attempts that count against the route's limit.
+  unsigned attempts = 0;
+  unsigned notOwnerAnswers = 0;
+  std::vector<std::string> triedServers;
+  AttemptHistory history;
+  /// Server, load and time of the attempt that was sent last, for the log.
+  std::string lastServer;
+  unsigned lastOutstanding = 0;
+  Instant lastSentAt;
+  /// Attempts that have no outcome yet; a second one beside the first is a hedge.
+  std::list<Attempt> openAttempts;
+  bool hedged = false;
+  ForwardResult lastResult = ForwardResult::kUnreachable;
+  /// Why the last choice of a server found none.
+  ServerUnavailability unavailability = ServerUnavailability::kNone;
+  /// When the first of the pauses ends for which all servers had asked then; otherwise the epoch.
+  Instant pausedUntil;
+  /// Owner of its key when a server was last chosen; empty if its service has no keys.
+  std::string owner;
+  /// A server's error response, passed on to the caller if no later attempt succeeds.
+  std::optional<http::Response> failureResponse;
+  /// A server may have executed it, so the caller must not be told that it was not executed.
+  bool mayHaveRun = false;
+  bool done = false;
+  RequestTrace trace;
+};
+
+} // namespace hawthornlug
