Organisations: callers are authenticated by key where the configuration lists tenants

The forwarder answers 401 or 400, uses the organisation's priority, names the organisation to servers in place of the caller's headers, and claims quota through limits/quota_gate.h; until the quota's implementation is there, RouterDaemon has a gate that grants all.

FakeBackends moved from tests/runtime/forwarder_test.cpp to tests/support/fake_backends.h unchanged but for two fields that it records.

--- a/core/event_log.h
+++ b/core/event_log.h
@@ -80,6 +80,8 @@
   kServerPaused,
   kPauseAdjusted,
   kAnswerUnread,
+  kKeyRefused,
+  kOverQuota,
 };
 
 /// Number, level and name of an event.
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -86,6 +86,14 @@
                 [&](const Field& aField) { return EqualsIgnoringCase(aField.name, aName); });
 }
 
+std::size_t Headers::Count(std::string_view aName) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mFields.begin(), mFields.end(), [&](const Field& aField) {
+      return EqualsIgnoringCase(aField.name, aName);
+    }));
+}
+
 std::optional<std::string_view> Headers::Find(std::string_view aName) const
 {
   for (const Field& it : mFields) {
--- a/http/message.h
+++ b/http/message.h
@@ -27,6 +27,8 @@
   std::optional<std::string_view> Find(std::string_view aName) const;
   /// Returns the value of the first field named @p aName, or an empty string if there is none.
   std::string_view Get(std::string_view aName) const;
+  /// Number of fields named @p aName.
+  std::size_t Count(std::string_view aName) const;
   /// Removes the hop-by-hop headers: the standard ones and those that Connection lists.
   void RemoveHopByHop();
 
--- a/ports/backend_port.h
+++ b/ports/backend_port.h
@@ -46,6 +46,10 @@
   bool freshConnection = false;
   /// Maximum number of idle connections to the server that are kept in the pool.
   unsigned keep = 1;
+  /// Removes the headers that identify the caller. The server is told @ref organisation instead.
+  bool replacesIdentity = false;
+  /// The caller's organisation; empty for none.
+  std::string organisation;
 };
 
 /// The result of a health check.
--- a/ports/caller_headers.h
+++ b/ports/caller_headers.h
@@ -1,9 +1,11 @@
 /// @file
-/// The request headers in which callers pass the request id, timeout and key. They are parsed once,
-/// when a request is received.
+/// The request headers in which callers pass the request id, timeout, the key of the data and the
+/// key of their organisation. They are parsed once, when a request is received.
 #pragma once
 
+#include "core/enum_names.h"
 #include "core/instant.h"
+#include "core/key_digest.h"
 #include "http/message.h"
 #include "ownership/key_range.h"
 
@@ -12,13 +14,33 @@
 
 namespace hawthornlug {
 
+/// How a request presents the key of its organisation.
+enum class CredentialState
+{
+  kMissing,
+  kPresented, ///< Once, in a valid form.
+  kMalformed, ///< More than once, or in a form that no key has.
+};
+inline constexpr EnumNames<3> kCredentialStateNames = { "missing", "presented", "malformed" };
+
+/// The key of an organisation as a request presents it. The key itself is not kept.
+struct CallerCredential
+{
+  CredentialState state = CredentialState::kMissing;
+  /// Of the key, if the state is kPresented.
+  KeyDigest digest;
+};
+
 /// What a caller's headers state about its request.
 struct CallerTerms
 {
   std::string requestId;
   /// How long the caller waits for the answer.
   std::optional<Duration> timeout;
+  /// Key of the data that the request is about.
   std::optional<RangeKey> key;
+  /// Whether a wrong form matters depends on the configuration and the route.
+  CallerCredential credential;
 };
 
 /// Parses callers' headers and builds the answers that the daemon itself gives.
--- a/routing/route_config.h
+++ b/routing/route_config.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include "core/instant.h"
+#include "core/key_digest.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,8 @@
   unsigned maxAttempts = 1;
   /// 0 is the highest.
   int priority = 0;
+  /// Whether callers need no key, although the configuration lists organisations.
+  bool open = false;
 };
 
 /// Limits and health checks of the servers of one service.
@@ -53,6 +57,20 @@
   bool keyed = false;
 };
 
+/// A customer whose callers present a key; the platform's term is tenant.
+struct OrganisationRule
+{
+  std::string name;
+  /// Each of them identifies the organisation.
+  std::vector<KeyDigest> keys;
+  /// Replaces the priority of the route.
+  std::optional<int> priority;
+  /// Requests a second over all daemons together; 0: no limit.
+  double ratePerSecond = 0.0;
+  /// Requests beyond the rate that may be made at once after a pause.
+  double burst = 0.0;
+};
+
 /// Limits on the requests and connections of callers.
 struct CallerBounds
 {
@@ -72,6 +90,8 @@
   std::uint64_t version = 0;
   std::vector<RouteRule> routes;
   std::map<std::string, ServiceRule> services;
+  /// By name. No two have a key in common. Without any, callers are not authenticated.
+  std::map<std::string, OrganisationRule> organisations;
   CallerBounds bounds;
 };
 
--- a/routing/route_table.cpp
+++ b/routing/route_table.cpp
@@ -45,6 +45,12 @@
       state.credit.assign(it.shares.size(), 0.0);
     }
   }
+  mByKey.clear();
+  for (const auto& [name, organisation] : mConfig->organisations) {
+    for (const KeyDigest& it : organisation.keys) {
+      mByKey[it] = &organisation;
+    }
+  }
   std::erase_if(mShares, [this](const auto& aEntry) {
     return std::none_of(mConfig->routes.begin(),
                         mConfig->routes.end(),
@@ -99,4 +105,10 @@
   return it == mConfig->services.end() ? nullptr : &it->second;
 }
 
+const OrganisationRule* RouteTable::FindOrganisation(const KeyDigest& aKey) const
+{
+  const auto it = mByKey.find(aKey);
+  return it == mByKey.end() ? nullptr : it->second;
+}
+
 } // namespace hawthornlug
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace hawthornlug {
 
@@ -34,6 +35,10 @@
   const std::string& ChooseService(const RouteRule& aRoute);
   /// Null if there is no such service.
   const ServiceRule* FindService(const std::string& aService) const;
+  /// Whether the configuration in force lists organisations, so that callers need keys.
+  bool HasOrganisations() const { return mConfig && !mConfig->organisations.empty(); }
+  /// The organisation whose key has this digest; null if no organisation in force has it.
+  const OrganisationRule* FindOrganisation(const KeyDigest& aKey) const;
 
 private:
   /// Smooth weighted round robin: for each request, each share's credit rises by its weight, the
@@ -48,6 +53,7 @@
   std::shared_ptr<const RouteConfig> mConfig;
   /// Routes by normalised host name, then by prefix.
   std::map<std::string, std::map<std::string, const RouteRule*>, std::less<>> mByHost;
+  std::unordered_map<KeyDigest, const OrganisationRule*> mByKey;
   /// By route name.
   std::map<std::string, ShareState> mShares;
 };
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -4,6 +4,7 @@
 #include "runtime/range_runner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornlug {
 
@@ -32,6 +33,19 @@
          aOutcome.response.status < kFirstFailureStatus;
 }
 
+/// Whether nothing of the request has reached a server.
+bool IsUnsent(ForwardResult aResult)
+{
+  return aResult == ForwardResult::kUnreachable || aResult == ForwardResult::kConnectionRefused;
+}
+
+/// Whether a server may have run the request.
+bool MayHaveRun(ForwardResult aResult)
+{
+  return !IsUnsent(aResult) && aResult != ForwardResult::kNotRun &&
+         aResult != ForwardResult::kNotOwner;
+}
+
 } // namespace
 
 Forwarder::Forwarder(ForwarderServices aServices, const RetryAllowance& aRetries)
@@ -39,6 +53,7 @@
   , mAllowance(aRetries)
   , mAdmission(aServices.routes, aServices.headers)
   , mSpans(aServices.spans)
+  , mOrganisations(aServices.metrics, aServices.routes)
 {
 }
 
@@ -100,12 +115,17 @@
     mAdmission.Check(request.exchange->Received(), request.receivedAt >= mRejectFrom);
   request.terms = std::move(admission.terms);
   request.route = std::move(admission.route);
+  request.replacesIdentity = admission.replacesIdentity;
+  request.organisation = std::move(admission.organisation);
   request.service = std::move(admission.service);
   request.keyed = admission.keyed;
   request.trace.service = request.service;
   request.trace.requestId = request.terms.requestId;
-  if (const auto& refusal = admission.refusal) {
-    Answer(aRequest, refusal->status, refusal->retryAfter, refusal->event, refusal->reason);
+  if (!request.organisation.empty()) {
+    mOrganisations.CountRequest(request.organisation);
+  }
+  if (admission.refusal) {
+    Refuse(aRequest, *admission.refusal);
     return false;
   }
   request.targetAt = request.receivedAt + request.route.targetLatency;
@@ -113,6 +133,13 @@
   request.deadline =
     request.receivedAt + std::min(timeout, request.terms.timeout.value_or(timeout));
   request.work = mRouteWork.Of(request.route.name, request.route.targetLatency);
+  if (!request.organisation.empty()) {
+    request.quota = QuotaClaim(mServices.quotas.Claim(request.organisation, request.receivedAt));
+    if (const auto refusal = request.quota.Refusal(request.receivedAt)) {
+      Refuse(aRequest, *refusal);
+      return false;
+    }
+  }
   if (request.keyed) {
     // Requests that can't be served count too: they show where capacity is missing.
     RangeRunner* const ranges = mServices.ranges.FindRanges(request.service);
@@ -123,6 +150,32 @@
   return true;
 }
 
+bool Forwarder::HasQuota(const RoutedRequestPtr& aRequest, Instant aNow)
+{
+  RoutedRequest& request = *aRequest;
+  if (const auto refusal = request.quota.Refusal(aNow)) {
+    Refuse(aRequest, *refusal);
+    return false;
+  }
+  if (request.quota.State(aNow) == QuotaState::kGranted) {
+    if (std::exchange(request.awaitsQuota, false)) {
+      mSpans.RecordStep(request.trace, "queue", request.waitingSince, aNow, "quota-granted");
+      // The wait for a server begins now.
+      request.waitingSince = aNow;
+    }
+    return true;
+  }
+  request.awaitsQuota = true;
+  // This wait says nothing about the servers: only the deadline and the end of the process end it.
+  const bool stopping = !FitsBeforeStop(request.work, mEndsAt - aNow);
+  if (stopping || aNow >= request.deadline) {
+    AnswerUnserved(aRequest,
+                   stopping ? WaitDecision::kStopping : WaitDecision::kTooLate,
+                   DescribeQueue(request, aNow));
+  }
+  return false;
+}
+
 void Forwarder::Enqueue(const RoutedRequestPtr& aRequest)
 {
   mWaiting.push_back(aRequest);
@@ -161,6 +214,12 @@
     if (request->done) {
       continue;
     }
+    if (!HasQuota(request, now)) {
+      if (!request->done) {
+        Enqueue(request);
+      }
+      continue;
+    }
     const bool mayBeSent = FitsBeforeStop(request->work, mEndsAt - now);
     if ((mayBeSent && TrySend(request, now)) || AnswerIfWaitFutile(request, now)) {
       continue;
@@ -306,6 +365,8 @@
   terms.timeLeft = std::max(request.deadline - aNow, Duration(milliseconds(1)));
   terms.keep = mServices.selector.MaxConnectionsTo(server.id);
   terms.maxIdle = request.route.idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent;
+  terms.replacesIdentity = request.replacesIdentity;
+  terms.organisation = request.organisation;
   terms.freshConnection = request.history.NeedsNewConnection(server.id);
   attempt.call = mServices.backends.Forward(
     request.exchange->Received(), terms, [this, aRequest, id = server.id](ForwardOutcome aOutcome) {
@@ -326,6 +387,7 @@
   mServices.metrics.Count("cold_forwards_total");
   mServices.log.Write(EventId::kColdForward,
                       { { "request", aRequest.terms.requestId },
+                        { "organisation", aRequest.organisation },
                         { "service", aRequest.service },
                         { "server", aServer },
                         { "attempt", aRequest.attempts },
@@ -382,6 +444,9 @@
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
   UpdateStatistics(aRequest, ended, aOutcome, now);
   request.history.OnResult(ended.server, aOutcome.result);
+  if (MayHaveRun(aOutcome.result)) {
+    request.quota.MarkUsed(now);
+  }
   if (!aOutcome.notice.IsEmpty()) {
     mServices.notices.OnServerNotice({ ended.server, ended.incarnation }, aOutcome.notice);
   }
@@ -417,10 +482,8 @@
 bool Forwarder::Retry(const RoutedRequestPtr& aRequest, ForwardResult aResult, Instant aNow)
 {
   RoutedRequest& request = *aRequest;
-  const bool nothingSent =
-    aResult == ForwardResult::kUnreachable || aResult == ForwardResult::kConnectionRefused;
-  const bool notRun =
-    nothingSent || aResult == ForwardResult::kNotRun || aResult == ForwardResult::kNotOwner;
+  const bool nothingSent = IsUnsent(aResult);
+  const bool notRun = !MayHaveRun(aResult);
   request.mayHaveRun = request.mayHaveRun || !notRun;
   if (request.deadline - aNow < request.work / 2) {
     return false;
@@ -453,6 +516,7 @@
   mServices.metrics.Count("retries_total");
   mServices.log.Write(EventId::kRequestRetried,
                       { { "request", request.terms.requestId },
+                        { "organisation", request.organisation },
                         { "service", request.service },
                         { "server", request.lastServer },
                         { "result", NameOf(kForwardResultNames, aResult) },
@@ -462,6 +526,11 @@
   return true;
 }
 
+void Forwarder::Refuse(const RoutedRequestPtr& aRequest, const AdmissionRefusal& aRefusal)
+{
+  Answer(aRequest, aRefusal.status, aRefusal.retryAfter, aRefusal.event, aRefusal.reason);
+}
+
 void Forwarder::Answer(const RoutedRequestPtr& aRequest,
                        int aStatus,
                        Duration aRetryAfter,
@@ -479,15 +548,19 @@
   RoutedRequest& request = *aRequest;
   request.done = true;
   CancelAttempts(request);
+  request.quota.Release();
   const Instant now = mServices.timers.Now();
   const Duration elapsed = now - request.receivedAt;
   mServices.metrics.Count("answers_total{status=\"" + std::to_string(aResponse.status) + "\"}");
+  const bool served = aEvent == EventId::kRequestDone && aResponse.status < kFirstFailureStatus;
+  mOrganisations.CountAnswer(request.organisation, aResponse.status, served);
   mServices.metrics.Observe("request_seconds", elapsed);
   mServices.log.Write(
     aEvent,
     { { "request", request.terms.requestId },
       { "route", request.route.name },
       { "config", mServices.routes.Version() },
+      { "organisation", request.organisation },
       { "service", request.service },
       { "key", request.terms.key ? static_cast<std::int64_t>(*request.terms.key) : -1 },
       { "server", request.lastServer },
@@ -516,12 +589,14 @@
   mServices.metrics.Count("abandoned_total");
   mServices.log.Write(EventId::kRequestAbandoned,
                       { { "request", request.terms.requestId },
+                        { "organisation", request.organisation },
                         { "service", request.service },
                         { "server", request.lastServer },
                         { "attempts", request.attempts },
                         { "open-attempts", request.openAttempts.size() },
                         { "elapsed-ms", Millis(mServices.timers.Now() - request.receivedAt) } });
   CancelAttempts(request);
+  request.quota.Release();
   mSpans.RecordRequest(request.trace, request.receivedAt, mServices.timers.Now(), "abandoned");
 }
 
@@ -529,6 +604,8 @@
 {
   for (const Attempt& it : aRequest.openAttempts) {
     it.call->Cancel();
+    // Its server may have begun to run it.
+    aRequest.quota.MarkUsed(mServices.timers.Now());
     mSpans.RecordStep(aRequest.trace, "server", it.sentAt, mServices.timers.Now(), "cancelled");
   }
   aRequest.openAttempts.clear();
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -7,6 +7,7 @@
 #include "core/timer_service.h"
 #include "http/server.h"
 #include "limits/hedge_policy.h"
+#include "limits/quota_gate.h"
 #include "limits/route_work.h"
 #include "limits/shared_retry_budget.h"
 #include "limits/waiting_policy.h"
@@ -15,6 +16,7 @@
 #include "ports/span_port.h"
 #include "routing/route_table.h"
 #include "routing/server_selector.h"
+#include "runtime/organisation_metrics.h"
 #include "runtime/range_finder.h"
 #include "runtime/request_admission.h"
 #include "runtime/request_spans.h"
@@ -40,6 +42,7 @@
   DecisionLog& log;
   Metrics& metrics;
   SpanPort& spans;
+  QuotaGate& quotas;
 };
 
 /// Handles a request from its arrival to its answer: finds the route, chooses a server, sends
@@ -82,6 +85,9 @@
 
   /// Checks a new request and sets its terms; answers it and returns false if it is refused.
   bool Admit(const RoutedRequestPtr& aRequest);
+  /// Whether the request's organisation has quota for it. If not, the request goes on waiting for
+  /// the quota, or is answered: if the quota is exceeded or unknown, or there is no time to wait.
+  bool HasQuota(const RoutedRequestPtr& aRequest, Instant aNow);
   /// Sends the request if a server has room for it; otherwise stores why none has.
   bool TrySend(const RoutedRequestPtr& aRequest, Instant aNow);
   void SendTo(const RoutedRequestPtr& aRequest, const ServerChoice& aChoice, Instant aNow);
@@ -113,6 +119,8 @@
               http::Response aResponse,
               EventId aEvent,
               const char* aWhy);
+  /// Answers a request that is refused before it is sent.
+  void Refuse(const RoutedRequestPtr& aRequest, const AdmissionRefusal& aRefusal);
   /// Answers with a response of the router's own.
   void Answer(const RoutedRequestPtr& aRequest,
               int aStatus,
@@ -130,6 +138,7 @@
   RetryAllowance mAllowance;
   RequestAdmission mAdmission;
   RequestSpans mSpans;
+  OrganisationMetrics mOrganisations;
   std::map<std::string, SharedRetryBudget> mBudgets;
   RouteWork mRouteWork;
   std::list<RoutedRequestPtr> mWaiting;
--- a/runtime/forwarder_request.h
+++ b/runtime/forwarder_request.h
@@ -4,6 +4,7 @@
 
 #include "routing/attempt_history.h"
 #include "runtime/forwarder.h"
+#include "runtime/quota_claim.h"
 
 #include <list>
 #include <memory>
@@ -33,6 +34,13 @@
   std::shared_ptr<http::Exchange> exchange;
   CallerTerms terms;
   RouteRule route;
+  /// Whether servers must not get the headers by which the caller identifies itself.
+  bool replacesIdentity = false;
+  /// Empty if the caller needed no key.
+  std::string organisation;
+  QuotaClaim quota;
+  /// Waits for its organisation's quota, not for a server.
+  bool awaitsQuota = false;
   std::string service;
   bool keyed = false;
   Instant receivedAt;
--- a/runtime/request_admission.cpp
+++ b/runtime/request_admission.cpp
@@ -12,6 +12,11 @@
   return { 400, Duration::zero(), EventId::kRequestMalformed, aReason };
 }
 
+AdmissionRefusal Unauthenticated(const char* aReason)
+{
+  return { 401, Duration::zero(), EventId::kKeyRefused, aReason };
+}
+
 } // namespace
 
 AdmissionResult RequestAdmission::Check(const http::Request& aRequest, bool aStopping)
@@ -43,6 +48,9 @@
     return AdmissionRefusal{ 404, Duration::zero(), EventId::kRequestRefused, "no-route" };
   }
   aResult.route = *route;
+  if (const auto refusal = Authenticate(aResult)) {
+    return refusal;
+  }
   aResult.service = mRoutes.ChooseService(*route);
   const ServiceRule* const rule = mRoutes.FindService(aResult.service);
   aResult.keyed = rule != nullptr && rule->keyed;
@@ -52,4 +60,26 @@
   return std::nullopt;
 }
 
+std::optional<AdmissionRefusal> RequestAdmission::Authenticate(AdmissionResult& aResult) const
+{
+  aResult.replacesIdentity = mRoutes.HasOrganisations();
+  if (!aResult.replacesIdentity || aResult.route.open) {
+    return std::nullopt;
+  }
+  const CallerCredential& credential = aResult.terms.credential;
+  if (credential.state == CredentialState::kMalformed) {
+    return Malformed("organisation-key");
+  }
+  if (credential.state == CredentialState::kMissing) {
+    return Unauthenticated("no-organisation-key");
+  }
+  const OrganisationRule* const organisation = mRoutes.FindOrganisation(credential.digest);
+  if (organisation == nullptr) {
+    return Unauthenticated("unknown-organisation-key");
+  }
+  aResult.organisation = organisation->name;
+  aResult.route.priority = organisation->priority.value_or(aResult.route.priority);
+  return std::nullopt;
+}
+
 } // namespace hawthornlug
--- a/runtime/request_admission.h
+++ b/runtime/request_admission.h
@@ -1,5 +1,5 @@
 /// @file
-/// Checks of a request when it is received: headers, configuration, route.
+/// Checks of a request when it is received: headers, configuration, route, key of the organisation.
 #pragma once
 
 #include "core/event_log.h"
@@ -30,6 +30,11 @@
 {
   CallerTerms terms;
   RouteRule route;
+  /// Whether the configuration lists organisations, so that servers must not get the headers by
+  /// which callers identify themselves.
+  bool replacesIdentity = false;
+  /// The organisation whose key was presented; empty if none was needed.
+  std::string organisation;
   std::string service;
   /// Whether the service's servers own keys.
   bool keyed = false;
@@ -55,6 +60,9 @@
   std::optional<AdmissionRefusal> Fill(AdmissionResult& aResult,
                                        const http::Request& aRequest,
                                        bool aStopping);
+  /// Finds the organisation of a request on @ref AdmissionResult::route; returns why the request is
+  /// refused, if it is. The priority of the organisation replaces that of the route.
+  std::optional<AdmissionRefusal> Authenticate(AdmissionResult& aResult) const;
 
   RouteTable& mRoutes;
   CallerHeaders& mHeaders;
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -76,7 +76,8 @@
                  aServices.timers,
                  aServices.log,
                  aServices.metrics,
-                 aServices.spans },
+                 aServices.spans,
+                 mQuotas },
                aSettings.retries)
   , mStartedAt(aServices.timers.Now())
 {
@@ -392,7 +393,9 @@
                       { { "version", mRoutes.Version() },
                         { "before", previousVersion },
                         { "routes", mRoutes.Config().routes.size() },
+                        { "organisations", mRoutes.Config().organisations.size() },
                         { "revision", aObject.revision } });
+  ApplyQuotaLimits();
   for (const auto& [name, rule] : mRoutes.Config().services) {
     mSelector.SetServiceRule(rule);
     if (rule.keyed && !mRanges.contains(name)) {
@@ -412,6 +415,15 @@
   }
 }
 
+void RouterDaemon::ApplyQuotaLimits()
+{
+  std::map<std::string, OrganisationLimit> limits;
+  for (const auto& [name, rule] : mRoutes.Config().organisations) {
+    limits.emplace(name, OrganisationLimit{ rule.ratePerSecond, rule.burst });
+  }
+  mQuotas.SetLimits(limits);
+}
+
 RangeRunner* RouterDaemon::FindRanges(const std::string& aService)
 {
   const auto it = mRanges.find(aService);
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -10,6 +10,7 @@
 #include "runtime/load_reporter.h"
 #include "runtime/mesh.h"
 #include "runtime/object_exchange.h"
+#include "runtime/open_quota_gate.h"
 #include "runtime/range_runner.h"
 #include "runtime/server_notice_relay.h"
 #include "runtime/store_follower.h"
@@ -108,6 +109,8 @@
   void OnServer(const StoredObject& aObject);
   void RemoveServer(const std::string& aId);
   void OnConfiguration(const StoredObject& aObject);
+  /// Passes the organisations' limits of the configuration in force to the quota gate.
+  void ApplyQuotaLimits();
   /// Time since the store last answered any daemon that watches it.
   Duration StoreAge(Instant aNow) const;
   /// Removes the servers whose registry entries were removed and are certain not to come back.
@@ -137,6 +140,7 @@
   StoreFollower mStoreFollower;
   ObjectExchange mObjectExchange;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
+  OpenQuotaGate mQuotas;
   Forwarder mForwarder;
   PendingRemovals mPendingRemovals;
   Instant mStartedAt;
--- a/tests/runtime/forwarder_copies_test.cpp
+++ b/tests/runtime/forwarder_copies_test.cpp
@@ -142,10 +142,19 @@
   ManualTimers mTimers;
   RecordingNotices mNotices{ mSelector, mTimers };
   RecordingSpans mSpans;
-  Forwarder mForwarder{
-    { mRoutes, mSelector, mBackends, mHeaders, mRanges, mNotices, mTimers, mLog, mMetrics, mSpans },
-    { 0.2, seconds(10), 58.0 }
-  };
+  FakeQuotas mQuotas;
+  Forwarder mForwarder{ { mRoutes,
+                          mSelector,
+                          mBackends,
+                          mHeaders,
+                          mRanges,
+                          mNotices,
+                          mTimers,
+                          mLog,
+                          mMetrics,
+                          mSpans,
+                          mQuotas },
+                        { 0.2, seconds(10), 58.0 } };
 };
 
 } // namespace
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/backend_calls.h"
 #include "runtime/forwarder.h"
+#include "tests/support/fake_backends.h"
 #include "tests/support/forwarder_parts.h"
 #include "tests/support/manual_timers.h"
 
@@ -13,62 +14,6 @@
 
 namespace {
 
-/// Records forwarded requests; the test completes each of them by its index.
-class FakeBackends : public BackendPort
-{
-public:
-  FakeBackends() = default;
-  FakeBackends(const FakeBackends&) = delete;
-  FakeBackends& operator=(const FakeBackends&) = delete;
-  ~FakeBackends() override
-  {
-    // Breaks the reference cycle between a request and its unfinished call.
-    for (const auto& it : sent) {
-      it->done = nullptr;
-    }
-  }
-
-  struct SentRequest : http::Call
-  {
-    std::string server;
-    Duration timeLeft = Duration::zero();
-    bool freshConnection = false;
-    ForwardDone done;
-    bool cancelled = false;
-    void Cancel() override { cancelled = true; }
-  };
-
-  std::shared_ptr<http::Call> Forward(const http::Request&,
-                                      const ForwardTerms& aTerms,
-                                      ForwardDone aDone) override
-  {
-    auto it = std::make_shared<SentRequest>();
-    it->server = aTerms.instance;
-    it->timeLeft = aTerms.timeLeft;
-    it->freshConnection = aTerms.freshConnection;
-    it->done = std::move(aDone);
-    sent.push_back(it);
-    return it;
-  }
-  void Grant(const GrantCommand&, Duration, CommandDone) override {}
-  void Release(const ReleaseCommand&, Duration, CommandDone) override {}
-  void CheckHealth(const std::string&, const std::string&, Duration, HealthDone) override {}
-
-  void Complete(std::size_t aIndex,
-                ForwardResult aResult,
-                int aStatus = 200,
-                const ServerNotice& aNotice = {})
-  {
-    ForwardOutcome outcome;
-    outcome.result = aResult;
-    outcome.response.status = aStatus;
-    outcome.notice = aNotice;
-    sent.at(aIndex)->done(std::move(outcome));
-  }
-
-  std::vector<std::shared_ptr<SentRequest>> sent;
-};
-
 /// A forwarder with two servers of one service.
 class ForwarderFixture
 {
@@ -119,8 +64,9 @@
   DecisionLog log{ "test" };
   Metrics metrics;
   RecordingSpans spans;
+  FakeQuotas quotas;
   Forwarder forwarder{
-    { routes, selector, backends, headers, ranges, notices, timers, log, metrics, spans },
+    { routes, selector, backends, headers, ranges, notices, timers, log, metrics, spans, quotas },
     { 0.2, seconds(10), 58.0 }
   };
   unsigned requestCount = 0;
--- a/tests/support/forwarder_parts.h
+++ b/tests/support/forwarder_parts.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "http/server.h"
+#include "limits/quota_gate.h"
 #include "ports/span_port.h"
 #include "routing/route_config.h"
 #include "routing/server_selector.h"
@@ -68,6 +69,56 @@
   std::vector<Span> spans;
 };
 
+/// Gives the claims of all organisations the state that the test sets, and records what becomes of
+/// them.
+class FakeQuotas : public QuotaGate
+{
+public:
+  std::unique_ptr<QuotaTicket> Claim(const std::string& aOrganisation, Instant) override
+  {
+    claims.push_back(aOrganisation);
+    return std::make_unique<Ticket>(*this);
+  }
+
+  QuotaState state = QuotaState::kGranted;
+  std::vector<std::string> claims;
+  /// Attempts that may have run.
+  unsigned used = 0;
+  /// Claims that ended without such an attempt.
+  unsigned givenBack = 0;
+  /// Claims that have not ended.
+  unsigned open = 0;
+
+private:
+  class Ticket : public QuotaTicket
+  {
+  public:
+    explicit Ticket(FakeQuotas& aQuotas)
+      : mQuotas(aQuotas)
+    {
+      ++mQuotas.open;
+    }
+    ~Ticket() override
+    {
+      --mQuotas.open;
+      mQuotas.givenBack += mUsed ? 0 : 1;
+    }
+    Ticket(const Ticket&) = delete;
+    Ticket& operator=(const Ticket&) = delete;
+    QuotaState State(Instant) override { return mQuotas.state; }
+    Duration RetryAfter(Instant) const override { return milliseconds(340); }
+    void MarkUsed(Instant) override
+    {
+      mUsed = true;
+      ++mQuotas.used;
+    }
+
+  private:
+    FakeQuotas& mQuotas;
+    bool mUsed = false;
+  };
+};
+
 /// A route to the service "s".
 inline RouteRule Rule(const std::string& aName, bool aIdempotent)
 {
