Process test: only keys in force are served, and none is shown

Four daemons, so that one gets the configuration from the others. The fleet's callers can send headers, and tests can read a daemon's log and metrics.

--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -34,6 +34,36 @@
   }
 }
 
+HeaderList WithKey(const std::string& aKey)
+{
+  return { { "X-Hawthornlug-Key", aKey }, { "X-Hawthornlug-Tenant", "forged" } };
+}
+
+/// The status of an answer; 0 for none.
+int StatusOf(const hawthornlug::http::CallOutcome& aOutcome)
+{
+  return aOutcome.result == hawthornlug::http::CallResult::kAnswered ? aOutcome.response.status : 0;
+}
+
+/// Checks that neither the logs nor the metrics of the daemons contain any of the keys.
+void CheckNoKeyShown(PlatformFleet& aFleet,
+                     unsigned aDaemons,
+                     const std::vector<std::string>& aKeys)
+{
+  for (unsigned n = 0; n < aDaemons; ++n) {
+    const std::string log = aFleet.LogOf(n);
+    const std::string metrics = aFleet.MetricsOf(n);
+    INFO("daemon " << n);
+    CHECK(log.find("H810") != std::string::npos);
+    CHECK(metrics.find("hawthornlug_organisation_requests_total{organisation=\"acme\"}") !=
+          std::string::npos);
+    for (const std::string& it : aKeys) {
+      CHECK(log.find(it) == std::string::npos);
+      CHECK(metrics.find(it) == std::string::npos);
+    }
+  }
+}
+
 } // namespace
 
 TEST_CASE("a calm while: everything is served, changes are in force in time", "[process][platform]")
@@ -192,3 +222,47 @@
   CHECK(fleet.Ask(0, "/key/x", -1) == 400);
   CheckNothingBroken(fleet);
 }
+
+TEST_CASE("only keys in force are served and none is shown", "[process][platform]")
+{
+  // Three daemons watch the store; the fourth gets the configuration from them.
+  constexpr unsigned kDaemons = 4;
+  PlatformFleet fleet(kDaemons, 2);
+  AwaitStart(fleet, kDaemons);
+  // Without organisations the caller's headers reach the server as they are.
+  CHECK(StatusOf(fleet.AskWith(0, "/read/x", WithKey("first-key"))) == 200);
+  CHECK(fleet.Ledger().lastRun.Get("X-Hawthornlug-Key") == "first-key");
+  CHECK(fleet.Ledger().lastRun.Get("X-Hawthornlug-Tenant") == "forged");
+  fleet.SetTenants({ { "acme", { { "ApiKeys", { "first-key", "second-key" } } } } }, true);
+  fleet.Configure(5, true);
+  fleet.RunFor(milliseconds(2500));
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    INFO("daemon " << n);
+    CHECK(StatusOf(fleet.AskWith(n, "/more/x", WithKey("first-key"))) == 200);
+    CHECK(fleet.Ledger().lastRun.Get("X-Hawthornlug-Tenant") == "acme");
+    CHECK_FALSE(fleet.Ledger().lastRun.Find("X-Hawthornlug-Key"));
+    CHECK(StatusOf(fleet.AskWith(n, "/more/x", WithKey("third-key"))) == 401);
+    CHECK(StatusOf(fleet.AskWith(n, "/more/x", {})) == 401);
+    CHECK(StatusOf(fleet.AskWith(n, "/more/x", WithKey("bad key"))) == 400);
+    CHECK(StatusOf(fleet.AskWith(n, "/read/x", WithKey("first-key"))) == 200);
+    CHECK_FALSE(fleet.Ledger().lastRun.Find("X-Hawthornlug-Tenant"));
+    CHECK_FALSE(fleet.Ledger().lastRun.Find("X-Hawthornlug-Key"));
+  }
+  // The next version withdraws a key, and one after it is rejected: the withdrawal stays in force.
+  fleet.SetTenants({ { "acme", { { "ApiKeys", { "second-key" } } } } }, true);
+  fleet.Configure(6, true);
+  fleet.RunFor(milliseconds(2500));
+  fleet.SetTenants({ { "acme", { { "ApiKeys", { "first-key", "malformed key" } } } } }, true);
+  fleet.Configure(7, true);
+  fleet.RunFor(milliseconds(1000));
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    INFO("daemon " << n);
+    const auto refused = fleet.AskWith(n, "/more/x", WithKey("first-key"));
+    CHECK(StatusOf(refused) == 401);
+    CHECK(refused.reused);
+    CHECK(StatusOf(fleet.AskWith(n, "/more/x", WithKey("second-key"))) == 200);
+  }
+  CheckNoKeyShown(
+    fleet, kDaemons, { "first-key", "second-key", "third-key", "bad key", "malformed key" });
+  CheckNothingBroken(fleet);
+}
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -407,6 +407,7 @@
                    static_cast<unsigned>(
                      std::stoul(std::string(request.headers.Get("X-Hawthornlug-Shard-Key")))));
   }
+  mFleet.Ledger().lastRun = request.headers;
   ++mRuns;
   ++mRunning;
   auto timer = std::make_shared<asio::steady_timer>(mFleet.Context(), kWork);
@@ -482,6 +483,12 @@
   return mFolder;
 }
 
+void PlatformFleet::SetTenants(const Json& aTenants, bool aOpenRead)
+{
+  mTenants = aTenants;
+  mOpenRead = aOpenRead;
+}
+
 void PlatformFleet::Configure(unsigned aVersion, bool aMore)
 {
   const auto route = [](const char* aPrefix, const char* aKind, const char* aService) {
@@ -495,18 +502,23 @@
   if (aMore) {
     routes["more"] = route("/more/", "safe", "plain");
   }
-  mStore->Put("config",
-              "main",
-              { { "Version", "r" + std::to_string(aVersion) },
-                { "Routes", routes },
-                { "Services",
-                  { { "plain", { { "HealthPath", "/health" } } },
-                    { "keyed", { { "HealthPath", "/health" }, { "Sharded", true } } } } },
-                { "Limits",
-                  { { "MaxHeaderBytes", 16384 },
-                    { "MaxBodyBytes", 100000 },
-                    { "HeaderTimeoutS", 3 },
-                    { "IdleTimeoutS", 15 } } } });
+  if (mOpenRead) {
+    routes["read"]["Anonymous"] = true;
+  }
+  Json configuration = { { "Version", "r" + std::to_string(aVersion) },
+                         { "Routes", routes },
+                         { "Services",
+                           { { "plain", { { "HealthPath", "/health" } } },
+                             { "keyed", { { "HealthPath", "/health" }, { "Sharded", true } } } } },
+                         { "Limits",
+                           { { "MaxHeaderBytes", 16384 },
+                             { "MaxBodyBytes", 100000 },
+                             { "HeaderTimeoutS", 3 },
+                             { "IdleTimeoutS", 15 } } } };
+  if (!mTenants.is_null()) {
+    configuration["Tenants"] = mTenants;
+  }
+  mStore->Put("config", "main", configuration);
 }
 
 void PlatformFleet::WriteSettings(unsigned aDaemon)
@@ -809,6 +821,18 @@
 }
 
 int PlatformFleet::Ask(unsigned aDaemon, const std::string& aTarget, int aKey)
+{
+  HeaderList headers;
+  if (aKey >= 0) {
+    headers.emplace_back("X-Hawthornlug-Shard-Key", std::to_string(aKey));
+  }
+  const http::CallOutcome outcome = AskWith(aDaemon, aTarget, headers);
+  return outcome.result == http::CallResult::kAnswered ? outcome.response.status : 0;
+}
+
+http::CallOutcome PlatformFleet::AskWith(unsigned aDaemon,
+                                         const std::string& aTarget,
+                                         const HeaderList& aHeaders)
 {
   const std::string id = "asked-" + std::to_string(++mSent);
   http::Request request;
@@ -817,31 +841,53 @@
   request.headers.Add("Host", "h.example");
   request.headers.Add("X-Hawthornlug-Attempt-Id", id);
   request.headers.Add("X-Hawthornlug-Deadline-Ms", std::to_string(kPatience.count()));
-  if (aKey >= 0) {
-    request.headers.Add("X-Hawthornlug-Shard-Key", std::to_string(aKey));
+  for (const auto& [name, value] : aHeaders) {
+    request.headers.Add(name, value);
   }
   http::CallOptions options;
   options.timeout = kPatience;
-  int status = -1;
-  mClient.Send(mDaemons[aDaemon].callers, request, options, [&](const http::CallOutcome& aOutcome) {
-    status = aOutcome.result == http::CallResult::kAnswered ? aOutcome.response.status : 0;
+  return Await(mDaemons[aDaemon].callers, request, options);
+}
+
+http::CallOutcome PlatformFleet::Await(const std::string& aAddress,
+                                       const http::Request& aRequest,
+                                       const http::CallOptions& aOptions)
+{
+  std::optional<http::CallOutcome> outcome;
+  const auto call = mClient.Send(aAddress, aRequest, aOptions, [&](http::CallOutcome aOutcome) {
+    outcome = std::move(aOutcome);
   });
-  RunUntil([&] { return status >= 0; }, std::chrono::seconds(5));
-  return status;
+  if (!RunUntil([&] { return outcome.has_value(); }, std::chrono::seconds(5))) {
+    call->Cancel();
+    return {};
+  }
+  return *outcome;
 }
 
-bool PlatformFleet::IsReady(unsigned aDaemon)
+http::CallOutcome PlatformFleet::Get(unsigned aDaemon, const std::string& aPath)
 {
   http::Request request;
   request.method = "GET";
-  request.target = "/ready";
+  request.target = aPath;
   request.headers.Add("Host", "h");
-  int status = -1;
-  mClient.Send(mDaemons[aDaemon].readiness, request, {}, [&](const http::CallOutcome& aOutcome) {
-    status = aOutcome.result == http::CallResult::kAnswered ? aOutcome.response.status : 0;
-  });
-  RunUntil([&] { return status >= 0; }, std::chrono::seconds(5));
-  return status == 200;
+  return Await(mDaemons[aDaemon].readiness, request, {});
+}
+
+bool PlatformFleet::IsReady(unsigned aDaemon)
+{
+  const http::CallOutcome outcome = Get(aDaemon, "/ready");
+  return outcome.result == http::CallResult::kAnswered && outcome.response.status == 200;
+}
+
+std::string PlatformFleet::MetricsOf(unsigned aDaemon)
+{
+  return Get(aDaemon, "/metrics").response.body;
+}
+
+std::string PlatformFleet::LogOf(unsigned aDaemon) const
+{
+  std::ifstream file(mFolder + "/daemon-" + std::to_string(aDaemon) + ".log");
+  return { std::istreambuf_iterator<char>(file), {} };
 }
 
 } // namespace hawthornlug::test
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -20,6 +20,8 @@
 namespace hawthornlug::test {
 
 using Json = nlohmann::json;
+/// Names and values of headers.
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
 /// What callers got, and what servers saw.
 struct FleetLedger
@@ -32,6 +34,8 @@
   /// Requests that may be repeated, and those of them that were not served.
   unsigned safeAsked = 0;
   unsigned safeUnserved = 0;
+  /// Headers of the request that a server began to run last.
+  http::Headers lastRun;
   /// Runs by request id.
   std::map<std::string, unsigned> runs;
   /// Ids of requests that were answered with the promise that they never run.
@@ -190,6 +194,9 @@
 
   /// Puts a configuration with this version in force; @p aMore adds a route for /more/.
   void Configure(unsigned aVersion, bool aMore);
+  /// Lists these organisations in the configurations that follow; /read/ becomes an open route with
+  /// @p aOpenRead.
+  void SetTenants(const Json& aTenants, bool aOpenRead);
   void StartDaemon(unsigned aDaemon);
   /// Starts a daemon whose log goes to a small pipe that nobody reads.
   void StartUnreadDaemon(unsigned aDaemon);
@@ -221,7 +228,15 @@
   const std::string& KeepFolder();
   /// Sends one request to one daemon and returns its status, 0 for no answer.
   int Ask(unsigned aDaemon, const std::string& aTarget, int aKey);
+  /// As Ask(), with more headers, and all that came back.
+  http::CallOutcome AskWith(unsigned aDaemon,
+                            const std::string& aTarget,
+                            const HeaderList& aHeaders);
   bool IsReady(unsigned aDaemon);
+  /// What a daemon shows on /metrics.
+  std::string MetricsOf(unsigned aDaemon);
+  /// What a daemon has written to its log so far.
+  std::string LogOf(unsigned aDaemon) const;
   /// Number of keys in 0, 4096, 8192, ... that some server holds.
   unsigned KeysHeld() const;
   /// Which daemon grants the keys, by the record in the store; -1 if none.
@@ -252,6 +267,12 @@
     unsigned life = 0;
   };
 
+  /// Calls a daemon's readiness address.
+  http::CallOutcome Get(unsigned aDaemon, const std::string& aPath);
+  /// Sends a request and waits for its outcome.
+  http::CallOutcome Await(const std::string& aAddress,
+                          const http::Request& aRequest,
+                          const http::CallOptions& aOptions);
   /// Starts a daemon's process with @p aOutput as its standard output.
   void Spawn(unsigned aDaemon, int aOutput);
   void WriteSettings(unsigned aDaemon);
@@ -265,6 +286,8 @@
   std::vector<std::unique_ptr<StandInServer>> mServers;
   std::vector<Daemon> mDaemons;
   std::string mFolder;
+  Json mTenants;
+  bool mOpenRead = false;
   unsigned mMemoryMb;
   /// Ends of pipes that are not read.
   std::vector<int> mUnreadPipes;
