--- a/core/key_digest.h
+++ b/core/key_digest.h
@@ -21,7 +21,8 @@
   std::array<std::uint8_t, 32> bytes{};
 
   bool operator==(const KeyDigest&) const = default;
-  auto operator<=>(const KeyDigest&) const = default;
+  // False positive: the linter takes the literal 0 in the generated comparison for a null pointer.
+  auto operator<=>(const KeyDigest&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Returns the digest of @p aKey. Throws std::runtime_error if the library can't compute it, which
--- a/tests/runtime/forwarder_organisations_test.cpp
+++ b/tests/runtime/forwarder_organisations_test.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-const std::vector<std::string> kNoKey;
 const std::vector<std::string> kAcme = { "key-of-acme" };
 
 OrganisationRule Organisation(const std::string& aName,
