Quota claims end with the forwarder; a server's headers are tested without Connection too

Calls to servers that are open when a daemon ends keep their requests, and with them their tickets, while the quota gate is gone by then. The forwarder releases all claims when it is destroyed. The test of forged tenant headers named the header in Connection in every row that replaces it, which removes it anyway; without the removal under test it passed.

Test: unit_tests: 15719 assertions in 317 test cases pass.

--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -57,7 +57,10 @@
 {
 }
 
-Forwarder::~Forwarder() = default;
+Forwarder::~Forwarder()
+{
+  QuotaClaim::ReleaseAll(*mOpenClaims);
+}
 
 void Forwarder::SetRetryAllowance(const RetryAllowance& aAllowance)
 {
@@ -134,7 +137,8 @@
     request.receivedAt + std::min(timeout, request.terms.timeout.value_or(timeout));
   request.work = mRouteWork.Of(request.route.name, request.route.targetLatency);
   if (!request.organisation.empty()) {
-    request.quota = QuotaClaim(mServices.quotas.Claim(request.organisation, request.receivedAt));
+    request.quota.Begin(mServices.quotas.Claim(request.organisation, request.receivedAt),
+                        mOpenClaims);
     if (const auto refusal = request.quota.Refusal(request.receivedAt)) {
       Refuse(aRequest, *refusal);
       return false;
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -17,6 +17,7 @@
 #include "routing/route_table.h"
 #include "routing/server_selector.h"
 #include "runtime/organisation_metrics.h"
+#include "runtime/quota_claim.h"
 #include "runtime/range_finder.h"
 #include "runtime/request_admission.h"
 #include "runtime/request_spans.h"
@@ -139,6 +140,7 @@
   RequestAdmission mAdmission;
   RequestSpans mSpans;
   OrganisationMetrics mOrganisations;
+  std::shared_ptr<QuotaClaim::OpenClaims> mOpenClaims = std::make_shared<QuotaClaim::OpenClaims>();
   std::map<std::string, SharedRetryBudget> mBudgets;
   RouteWork mRouteWork;
   std::list<RoutedRequestPtr> mWaiting;
--- a/runtime/forwarder_request.h
+++ b/runtime/forwarder_request.h
@@ -4,7 +4,6 @@
 
 #include "routing/attempt_history.h"
 #include "runtime/forwarder.h"
-#include "runtime/quota_claim.h"
 
 #include <list>
 #include <memory>
--- a/runtime/quota_claim.cpp
+++ b/runtime/quota_claim.cpp
@@ -1,5 +1,8 @@
 #include "runtime/quota_claim.h"
 
+#include <utility>
+#include <vector>
+
 namespace hawthornlug {
 
 namespace {
@@ -10,6 +13,30 @@
 
 } // namespace
 
+void QuotaClaim::Begin(std::unique_ptr<QuotaTicket> aTicket, std::shared_ptr<OpenClaims> aOpen)
+{
+  mTicket = std::move(aTicket);
+  mOpen = std::move(aOpen);
+  mOpen->insert(this);
+}
+
+void QuotaClaim::Release()
+{
+  mTicket.reset();
+  if (mOpen) {
+    mOpen->erase(this);
+    mOpen.reset();
+  }
+}
+
+void QuotaClaim::ReleaseAll(const OpenClaims& aOpen)
+{
+  // Each release takes its claim out of the set.
+  for (QuotaClaim* const it : std::vector<QuotaClaim*>(aOpen.begin(), aOpen.end())) {
+    it->Release();
+  }
+}
+
 QuotaState QuotaClaim::State(Instant aNow)
 {
   if (!mTicket || mGranted) {
--- a/tests/platform/organisation_keys_test.cpp
+++ b/tests/platform/organisation_keys_test.cpp
@@ -325,7 +325,10 @@
     { "open route", true, "", {}, false },
     { "no organisations", false, "", { "forged", "again" }, true },
   }));
-  INFO(row.name);
+  // The caller names the header as one that ends at this hop: the name must reach the server
+  // though.
+  const bool endsHere = row.replaces && GENERATE(false, true);
+  INFO(row.name << (endsHere ? ", Connection" : ""));
   asio::io_context context;
   DecisionLog log("test");
   Metrics metrics;
@@ -339,8 +342,7 @@
   request.headers.Add("x-hawthornlug-KEY", "key-one");
   request.headers.Add("X-HAWTHORNLUG-Tenant", "forged");
   request.headers.Add("X-Hawthornlug-Tenant", "again");
-  if (row.replaces) {
-    // Names the header as one that ends at this hop: the organisation must reach the server though.
+  if (endsHere) {
     request.headers.Add("Connection", "X-Hawthornlug-Tenant");
   }
   ForwardTerms terms;
--- a/tests/runtime/forwarder_organisations_test.cpp
+++ b/tests/runtime/forwarder_organisations_test.cpp
@@ -56,6 +56,14 @@
 
   std::shared_ptr<FakeExchange> SendRequest(const std::vector<std::string>& aKeys,
                                             const std::string& aRoute = "safe")
+  {
+    auto exchange = MakeExchange(aKeys, aRoute);
+    forwarder.OnRequest(exchange);
+    return exchange;
+  }
+
+  std::shared_ptr<FakeExchange> MakeExchange(const std::vector<std::string>& aKeys,
+                                             const std::string& aRoute)
   {
     auto exchange = std::make_shared<FakeExchange>();
     exchange->request.method = "GET";
@@ -66,7 +74,6 @@
     for (const std::string& it : aKeys) {
       exchange->request.headers.Add("X-Hawthornlug-Key", it);
     }
-    forwarder.OnRequest(exchange);
     return exchange;
   }
 
@@ -357,6 +364,33 @@
   CHECK(fixture.backends.sent.size() == (sent ? 1 : 0));
 }
 
+// Guards against tickets that outlive the gate: calls that are open when a daemon ends keep their
+// requests.
+TEST_CASE("a forwarder that ends gives up all claims", "[runtime][forwarder]")
+{
+  OrganisationFixture fixture;
+  {
+    Forwarder ending({ fixture.routes,
+                       fixture.selector,
+                       fixture.backends,
+                       fixture.headers,
+                       fixture.ranges,
+                       fixture.notices,
+                       fixture.timers,
+                       fixture.log,
+                       fixture.metrics,
+                       fixture.spans,
+                       fixture.quotas },
+                     { 0.2, seconds(10), 58.0 });
+    for (unsigned n = 0; n < 6; ++n) {
+      ending.OnRequest(fixture.MakeExchange(kAcme, "safe"));
+    }
+    CHECK(fixture.backends.sent.size() == 4);
+    CHECK(fixture.quotas.open == 6);
+  }
+  CHECK(fixture.quotas.open == 0);
+}
+
 TEST_CASE("a request that finds no server gives back its quota", "[runtime][forwarder]")
 {
   OrganisationFixture fixture;
