--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -1,9 +1,10 @@
 #include "runtime/forwarder.h"
 
-#include "routing/attempt_history.h"
+#include "runtime/forwarder_request.h"
 #include "runtime/range_runner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornlug {
 
@@ -20,10 +21,6 @@
 constexpr int kFirstFailureStatus = 500;
 /// A server gets hedges only while at most one in this many of its slots is taken.
 constexpr unsigned kHedgeSlotsPerRequest = 2;
-/// Retry-After of a stopping daemon; short, since other daemons can serve the caller at once.
-constexpr Duration kStoppingRetryAfter = milliseconds(20);
-constexpr const char* kTraceHeader = "traceparent";
-constexpr std::uint64_t kSampleResolution = 1000000;
 /// Waits in the queue that are no longer than this get no span.
 constexpr Duration kMinWaitSpan = milliseconds(1);
 /// Spreads the retries of rejected callers evenly: the fractional parts of n times the golden
@@ -36,139 +33,41 @@
          aOutcome.response.status < kFirstFailureStatus;
 }
 
-} // namespace
-
-/// One request at one server, until its outcome is known.
-struct Forwarder::Attempt
-{
-  std::string server;
-  Incarnation incarnation = 0;
-  /// Time that the server takes for work, relative to a server of normal speed.
-  double pace = 1.0;
-  /// Requests known to be at the server when this one was sent, this one excluded.
-  unsigned outstanding = 0;
-  Instant sentAt;
-  InFlightSlot slot;
-  std::shared_ptr<http::Call> call;
-};
-
-/// One request of a caller, from its arrival to its answer.
-struct Forwarder::RoutedRequest
-{
-  std::shared_ptr<http::Exchange> exchange;
-  CallerTerms terms;
-  RouteRule route;
-  std::string service;
-  bool keyed = false;
-  Instant receivedAt;
-  /// When the route's target latency is exceeded.
-  Instant targetAt;
-  /// When the timeout of the route or of the caller ends, whichever is sooner.
-  Instant deadline;
-  /// When it last began to wait for a server.
-  Instant waitingSince;
-  /// No attempt is sent before this time.
-  Instant notBefore;
-  /// Estimated time that a server of normal speed takes for it.
-  Duration work = Duration::zero();
-  /// Attempts that count against the route's limit.
-  unsigned attempts = 0;
-  unsigned notOwnerAnswers = 0;
-  std::vector<std::string> triedServers;
-  AttemptHistory history;
-  /// Server, load and time of the attempt that was sent last, for the log.
-  std::string lastServer;
-  unsigned lastOutstanding = 0;
-  Instant lastSentAt;
-  /// Attempts that have no outcome yet; a second one beside the first is a hedge.
-  std::list<Attempt> openAttempts;
-  bool hedged = false;
-  ForwardResult lastResult = ForwardResult::kUnreachable;
-  /// Why the last choice of a server found none.
-  ServerUnavailability unavailability = ServerUnavailability::kNone;
-  /// When the first of the pauses ends for which all servers had asked then; otherwise the epoch.
-  Instant pausedUntil;
-  /// Owner of its key when a server was last chosen; empty if its service has no keys.
-  std::string owner;
-  /// A server's error response, passed on to the caller if no later attempt succeeds.
-  std::optional<http::Response> failureResponse;
-  /// A server may have executed it, so the caller must not be told that it was not executed.
-  bool mayHaveRun = false;
-  bool done = false;
-  TraceContext trace;
-  /// The caller's span; 0 if the caller sent none.
-  std::uint64_t parentSpan = 0;
-};
-
-Forwarder::Forwarder(ForwarderServices aServices, const RetryAllowance& aRetries)
-  : mServices(aServices)
-  , mAllowance(aRetries)
+/// Whether nothing of the request has reached a server.
+bool IsUnsent(ForwardResult aResult)
 {
+  return aResult == ForwardResult::kUnreachable || aResult == ForwardResult::kConnectionRefused ||
+         aResult == ForwardResult::kNotAccepted;
 }
 
-Forwarder::~Forwarder() = default;
-
-void Forwarder::SetRetryAllowance(const RetryAllowance& aAllowance)
+/// Whether a server may have run the request.
+bool MayHaveRun(ForwardResult aResult)
 {
-  mAllowance = aAllowance;
-  for (auto& [service, budget] : mBudgets) {
-    budget.SetAllowance(aAllowance);
-  }
+  return !IsUnsent(aResult) && aResult != ForwardResult::kNotRun &&
+         aResult != ForwardResult::kNotOwner;
 }
 
-void Forwarder::BeginTrace(RoutedRequest& aRequest) const
-{
-  const auto caller = TraceContext::Parse(aRequest.exchange->Received().headers.Get(kTraceHeader));
-  if (caller) {
-    aRequest.trace = caller->Child();
-    aRequest.parentSpan = caller->span;
-  } else if (mTraceSample > 0.0) {
-    const double draw = static_cast<double>(RandomId() % kSampleResolution);
-    aRequest.trace =
-      TraceContext::Make(draw < mTraceSample * static_cast<double>(kSampleResolution));
-  }
-}
+} // namespace
 
-void Forwarder::Record(const RoutedRequest& aRequest, Span aSpan) const
+Forwarder::Forwarder(ForwarderServices aServices, const RetryAllowance& aRetries)
+  : mServices(aServices)
+  , mAllowance(aRetries)
+  , mAdmission(aServices.routes, aServices.headers)
+  , mSpans(aServices.spans)
+  , mOrganisations(aServices.metrics, aServices.routes)
 {
-  aSpan.service = aRequest.service;
-  aSpan.requestId = aRequest.terms.requestId;
-  mServices.spans.Record(aSpan);
 }
 
-void Forwarder::RecordSpan(const RoutedRequest& aRequest,
-                           const char* aName,
-                           Instant aStart,
-                           Instant aEnd,
-                           std::string_view aOutcome) const
+Forwarder::~Forwarder()
 {
-  if (aRequest.trace.sampled) {
-    Record(aRequest,
-           { aRequest.trace.Child(),
-             aRequest.trace.span,
-             aName,
-             aStart,
-             aEnd,
-             {},
-             {},
-             std::string(aOutcome) });
-  }
+  QuotaClaim::ReleaseAll(*mOpenClaims);
 }
 
-void Forwarder::RecordRequestSpan(const RoutedRequest& aRequest,
-                                  Instant aEnd,
-                                  const std::string& aOutcome) const
+void Forwarder::SetRetryAllowance(const RetryAllowance& aAllowance)
 {
-  if (aRequest.trace.sampled) {
-    Record(aRequest,
-           { aRequest.trace,
-             aRequest.parentSpan,
-             "entry",
-             aRequest.receivedAt,
-             aEnd,
-             {},
-             {},
-             aOutcome });
+  mAllowance = aAllowance;
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetAllowance(aAllowance);
   }
 }
 
@@ -198,7 +97,7 @@
   request->exchange = std::move(aExchange);
   request->receivedAt = mServices.timers.Now();
   request->waitingSince = request->receivedAt;
-  BeginTrace(*request);
+  request->trace = mSpans.Begin(request->exchange->Received().headers);
   if (!Admit(request)) {
     return;
   }
@@ -216,39 +115,36 @@
 bool Forwarder::Admit(const RoutedRequestPtr& aRequest)
 {
   RoutedRequest& request = *aRequest;
-  const http::Request& received = request.exchange->Received();
-  const auto terms = mServices.headers.Read(received);
-  if (!terms) {
-    Answer(aRequest, 400, Duration::zero(), EventId::kRequestMalformed, "headers");
-    return false;
-  }
-  request.terms = *terms;
-  if (mServices.routes.IsEmpty()) {
-    Answer(aRequest, 503, milliseconds(500), EventId::kRequestRefused, "no-configuration");
+  AdmissionResult admission =
+    mAdmission.Check(request.exchange->Received(), request.receivedAt >= mRejectFrom);
+  request.terms = std::move(admission.terms);
+  request.route = std::move(admission.route);
+  request.replacesIdentity = admission.replacesIdentity;
+  request.organisation = std::move(admission.organisation);
+  request.service = std::move(admission.service);
+  request.keyed = admission.keyed;
+  request.trace.service = request.service;
+  request.trace.requestId = request.terms.requestId;
+  if (!request.organisation.empty()) {
+    mOrganisations.CountRequest(request.organisation);
+  }
+  if (admission.refusal) {
+    Refuse(aRequest, *admission.refusal);
     return false;
   }
-  if (request.receivedAt >= mRejectFrom) {
-    Answer(aRequest, 503, kStoppingRetryAfter, EventId::kRequestRefused, "stopping");
-    return false;
-  }
-  const RouteRule* const route =
-    mServices.routes.Find(received.headers.Get("Host"), received.Path());
-  if (route == nullptr) {
-    Answer(aRequest, 404, Duration::zero(), EventId::kRequestRefused, "no-route");
-    return false;
-  }
-  request.route = *route;
-  request.service = mServices.routes.ChooseService(*route);
-  const ServiceRule* const rule = mServices.routes.FindService(request.service);
-  request.keyed = rule != nullptr && rule->keyed;
-  if (request.keyed && !request.terms.key) {
-    Answer(aRequest, 400, Duration::zero(), EventId::kRequestMalformed, "no-key");
-    return false;
-  }
-  request.targetAt = request.receivedAt + route->targetLatency;
+  request.targetAt = request.receivedAt + request.route.targetLatency;
+  const Duration timeout = request.route.timeout;
   request.deadline =
-    request.receivedAt + std::min(route->timeout, request.terms.timeout.value_or(route->timeout));
-  request.work = mRouteWork.Of(route->name, route->targetLatency);
+    request.receivedAt + std::min(timeout, request.terms.timeout.value_or(timeout));
+  request.work = mRouteWork.Of(request.route.name, request.route.targetLatency);
+  if (!request.organisation.empty()) {
+    request.quota.Begin(mServices.quotas.Claim(request.organisation, request.receivedAt),
+                        mOpenClaims);
+    if (const auto refusal = request.quota.Refusal(request.receivedAt)) {
+      Refuse(aRequest, *refusal);
+      return false;
+    }
+  }
   if (request.keyed) {
     // Requests that can't be served count too: they show where capacity is missing.
     RangeRunner* const ranges = mServices.ranges.FindRanges(request.service);
@@ -259,6 +155,32 @@
   return true;
 }
 
+bool Forwarder::HasQuota(const RoutedRequestPtr& aRequest, Instant aNow)
+{
+  RoutedRequest& request = *aRequest;
+  if (const auto refusal = request.quota.Refusal(aNow)) {
+    Refuse(aRequest, *refusal);
+    return false;
+  }
+  if (request.quota.State(aNow) == QuotaState::kGranted) {
+    if (std::exchange(request.awaitsQuota, false)) {
+      mSpans.RecordStep(request.trace, "queue", request.waitingSince, aNow, "quota-granted");
+      // The wait for a server begins now.
+      request.waitingSince = aNow;
+    }
+    return true;
+  }
+  request.awaitsQuota = true;
+  // This wait says nothing about the servers: only the deadline and the end of the process end it.
+  const bool stopping = !FitsBeforeStop(request.work, mEndsAt - aNow);
+  if (stopping || aNow >= request.deadline) {
+    AnswerUnserved(aRequest,
+                   stopping ? WaitDecision::kStopping : WaitDecision::kTooLate,
+                   DescribeQueue(request, aNow));
+  }
+  return false;
+}
+
 void Forwarder::Enqueue(const RoutedRequestPtr& aRequest)
 {
   mWaiting.push_back(aRequest);
@@ -297,6 +219,12 @@
     if (request->done) {
       continue;
     }
+    if (!HasQuota(request, now)) {
+      if (!request->done) {
+        Enqueue(request);
+      }
+      continue;
+    }
     const bool mayBeSent = FitsBeforeStop(request->work, mEndsAt - now);
     if ((mayBeSent && TrySend(request, now)) || AnswerIfWaitFutile(request, now)) {
       continue;
@@ -422,7 +350,7 @@
   RoutedRequest& request = *aRequest;
   const ServerEntry& server = *aChoice.server;
   if (aNow - request.waitingSince > kMinWaitSpan) {
-    RecordSpan(request, "queue", request.waitingSince, aNow, "sent");
+    mSpans.RecordStep(request.trace, "queue", request.waitingSince, aNow, "sent");
   }
   request.lastServer = server.id;
   request.lastOutstanding = aChoice.outstanding;
@@ -442,6 +370,8 @@
   terms.timeLeft = std::max(request.deadline - aNow, Duration(milliseconds(1)));
   terms.keep = mServices.selector.MaxConnectionsTo(server.id);
   terms.maxIdle = request.route.idempotent ? kMaxIdleIdempotent : kMaxIdleNonIdempotent;
+  terms.replacesIdentity = request.replacesIdentity;
+  terms.organisation = request.organisation;
   terms.freshConnection = request.history.NeedsNewConnection(server.id);
   terms.awaitAcceptance = !request.route.idempotent;
   attempt.call = mServices.backends.Forward(
@@ -463,6 +393,7 @@
   mServices.metrics.Count("cold_forwards_total");
   mServices.log.Write(EventId::kColdForward,
                       { { "request", aRequest.terms.requestId },
+                        { "organisation", aRequest.organisation },
                         { "service", aRequest.service },
                         { "server", aServer },
                         { "attempt", aRequest.attempts },
@@ -513,11 +444,15 @@
   ended.slot.Release();
   const Instant now = mServices.timers.Now();
   request.lastResult = aOutcome.result;
-  RecordSpan(request, "server", ended.sentAt, now, NameOf(kForwardResultNames, aOutcome.result));
+  mSpans.RecordStep(
+    request.trace, "server", ended.sentAt, now, NameOf(kForwardResultNames, aOutcome.result));
   mServices.metrics.Count("forwards_total{result=\"" +
                           std::string(NameOf(kForwardResultNames, aOutcome.result)) + "\"}");
   UpdateStatistics(aRequest, ended, aOutcome, now);
   request.history.OnResult(ended.server, aOutcome.result);
+  if (MayHaveRun(aOutcome.result)) {
+    request.quota.MarkUsed(now);
+  }
   if (!aOutcome.notice.IsEmpty()) {
     mServices.notices.OnServerNotice({ ended.server, ended.incarnation }, aOutcome.notice);
   }
@@ -553,11 +488,8 @@
 bool Forwarder::Retry(const RoutedRequestPtr& aRequest, ForwardResult aResult, Instant aNow)
 {
   RoutedRequest& request = *aRequest;
-  const bool nothingSent = aResult == ForwardResult::kUnreachable ||
-                           aResult == ForwardResult::kConnectionRefused ||
-                           aResult == ForwardResult::kNotAccepted;
-  const bool notRun =
-    nothingSent || aResult == ForwardResult::kNotRun || aResult == ForwardResult::kNotOwner;
+  const bool nothingSent = IsUnsent(aResult);
+  const bool notRun = !MayHaveRun(aResult);
   request.mayHaveRun = request.mayHaveRun || !notRun;
   if (request.deadline - aNow < request.work / 2) {
     return false;
@@ -590,6 +522,7 @@
   mServices.metrics.Count("retries_total");
   mServices.log.Write(EventId::kRequestRetried,
                       { { "request", request.terms.requestId },
+                        { "organisation", request.organisation },
                         { "service", request.service },
                         { "server", request.lastServer },
                         { "result", NameOf(kForwardResultNames, aResult) },
@@ -599,6 +532,11 @@
   return true;
 }
 
+void Forwarder::Refuse(const RoutedRequestPtr& aRequest, const AdmissionRefusal& aRefusal)
+{
+  Answer(aRequest, aRefusal.status, aRefusal.retryAfter, aRefusal.event, aRefusal.reason);
+}
+
 void Forwarder::Answer(const RoutedRequestPtr& aRequest,
                        int aStatus,
                        Duration aRetryAfter,
@@ -616,15 +554,19 @@
   RoutedRequest& request = *aRequest;
   request.done = true;
   CancelAttempts(request);
+  request.quota.Release();
   const Instant now = mServices.timers.Now();
   const Duration elapsed = now - request.receivedAt;
   mServices.metrics.Count("answers_total{status=\"" + std::to_string(aResponse.status) + "\"}");
+  const bool served = aEvent == EventId::kRequestDone && aResponse.status < kFirstFailureStatus;
+  mOrganisations.CountAnswer(request.organisation, aResponse.status, served);
   mServices.metrics.Observe("request_seconds", elapsed);
   mServices.log.Write(
     aEvent,
     { { "request", request.terms.requestId },
       { "route", request.route.name },
       { "config", mServices.routes.Version() },
+      { "organisation", request.organisation },
       { "service", request.service },
       { "key", request.terms.key ? static_cast<std::int64_t>(*request.terms.key) : -1 },
       { "server", request.lastServer },
@@ -639,7 +581,7 @@
         request.attempts > 0 ? NameOf(kForwardResultNames, request.lastResult) : "none" },
       { "status", aResponse.status },
       { "reason", aWhy } });
-  RecordRequestSpan(request, now, std::to_string(aResponse.status));
+  mSpans.RecordRequest(request.trace, request.receivedAt, now, std::to_string(aResponse.status));
   request.exchange->Respond(std::move(aResponse));
 }
 
@@ -653,20 +595,24 @@
   mServices.metrics.Count("abandoned_total");
   mServices.log.Write(EventId::kRequestAbandoned,
                       { { "request", request.terms.requestId },
+                        { "organisation", request.organisation },
                         { "service", request.service },
                         { "server", request.lastServer },
                         { "attempts", request.attempts },
                         { "open-attempts", request.openAttempts.size() },
                         { "elapsed-ms", Millis(mServices.timers.Now() - request.receivedAt) } });
   CancelAttempts(request);
-  RecordRequestSpan(request, mServices.timers.Now(), "abandoned");
+  request.quota.Release();
+  mSpans.RecordRequest(request.trace, request.receivedAt, mServices.timers.Now(), "abandoned");
 }
 
 void Forwarder::CancelAttempts(RoutedRequest& aRequest)
 {
   for (const Attempt& it : aRequest.openAttempts) {
     it.call->Cancel();
-    RecordSpan(aRequest, "server", it.sentAt, mServices.timers.Now(), "cancelled");
+    // Its server may have begun to run it.
+    aRequest.quota.MarkUsed(mServices.timers.Now());
+    mSpans.RecordStep(aRequest.trace, "server", it.sentAt, mServices.timers.Now(), "cancelled");
   }
   aRequest.openAttempts.clear();
 }
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -7,6 +7,7 @@
 #include "core/timer_service.h"
 #include "http/server.h"
 #include "limits/hedge_policy.h"
+#include "limits/quota_gate.h"
 #include "limits/route_work.h"
 #include "limits/shared_retry_budget.h"
 #include "limits/waiting_policy.h"
@@ -15,7 +16,11 @@
 #include "ports/span_port.h"
 #include "routing/route_table.h"
 #include "routing/server_selector.h"
+#include "runtime/organisation_metrics.h"
+#include "runtime/quota_claim.h"
 #include "runtime/range_finder.h"
+#include "runtime/request_admission.h"
+#include "runtime/request_spans.h"
 #include "runtime/server_notice_sink.h"
 
 #include <list>
@@ -38,6 +43,7 @@
   DecisionLog& log;
   Metrics& metrics;
   SpanPort& spans;
+  QuotaGate& quotas;
 };
 
 /// Handles a request from its arrival to its answer: finds the route, chooses a server, sends
@@ -67,7 +73,7 @@
   void SetDaemonCounts(unsigned aDaemons) { mDaemons = aDaemons; }
   /// Sets the share (0 to 1) of requests whose spans are recorded, among those that come without
   /// a trace header.
-  void SetTraceSample(double aShare) { mTraceSample = aShare; }
+  void SetTraceSample(double aShare) { mSpans.SetSample(aShare); }
   void SetRetryAllowance(const RetryAllowance& aAllowance);
   std::size_t Waiting() const { return mWaiting.size(); }
   /// Requests that wait for an owner that is warming up, by server.
@@ -78,8 +84,11 @@
   struct RoutedRequest;
   using RoutedRequestPtr = std::shared_ptr<RoutedRequest>;
 
-  /// Validates a new request and finds its route; answers it and returns false if that fails.
+  /// Checks a new request and sets its terms; answers it and returns false if it is refused.
   bool Admit(const RoutedRequestPtr& aRequest);
+  /// Whether the request's organisation has quota for it. If not, the request goes on waiting for
+  /// the quota, or is answered: if the quota is exceeded or unknown, or there is no time to wait.
+  bool HasQuota(const RoutedRequestPtr& aRequest, Instant aNow);
   /// Sends the request if a server has room for it; otherwise stores why none has.
   bool TrySend(const RoutedRequestPtr& aRequest, Instant aNow);
   void SendTo(const RoutedRequestPtr& aRequest, const ServerChoice& aChoice, Instant aNow);
@@ -95,19 +104,6 @@
                         Instant aNow);
   void TryHedge(const RoutedRequestPtr& aRequest, Instant aNow);
   void CancelAttempts(RoutedRequest& aRequest);
-  /// Continues the caller's trace, or starts a new one for a sample of the other requests.
-  void BeginTrace(RoutedRequest& aRequest) const;
-  /// Records a child span of the request's span, if the trace is sampled.
-  void RecordSpan(const RoutedRequest& aRequest,
-                  const char* aName,
-                  Instant aStart,
-                  Instant aEnd,
-                  std::string_view aOutcome) const;
-  /// Records the span of the whole request.
-  void RecordRequestSpan(const RoutedRequest& aRequest,
-                         Instant aEnd,
-                         const std::string& aOutcome) const;
-  void Record(const RoutedRequest& aRequest, Span aSpan) const;
   static ServerRequirements NeedOf(const RoutedRequest& aRequest, Instant aNow);
   /// Queues the request for another attempt if limits and budget allow it; returns false if it
   /// must be answered now.
@@ -124,6 +120,8 @@
               http::Response aResponse,
               EventId aEvent,
               const char* aWhy);
+  /// Answers a request that is refused before it is sent.
+  void Refuse(const RoutedRequestPtr& aRequest, const AdmissionRefusal& aRefusal);
   /// Answers with a response of the router's own.
   void Answer(const RoutedRequestPtr& aRequest,
               int aStatus,
@@ -139,6 +137,10 @@
 
   ForwarderServices mServices;
   RetryAllowance mAllowance;
+  RequestAdmission mAdmission;
+  RequestSpans mSpans;
+  OrganisationMetrics mOrganisations;
+  std::shared_ptr<QuotaClaim::OpenClaims> mOpenClaims = std::make_shared<QuotaClaim::OpenClaims>();
   std::map<std::string, SharedRetryBudget> mBudgets;
   RouteWork mRouteWork;
   std::list<RoutedRequestPtr> mWaiting;
@@ -151,7 +153,6 @@
   Instant mRejectFrom = Instant::max();
   /// When the process ends.
   Instant mEndsAt = Instant::max();
-  double mTraceSample = 0.0;
 };
 
 } // namespace hawthornlug
