Quotas of organisations: pooled shares over all daemons

No limit is set yet outside of tests, so that daemons behave as before. Why: an organisation's limit must hold over all daemons whatever is partitioned, killed, paused or restarted, and nearly all of it must be usable.

--- a/core/event_log.h
+++ b/core/event_log.h
@@ -80,6 +80,8 @@
   kServerPaused,
   kPauseAdjusted,
   kAnswerUnread,
+  kQuotaLimits,
+  kQuotaKeeper,
 };
 
 /// Number, level and name of an event.
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -67,6 +67,14 @@
       [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
         OnObjects(aKind, aObjects);
       })
+  , mQuotaExchange(
+      aSettings.self,
+      [this](const std::string& aDaemon, wire::Envelope aMessage) {
+        mMesh.Send(aDaemon, std::move(aMessage), Delivery::kNowOrNever);
+      },
+      aServices.log,
+      aServices.metrics,
+      aServices.timers.Now())
   , mForwarder({ mRoutes,
                  mSelector,
                  aServices.backends,
@@ -151,6 +159,7 @@
   for (const auto& [service, ranges] : mRanges) {
     ranges->Tick(aNow, state);
   }
+  mQuotaExchange.Tick(aNow);
   mForwarder.Dispatch();
   if (mWarmUpPermits.Tick(mForwarder.WaitingForCold(), mLeaving, aNow)) {
     mForwarder.Dispatch();
@@ -163,8 +172,10 @@
 {
   mRolesDecidedAt = aNow;
   // Daemons that this one does not hear may be cut off from it and send retries too, so that they
-  // keep their part of the budget.
-  mForwarder.SetDaemonCounts(1 + static_cast<unsigned>(mMesh.KnownPeers(aNow).size()));
+  // keep their part of the budget, and their share of the quotas.
+  const auto daemons = 1 + static_cast<unsigned>(mMesh.KnownPeers(aNow).size());
+  mForwarder.SetDaemonCounts(daemons);
+  mQuotaExchange.SetDaemonCount(daemons);
   mSelector.SetDaemonCounts(mMesh.DaemonsByDomain());
   if (aNow - mStartedAt < kSettleTime) {
     return;
@@ -185,6 +196,12 @@
   const RoleCandidate self = mMesh.AsCandidate();
   mWatchesStore = SpreadRankOf(kWatcherRole, self, reliable) < kStoreWatchers;
   mIsRegistrar = RankInDomain(kRegistrarRole, self, all) < kRegistrars;
+  // A daemon that leaves asks the keeper that the others choose.
+  std::vector<RoleCandidate> keepers = all;
+  if (!mLeaving) {
+    keepers.push_back(self);
+  }
+  mQuotaExchange.SetCandidates(mMesh.Domain(), keepers);
   all.push_back(self);
   mObjectExchange.SetIsRelay(mMesh.Relays().contains(self.id));
   UpdateLoadRelays(all);
@@ -497,6 +514,12 @@
     if (mWarmUpPermits.OnAnswer(aMessage.warm_up_answer(), now)) {
       mForwarder.Dispatch();
     }
+  } else if (aMessage.has_quota_report()) {
+    mQuotaExchange.OnReport(aPeer.ref, aMessage.quota_report(), now);
+  } else if (aMessage.has_quota_answer()) {
+    if (mQuotaExchange.OnAnswer(aPeer.ref.id, aMessage.quota_answer(), now)) {
+      mForwarder.Dispatch();
+    }
   } else if (aMessage.has_servers_leaving()) {
     mNoticeRelay.OnPeerReport(aPeer, aMessage.servers_leaving());
   } else if (aMessage.has_stored_objects_question()) {
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -10,6 +10,7 @@
 #include "runtime/load_reporter.h"
 #include "runtime/mesh.h"
 #include "runtime/object_exchange.h"
+#include "runtime/quota_exchange.h"
 #include "runtime/range_runner.h"
 #include "runtime/server_notice_relay.h"
 #include "runtime/store_follower.h"
@@ -70,6 +71,8 @@
   void Start();
   /// Processes a message of another daemon; to be called on the event loop.
   void Take(const wire::Envelope& aMessage);
+  /// The quotas of organisations; they have no limits until they are set.
+  QuotaExchange& Quotas() { return mQuotaExchange; }
   /// The handler of callers' requests.
   http::Handler& Requests() { return mForwarder; }
 
@@ -137,6 +140,8 @@
   StoreFollower mStoreFollower;
   ObjectExchange mObjectExchange;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
+  /// Grants requests out of the organisations' quotas; outlives the forwarder's requests.
+  QuotaExchange mQuotaExchange;
   Forwarder mForwarder;
   PendingRemovals mPendingRemovals;
   Instant mStartedAt;
--- a/tests/runtime/router_daemon_test.cpp
+++ b/tests/runtime/router_daemon_test.cpp
@@ -221,3 +221,40 @@
   CHECK(simulation.InForce(1) == daemons);
   CHECK(AllKnowOwners(simulation, daemons));
 }
+
+// Guards the wiring: reports and answers must reach the exchanges, and keepers must be chosen.
+TEST_CASE("whole daemons share the quota of an organisation", "[runtime][router][quota]")
+{
+  constexpr unsigned kDaemons = 12;
+  constexpr double kRate = 100.0;
+  constexpr Duration kStep = milliseconds(20);
+  RouterSimulation simulation({ kDaemons, 4, 12 });
+  simulation.Run(seconds(3));
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    simulation.Daemon(n)->Quotas().SetLimits({ { "customer", { kRate, kRate } } },
+                                             simulation.timers.Now());
+  }
+  simulation.Run(seconds(3));
+  unsigned granted = 0;
+  std::vector<std::unique_ptr<QuotaTicket>> claims;
+  const Instant end = simulation.timers.Now() + seconds(10);
+  while (simulation.timers.Now() < end) {
+    const Instant now = simulation.timers.Now();
+    for (double n = 0; n < 2.0 * kRate * InSeconds(kStep); ++n) {
+      claims.push_back(simulation.Daemon(5)->Quotas().Claim("customer", now));
+    }
+    simulation.Run(kStep);
+    std::erase_if(claims, [&](const auto& aClaim) {
+      const QuotaState state = aClaim->State(simulation.timers.Now());
+      if (state == QuotaState::kGranted) {
+        aClaim->MarkUsed(simulation.timers.Now());
+        ++granted;
+      }
+      return state != QuotaState::kPending;
+    });
+  }
+  // A single daemon can use all of the rate and the burst.
+  const double usable = 10.0 * kRate + kRate;
+  CHECK(granted >= 0.95 * usable);
+  CHECK(granted <= usable + 1.0);
+}
