--- a/core/event_log.h
+++ b/core/event_log.h
@@ -82,6 +82,8 @@
   kAnswerUnread,
   kKeyRefused,
   kOverQuota,
+  kQuotaLimits,
+  kQuotaKeeper,
 };
 
 /// Number, level and name of an event.
--- a/routing/route_config.h
+++ b/routing/route_config.h
@@ -90,6 +90,9 @@
   std::uint64_t version = 0;
   std::vector<RouteRule> routes;
   std::map<std::string, ServiceRule> services;
+  /// Whether callers need a key. A configuration whose list of organisations is empty lets nobody
+  /// in on routes that are not open.
+  bool authenticates = false;
   /// By name. No two have a key in common. Without any, callers are not authenticated.
   std::map<std::string, OrganisationRule> organisations;
   CallerBounds bounds;
--- a/routing/route_table.h
+++ b/routing/route_table.h
@@ -35,8 +35,8 @@
   const std::string& ChooseService(const RouteRule& aRoute);
   /// Null if there is no such service.
   const ServiceRule* FindService(const std::string& aService) const;
-  /// Whether the configuration in force lists organisations, so that callers need keys.
-  bool HasOrganisations() const { return mConfig && !mConfig->organisations.empty(); }
+  /// Whether callers need a key of an organisation.
+  bool Authenticates() const { return mConfig && mConfig->authenticates; }
   /// The organisation whose key has this digest; null if no organisation in force has it.
   const OrganisationRule* FindOrganisation(const KeyDigest& aKey) const;
 
--- a/runtime/request_admission.cpp
+++ b/runtime/request_admission.cpp
@@ -62,7 +62,7 @@
 
 std::optional<AdmissionRefusal> RequestAdmission::Authenticate(AdmissionResult& aResult) const
 {
-  aResult.replacesIdentity = mRoutes.HasOrganisations();
+  aResult.replacesIdentity = mRoutes.Authenticates();
   if (!aResult.replacesIdentity || aResult.route.open) {
     return std::nullopt;
   }
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -67,6 +67,14 @@
       [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
         OnObjects(aKind, aObjects);
       })
+  , mQuotaExchange(
+      aSettings.self,
+      [this](const std::string& aDaemon, wire::Envelope aMessage) {
+        mMesh.Send(aDaemon, std::move(aMessage), Delivery::kNowOrNever);
+      },
+      aServices.log,
+      aServices.metrics,
+      aServices.timers.Now())
   , mForwarder({ mRoutes,
                  mSelector,
                  aServices.backends,
@@ -77,7 +85,7 @@
                  aServices.log,
                  aServices.metrics,
                  aServices.spans,
-                 mQuotas },
+                 mQuotaExchange },
                aSettings.retries)
   , mStartedAt(aServices.timers.Now())
 {
@@ -152,6 +160,7 @@
   for (const auto& [service, ranges] : mRanges) {
     ranges->Tick(aNow, state);
   }
+  mQuotaExchange.Tick(aNow);
   mForwarder.Dispatch();
   if (mWarmUpPermits.Tick(mForwarder.WaitingForCold(), mLeaving, aNow)) {
     mForwarder.Dispatch();
@@ -164,8 +173,10 @@
 {
   mRolesDecidedAt = aNow;
   // Daemons that this one does not hear may be cut off from it and send retries too, so that they
-  // keep their part of the budget.
-  mForwarder.SetDaemonCounts(1 + static_cast<unsigned>(mMesh.KnownPeers(aNow).size()));
+  // keep their part of the budget, and their share of the quotas.
+  const auto daemons = 1 + static_cast<unsigned>(mMesh.KnownPeers(aNow).size());
+  mForwarder.SetDaemonCounts(daemons);
+  mQuotaExchange.SetDaemonCount(daemons);
   mSelector.SetDaemonCounts(mMesh.DaemonsByDomain());
   if (aNow - mStartedAt < kSettleTime) {
     return;
@@ -186,6 +197,12 @@
   const RoleCandidate self = mMesh.AsCandidate();
   mWatchesStore = SpreadRankOf(kWatcherRole, self, reliable) < kStoreWatchers;
   mIsRegistrar = RankInDomain(kRegistrarRole, self, all) < kRegistrars;
+  // A daemon that leaves asks the keeper that the others choose.
+  std::vector<RoleCandidate> keepers = all;
+  if (!mLeaving) {
+    keepers.push_back(self);
+  }
+  mQuotaExchange.SetCandidates(mMesh.Domain(), keepers);
   all.push_back(self);
   mObjectExchange.SetIsRelay(mMesh.Relays().contains(self.id));
   UpdateLoadRelays(all);
@@ -417,11 +434,11 @@
 
 void RouterDaemon::ApplyQuotaLimits()
 {
-  std::map<std::string, OrganisationLimit> limits;
+  std::map<std::string, QuotaLimit> limits;
   for (const auto& [name, rule] : mRoutes.Config().organisations) {
-    limits.emplace(name, OrganisationLimit{ rule.ratePerSecond, rule.burst });
+    limits.emplace(name, QuotaLimit{ rule.ratePerSecond, rule.burst });
   }
-  mQuotas.SetLimits(limits);
+  mQuotaExchange.SetLimits(limits, mServices.timers.Now());
 }
 
 RangeRunner* RouterDaemon::FindRanges(const std::string& aService)
@@ -509,6 +526,12 @@
     if (mWarmUpPermits.OnAnswer(aMessage.warm_up_answer(), now)) {
       mForwarder.Dispatch();
     }
+  } else if (aMessage.has_quota_report()) {
+    mQuotaExchange.OnReport(aPeer.ref, aMessage.quota_report(), now);
+  } else if (aMessage.has_quota_answer()) {
+    if (mQuotaExchange.OnAnswer(aPeer.ref.id, aMessage.quota_answer(), now)) {
+      mForwarder.Dispatch();
+    }
   } else if (aMessage.has_servers_leaving()) {
     mNoticeRelay.OnPeerReport(aPeer, aMessage.servers_leaving());
   } else if (aMessage.has_stored_objects_question()) {
--- a/tests/platform/organisation_keys_test.cpp
+++ b/tests/platform/organisation_keys_test.cpp
@@ -98,6 +98,19 @@
   CHECK(table.FindOrganisation(DigestOf(kDigestOfOne)) == nullptr);
 }
 
+TEST_CASE("callers need keys if there is a list of organisations, even an empty one", "[platform]")
+{
+  const auto config = Read(ConfigurationWith("{}"));
+  REQUIRE(config);
+  CHECK(config->authenticates);
+  CHECK(config->organisations.empty());
+  const auto without = Read(
+    R"({"Version":"r7","Routes":{"a":{"Host":"h","PathPrefix":"/a/","Kind":"safe","Service":"s"}},)"
+    R"("Services":{"s":{}}})");
+  REQUIRE(without);
+  CHECK_FALSE(without->authenticates);
+}
+
 TEST_CASE("a wrong list of organisations rejects the whole configuration", "[platform]")
 {
   struct Row
--- a/tests/runtime/forwarder_organisations_test.cpp
+++ b/tests/runtime/forwarder_organisations_test.cpp
@@ -41,10 +41,13 @@
     }
   }
 
-  void Configure(std::uint64_t aVersion, const std::vector<OrganisationRule>& aOrganisations)
+  void Configure(std::uint64_t aVersion,
+                 const std::vector<OrganisationRule>& aOrganisations,
+                 bool aAuthenticates = true)
   {
     RouteConfig config;
     config.version = aVersion;
+    config.authenticates = aAuthenticates;
     config.routes = { Rule("safe", true), Rule("unsafe", false), Rule("open", true) };
     config.routes.back().open = true;
     config.services["s"].name = "s";
@@ -157,13 +160,26 @@
 {
   const auto keys = GENERATE(values<std::vector<std::string>>({ {}, { "key" }, { "a", "b" } }));
   OrganisationFixture fixture;
-  fixture.Configure(2, {});
+  fixture.Configure(2, {}, false);
   fixture.SendRequest(keys);
   REQUIRE(fixture.backends.sent.size() == 1);
   CHECK_FALSE(fixture.backends.sent[0]->replacesIdentity);
   CHECK(fixture.quotas.claims.empty());
 }
 
+TEST_CASE("a configuration whose list of organisations is empty lets nobody in",
+          "[runtime][forwarder]")
+{
+  // The last organisation is removed: that must not open the routes to everybody.
+  OrganisationFixture fixture;
+  fixture.Configure(2, {});
+  CHECK(StatusOf(fixture.SendRequest(kAcme)) == 401);
+  CHECK(StatusOf(fixture.SendRequest({})) == 401);
+  CHECK(fixture.backends.sent.empty());
+  fixture.SendRequest({}, "open");
+  CHECK(fixture.backends.sent.size() == 1);
+}
+
 TEST_CASE("without a configuration a key makes no difference: 503", "[runtime][forwarder]")
 {
   const auto keys = GENERATE(values<std::vector<std::string>>({ {}, { "key" }, { "a", "b" } }));
