--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -46,6 +46,13 @@
   unsigned oldTokens = 0;
 };
 
+/// What a server says of itself in the store.
+Json ServerObject(const std::string& aService,
+                  const std::string& aAddress,
+                  const std::string& aState,
+                  unsigned aSeq,
+                  std::int64_t aBorn);
+
 /// The platform's object store.
 class StandInStore : public http::Handler
 {
