Contention: rejection at arrival, shares of contended servers, owners behind an open circuit breaker

With LoadFeature::kContention, daemons report the demand for servers that have too little room, and each sends its share of what the server can run. A request that can't meet its target latency is rejected when it arrives; Retry-After names when the queue is short enough, or a third of the time that the caller has left. A reachable owner of keys gets up to half of its slots while its circuit breaker is open. Requests for a key that has most of the requests of its server are two levels less urgent.

Why: 88 daemons sent to the same free slot, and requests waited for 0.75 of their target latency although it was known at their arrival that they could not be served.

Tests: unit_tests, all passed.

--- a/core/event_log.h
+++ b/core/event_log.h
@@ -80,6 +80,7 @@
   kServerPaused,
   kPauseAdjusted,
   kAnswerUnread,
+  kServersContended,
 };
 
 /// Number, level and name of an event.
--- a/limits/waiting_policy.cpp
+++ b/limits/waiting_policy.cpp
@@ -39,6 +39,18 @@
          static_cast<double>(std::max<Duration::rep>(1, aWhole.count()));
 }
 
+/// Time after which a caller meets a queue in which it would have been accepted; as late as a
+/// caller waits if that is later, so that it does not come back only to be rejected again.
+Duration RetryAfterContention(const WaitingRequest& aRequest,
+                              const WaitConditions& aQueue,
+                              Duration aSpread)
+{
+  const Duration longest = aRequest.timeLeft / 3;
+  const Duration accepted = std::max(aRequest.timeToTarget - aRequest.work, Duration::zero());
+  const Duration shortEnough = std::max(aQueue.expectedWait - accepted, Duration::zero());
+  return std::max(kMinRetryAfter, std::min(shortEnough + aSpread, longest));
+}
+
 } // namespace
 
 bool FitsBeforeStop(Duration aWork, Duration aUntilStop)
@@ -74,6 +86,10 @@
   if (aQueue.expectedWait + aRequest.work > aRequest.timeLeft) {
     return WaitDecision::kOverload;
   }
+  if (aQueue.contended && aQueue.othersInTime &&
+      aQueue.expectedWait + aRequest.work > aRequest.timeToTarget) {
+    return WaitDecision::kOverload;
+  }
   return waited < kMaxWaitInQueue ? WaitDecision::kWait : WaitDecision::kOverload;
 }
 
@@ -92,6 +108,9 @@
   if (aQueue.pausedFor > Duration::zero()) {
     return aQueue.pausedFor + spread;
   }
+  if (aQueue.contended) {
+    return RetryAfterContention(aRequest, aQueue, spread);
+  }
   // A caller waits for at most a third of the time that it has left: a later retry could hardly be
   // answered in time.
   const Duration longest = aRequest.timeLeft / 3;
--- a/limits/waiting_policy.h
+++ b/limits/waiting_policy.h
@@ -41,6 +41,11 @@
   Duration pausedFor = Duration::zero();
   /// Time until this daemon ends, if it is stopping.
   Duration untilStop = Duration::max();
+  /// The expected wait is that behind the requests of all daemons for the same server: a request
+  /// that can't meet its target latency is rejected, unless nothing else would use its room.
+  bool contended = false;
+  /// Other requests for the same server can still meet their target.
+  bool othersInTime = false;
 };
 
 /// Whether a request goes on waiting, or why it is rejected.
--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -43,6 +43,11 @@
 /// How long the circuit breaker of a failing server stays open: until then the server gets nothing
 /// but trial requests.
 constexpr Duration kCircuitOpenTime = milliseconds(1200);
+/// Share of its slots that a failing owner of keys gets while it can be reached.
+constexpr unsigned kFailingOwnerDivisor = 2;
+/// Requests for which room has been allotted may wait at a server for about this time: daemons know
+/// of a free slot only after a report.
+constexpr Duration kAllottedQueueTime = milliseconds(100);
 /// Cost of a failure share of 1, as a multiple of the expected service time.
 constexpr double kFailureCost = 2.0;
 /// The failure share halves in this time without a sample.
@@ -360,22 +365,91 @@
   if (aNow < aServer.pausedUntil) {
     return ServerUnavailability::kPaused;
   }
-  if (aNow < aServer.circuitOpenUntil && (aNow < aServer.nextTrialAt || !aNeed.idempotent)) {
+  if (aNow < aServer.circuitOpenUntil && !ServesDespiteFailures(aServer, aNeed) &&
+      (aNow < aServer.nextTrialAt || !aNeed.idempotent)) {
     return ServerUnavailability::kFailing;
   }
   if (NeedsPermit(aServer, aNow) && (aServer.permits == 0 || aNow >= aServer.permitsUntil)) {
     return ServerUnavailability::kCold;
   }
-  const bool mayWait = aCapacityLimit == CapacityLimit::kOneWaiting &&
-                       SlotInterval(aServer, aNeed.work, aNow) < kFreeSlotReportDelay;
-  const unsigned ahead = mayWait ? 1 : 0;
   const bool connectionsUsed = *aServer.inFlight >= MaxConnectionsTo(aServer);
-  if (connectionsUsed || Outstanding(aServer, aNow) >= aServer.entry.slots + ahead) {
+  if (connectionsUsed ||
+      Outstanding(aServer, aNow) >= CapacityOf(aServer, aNeed, aCapacityLimit, aNow)) {
     return ServerUnavailability::kFull;
   }
   return ServerUnavailability::kNone;
 }
 
+bool ServerSelector::ServesDespiteFailures(const Server& aServer,
+                                           const ServerRequirements& aNeed) const
+{
+  // No other server may run the request: to turn it away here is no better than to let it fail.
+  return mContention && !aNeed.owner.empty() && !aServer.unreachable;
+}
+
+unsigned ServerSelector::UsableSlots(const Server& aServer, Instant aNow) const
+{
+  const bool halved = mContention && IsKeyed(aServer.entry.service) && !aServer.unreachable &&
+                      aNow < aServer.circuitOpenUntil;
+  return halved ? std::max(1U, aServer.entry.slots / kFailingOwnerDivisor) : aServer.entry.slots;
+}
+
+unsigned ServerSelector::CapacityOf(const Server& aServer,
+                                    const ServerRequirements& aNeed,
+                                    CapacityLimit aCapacityLimit,
+                                    Instant aNow) const
+{
+  const unsigned slots = UsableSlots(aServer, aNow);
+  if (slots < aServer.entry.slots || aCapacityLimit != CapacityLimit::kOneWaiting) {
+    return slots;
+  }
+  const Duration slotInterval = SlotInterval(aServer, aNeed.work, aNow);
+  if (aNeed.allotted) {
+    const Duration::rep interval = std::max<Duration::rep>(1, slotInterval.count());
+    const auto ending = static_cast<unsigned>(kAllottedQueueTime.count() / interval);
+    return slots + 1 + std::min(ending, slots);
+  }
+  return slots + (slotInterval < kFreeSlotReportDelay ? 1 : 0);
+}
+
+ServerRoom ServerSelector::RoomOf(const Server& aServer, Duration aWork, Instant aNow) const
+{
+  ServerRoom room;
+  room.slots = UsableSlots(aServer, aNow);
+  room.outstanding = Outstanding(aServer, aNow);
+  const double serviceTime =
+    InSeconds(aWork) * aServer.relativeServiceTime * ReportedSlowness(aServer, aNow);
+  room.perSecond = room.slots / std::max(serviceTime, InSeconds(milliseconds(1)));
+  return room;
+}
+
+ServerRoom ServerSelector::RoomOf(const std::string& aId, Duration aWork, Instant aNow) const
+{
+  const auto it = mServers.find(aId);
+  return it == mServers.end() ? ServerRoom() : RoomOf(it->second, aWork, aNow);
+}
+
+ServerRoom ServerSelector::RoomOfService(const std::string& aService,
+                                         Duration aWork,
+                                         Instant aNow) const
+{
+  ServerRoom sum;
+  const auto servers = mServersByService.find(aService);
+  if (servers == mServersByService.end()) {
+    return sum;
+  }
+  for (const auto& [id, server] : servers->second) {
+    if (!IsOpen(*server)) {
+      continue;
+    }
+    const ServerRoom room = RoomOf(*server, aWork, aNow);
+    sum.slots += room.slots;
+    sum.outstanding += room.outstanding;
+    sum.perSecond += room.perSecond;
+  }
+  return sum;
+}
+
 double ServerSelector::CostOf(const Server& aServer,
                               const ServerRequirements& aNeed,
                               Instant aNow) const
@@ -486,6 +560,7 @@
     server.loadReceivedAt = aNow;
     server.sentSinceLoadReport = 0;
   }
+  server.unreachable = IsUnreachable(aSample.result);
   const bool answered = aSample.result == ForwardResult::kAnswered;
   if (aSample.result == ForwardResult::kNotOwner) {
     return;
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -8,6 +8,7 @@
 #include "routing/route_config.h"
 #include "routing/server_entry.h"
 #include "routing/server_notices.h"
+#include "routing/server_room.h"
 
 #include <map>
 #include <memory>
@@ -56,6 +57,8 @@
   std::vector<std::string> triedServers;
   /// Id of the server that owns the request's key; empty if any server of the service may run it.
   std::string owner;
+  /// The daemon has been allotted room for it, so that it may wait at a server that is full.
+  bool allotted = false;
 };
 
 /// Why a server can't be chosen for a request at present.
@@ -153,6 +156,15 @@
   /// The servers that are warming up and get requests with permits only.
   std::vector<const ServerEntry*> ColdServers(Instant aNow) const;
 
+  /// Sets whether owners of keys that can be reached get requests while their circuit breakers are
+  /// open (LoadFeature::kContention).
+  void SetContention(bool aIsOn) { mContention = aIsOn; }
+  /// The room of a server for requests that take @p aWork at normal speed; no slots if it is not
+  /// registered.
+  ServerRoom RoomOf(const std::string& aId, Duration aWork, Instant aNow) const;
+  /// The room of all servers of a service that accept requests.
+  ServerRoom RoomOfService(const std::string& aService, Duration aWork, Instant aNow) const;
+
   /// Chooses a server with room for the request. Take() must be called to count the request.
   ServerChoice Choose(const ServerRequirements& aNeed, Instant aNow) const;
   /// Counts a request that is about to be sent as in flight until the returned slot is released.
@@ -222,6 +234,8 @@
     /// Until then the circuit breaker is open: the server counts as failing and gets trial requests
     /// only.
     Instant circuitOpenUntil;
+    /// The last attempt ended without a connection to it.
+    bool unreachable = false;
     /// When the next trial request is due.
     Instant nextTrialAt;
     Instant coldUntil;
@@ -250,6 +264,16 @@
   ServerChoice ChooseAmong(const ServerRequirements& aNeed,
                            CapacityLimit aCapacityLimit,
                            Instant aNow) const;
+  /// Whether a request is sent to the owner of its key despite the owner's open circuit breaker.
+  bool ServesDespiteFailures(const Server& aServer, const ServerRequirements& aNeed) const;
+  /// Requests up to which the server may be chosen.
+  unsigned CapacityOf(const Server& aServer,
+                      const ServerRequirements& aNeed,
+                      CapacityLimit aCapacityLimit,
+                      Instant aNow) const;
+  /// Slots that are used: half of them while the circuit breaker is open.
+  unsigned UsableSlots(const Server& aServer, Instant aNow) const;
+  ServerRoom RoomOf(const Server& aServer, Duration aWork, Instant aNow) const;
   /// Mean time between two slots that become free while all are taken.
   Duration SlotInterval(const Server& aServer, Duration aWork, Instant aNow) const;
   bool IsOpen(const Server& aServer) const;
@@ -288,6 +312,7 @@
   ServerNotices mNotices;
   double mWarmUpOvershoot = 1.0;
   double mWarmUpSlack = 0.0;
+  bool mContention = false;
 };
 
 } // namespace hawthornlug
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -84,6 +84,8 @@
   std::list<Attempt> openAttempts;
   bool hedged = false;
   ForwardResult lastResult = ForwardResult::kUnreachable;
+  /// Whether it has been counted as a request for a server that may be contended.
+  bool isCounted = false;
   /// Why the last choice of a server found none.
   ServerUnavailability unavailability = ServerUnavailability::kNone;
   /// When the first of the pauses ends for which all servers had asked then; otherwise the epoch.
@@ -268,6 +270,9 @@
 {
   WaitingRequest view;
   view.priority = aRequest.route.priority;
+  if (IsContending(aRequest)) {
+    view.priority += mServices.contended->DemotionOf(AsQueued(aRequest));
+  }
   view.waited = aNow - aRequest.waitingSince;
   view.targetLatency = aRequest.route.targetLatency;
   view.timeToTarget = aRequest.targetAt - aNow;
@@ -293,6 +298,9 @@
     return aLeft.first < aRight.first;
   });
   mWaiting.clear();
+  if (mServices.contended != nullptr) {
+    mServices.contended->BeginPass();
+  }
   for (const auto& [rank, request] : order) {
     if (request->done) {
       continue;
@@ -301,8 +309,14 @@
     if ((mayBeSent && TrySend(request, now)) || AnswerIfWaitFutile(request, now)) {
       continue;
     }
+    if (IsContending(*request)) {
+      mServices.contended->OnWaiting(AsQueued(*request), now);
+    }
     Enqueue(request);
   }
+  if (mServices.contended != nullptr) {
+    mServices.contended->EndPass();
+  }
   mDispatching = false;
 }
 
@@ -332,6 +346,43 @@
   return need;
 }
 
+bool Forwarder::IsContending(const RoutedRequest& aRequest) const
+{
+  return mServices.contended != nullptr && aRequest.unavailability == ServerUnavailability::kFull;
+}
+
+QueuedRequest Forwarder::AsQueued(const RoutedRequest& aRequest)
+{
+  return { aRequest.service,
+           aRequest.owner,
+           aRequest.keyed ? aRequest.terms.key : std::nullopt,
+           aRequest.route.priority,
+           aRequest.work };
+}
+
+bool Forwarder::TakeRoom(RoutedRequest& aRequest, Instant aNow)
+{
+  const bool hasRoom = aRequest.unavailability == ServerUnavailability::kNone;
+  if (mServices.contended == nullptr || !(hasRoom || IsContending(aRequest))) {
+    return true;
+  }
+  ContendedQueue& contended = *mServices.contended;
+  const QueuedRequest queued = AsQueued(aRequest);
+  if (!aRequest.isCounted) {
+    aRequest.isCounted = true;
+    contended.OnArrival(queued, aNow);
+  }
+  if (!hasRoom) {
+    return false;
+  }
+  if (!contended.MaySend(queued, aNow)) {
+    aRequest.unavailability = ServerUnavailability::kFull;
+    return false;
+  }
+  contended.OnSent(queued, aNow);
+  return true;
+}
+
 bool Forwarder::TrySend(const RoutedRequestPtr& aRequest, Instant aNow)
 {
   RoutedRequest& request = *aRequest;
@@ -348,10 +399,13 @@
     }
     request.owner = range->server;
   }
-  const ServerChoice choice = mServices.selector.Choose(NeedOf(request, aNow), aNow);
+  ServerRequirements need = NeedOf(request, aNow);
+  need.allotted =
+    mServices.contended != nullptr && mServices.contended->IsLimited(AsQueued(request), aNow);
+  const ServerChoice choice = mServices.selector.Choose(need, aNow);
   request.unavailability = choice.unavailability;
   request.pausedUntil = choice.pausedUntil;
-  if (!choice.server) {
+  if (!TakeRoom(request, aNow) || !choice.server) {
     return false;
   }
   SendTo(aRequest, choice, aNow);
@@ -371,6 +425,9 @@
   queue.usableServers = freesSoon ? 1 : 0;
   queue.pausedFor = std::max(aRequest.pausedUntil - aNow, Duration::zero());
   queue.untilStop = mEndsAt - aNow;
+  if (IsContending(aRequest)) {
+    mServices.contended->Describe(queue, AsQueued(aRequest), aNow);
+  }
   return queue;
 }
 
@@ -382,6 +439,10 @@
   if (verdict == WaitDecision::kWait) {
     return false;
   }
+  if (IsContending(request)) {
+    mServices.contended->OnRejected(
+      AsQueued(request), aNow - request.receivedAt, request.route.targetLatency, aNow);
+  }
   AnswerUnserved(aRequest, verdict, queue);
   return true;
 }
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -15,6 +15,7 @@
 #include "ports/span_port.h"
 #include "routing/route_table.h"
 #include "routing/server_selector.h"
+#include "runtime/contended_queue.h"
 #include "runtime/range_finder.h"
 #include "runtime/server_notice_sink.h"
 
@@ -38,6 +39,8 @@
   DecisionLog& log;
   Metrics& metrics;
   SpanPort& spans;
+  /// Null if daemons don't share the room of contended servers.
+  ContendedQueue* contended = nullptr;
 };
 
 /// Handles a request from its arrival to its answer: finds the route, chooses a server, sends
@@ -135,6 +138,12 @@
   WaitingRequest DescribeWaiting(const RoutedRequest& aRequest, Instant aNow) const;
   /// The situation in which a request waits, as of the last attempt to choose a server for it.
   WaitConditions DescribeQueue(const RoutedRequest& aRequest, Instant aNow) const;
+  /// Whether the request waits because all servers that may run it are full.
+  bool IsContending(const RoutedRequest& aRequest) const;
+  static QueuedRequest AsQueued(const RoutedRequest& aRequest);
+  /// Takes this daemon's part of the room of the chosen server, if that is contended; returns false
+  /// if there is none for this request.
+  bool TakeRoom(RoutedRequest& aRequest, Instant aNow);
   SharedRetryBudget& BudgetOf(const std::string& aService);
 
   ForwarderServices mServices;
--- a/runtime/load_messages.cpp
+++ b/runtime/load_messages.cpp
@@ -4,7 +4,9 @@
 
 namespace hawthornlug {
 
-wire::Envelope MakeLoadMessage(const InFlightCounts& aCounts, LoadScope aScope)
+wire::Envelope MakeLoadMessage(const InFlightCounts& aCounts,
+                               LoadScope aScope,
+                               WaitingCounts aWaiting)
 {
   wire::Envelope message;
   wire::RouterLoad* const load = message.mutable_load();
@@ -13,6 +15,13 @@
     load->add_servers(server);
     load->add_counts(n);
   }
+  LimitTargets(aWaiting, kMaxWaitingTargets);
+  for (const auto& [target, levels] : aWaiting) {
+    load->add_waited_for(target);
+    for (const unsigned n : levels) {
+      load->add_waiting(n);
+    }
+  }
   return message;
 }
 
@@ -25,6 +34,22 @@
   return counts;
 }
 
+WaitingCounts WaitingOf(const wire::RouterLoad& aReport)
+{
+  constexpr int kLevels = static_cast<int>(kWaitingLevels);
+  const int targets = std::min({ aReport.waited_for_size(),
+                                 aReport.waiting_size() / kLevels,
+                                 static_cast<int>(kMaxWaitingTargets) });
+  WaitingCounts waiting;
+  for (int target = 0; target < targets; ++target) {
+    WaitingLevels& levels = waiting[aReport.waited_for(target)];
+    for (int level = 0; level < kLevels; ++level) {
+      levels.at(static_cast<std::size_t>(level)) = aReport.waiting(target * kLevels + level);
+    }
+  }
+  return waiting;
+}
+
 std::optional<LoadScope> ScopeOf(const wire::RouterLoad& aReport)
 {
   if (aReport.scope() >= kLoadScopeNames.size()) {
--- a/runtime/load_messages.h
+++ b/runtime/load_messages.h
@@ -5,6 +5,7 @@
 #include "core/enum_names.h"
 #include "proto/peer.pb.h"
 #include "routing/load_summary.h"
+#include "routing/waiting_counts.h"
 
 #include <optional>
 
@@ -20,11 +21,17 @@
 };
 inline constexpr EnumNames<4> kLoadScopeNames = { "sender", "member", "domain", "others" };
 
-wire::Envelope MakeLoadMessage(const InFlightCounts& aCounts, LoadScope aScope);
+/// A report with at most kMaxWaitingTargets of the targets in @p aWaiting.
+wire::Envelope MakeLoadMessage(const InFlightCounts& aCounts,
+                               LoadScope aScope,
+                               WaitingCounts aWaiting = {});
 
 /// The counts in a report; servers without a count are left out.
 InFlightCounts CountsOf(const wire::RouterLoad& aReport);
 
+/// The waiting requests in a report; targets without a count for each level are left out.
+WaitingCounts WaitingOf(const wire::RouterLoad& aReport);
+
 /// Whose requests a report counts; none if the sender's version has scopes that this one lacks.
 std::optional<LoadScope> ScopeOf(const wire::RouterLoad& aReport);
 
--- a/runtime/load_reporter.cpp
+++ b/runtime/load_reporter.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kMinReportInterval = milliseconds(20);
 /// Unchanged counts are reported again after this time, before the other daemons discard them.
 constexpr Duration kRefreshInterval = milliseconds(700);
+/// Counts of waiting requests are repeated sooner, since relays discard them after 500 ms.
+constexpr Duration kWaitingRefreshInterval = milliseconds(250);
 /// Limits of the messages that a daemon sends to its own domain and to the others.
 constexpr unsigned kOwnDomainMessagesPerSecond = 200;
 constexpr unsigned kForeignMessagesPerSecond = 150;
@@ -48,6 +50,35 @@
   mLoadRelay.SetRelays(isFirst, std::move(aOtherDomains));
 }
 
+void LoadReporter::SetContention(Contention& aContention)
+{
+  mContention = &aContention;
+  mLoadRelay.SetContention(aContention);
+}
+
+WaitingCounts LoadReporter::Waiting(Instant aNow) const
+{
+  return mContention == nullptr ? WaitingCounts{} : mContention->Demand(aNow);
+}
+
+void LoadReporter::SetOthersWaiting(const std::string& aSender,
+                                    const wire::RouterLoad& aReport,
+                                    Instant aNow)
+{
+  if (mContention != nullptr) {
+    mContention->Allotment().SetOthers(aSender, WaitingOf(aReport), aNow);
+  }
+}
+
+bool LoadReporter::IsDue(const LastReport& aLast,
+                         const InFlightCounts& aCounts,
+                         const WaitingCounts& aWaiting,
+                         Instant aNow)
+{
+  const Duration refresh = aWaiting.empty() ? kRefreshInterval : kWaitingRefreshInterval;
+  return aCounts != aLast.counts || aWaiting != aLast.waiting || aNow - aLast.sentAt >= refresh;
+}
+
 void LoadReporter::OnReport(const MeshPeer& aSender, const wire::RouterLoad& aReport, Instant aNow)
 {
   const std::optional<LoadScope> scope = ScopeOf(aReport);
@@ -57,25 +88,29 @@
   const std::string& sender = aSender.ref.id;
   switch (*scope) {
     case LoadScope::kMember:
-      mLoadRelay.OnMemberReport(sender, CountsOf(aReport), aNow);
+      mLoadRelay.OnMemberReport(sender, CountsOf(aReport), WaitingOf(aReport), aNow);
+      SetOthersWaiting(sender, aReport, aNow);
       break;
     case LoadScope::kDomain:
-      mLoadRelay.OnDomainReport(sender, CountsOf(aReport), aNow);
+      mLoadRelay.OnDomainReport(sender, CountsOf(aReport), WaitingOf(aReport), aNow);
       // The summaries of this daemon's own relay contain it too.
       if (mRelay.empty()) {
         mSelector.SetPeerCounts(sender, CountsOf(aReport), aNow);
+        SetOthersWaiting(sender, aReport, aNow);
       }
       break;
     case LoadScope::kOthers:
       if (sender == mRelay) {
         mRelayChoice.OnHeard(sender, aNow);
         mSelector.SetPeerCounts(sender, CountsOf(aReport), aNow);
+        SetOthersWaiting(sender, aReport, aNow);
       }
       break;
     case LoadScope::kSender:
       // Requests that wait are considered with the next tick: to do so with each report would cost
       // more processor time the more daemons there are.
       mSelector.SetPeerCounts(sender, CountsOf(aReport), aNow);
+      SetOthersWaiting(sender, aReport, aNow);
       break;
   }
 }
@@ -108,13 +143,15 @@
   InFlightCounts counts = aAudience == Mesh::Audience::kOwnDomain
                             ? mSelector.InFlight()
                             : mSelector.InFlightAtSharedServers();
-  const bool refresh = !counts.empty() && aNow - aLast.sentAt > kRefreshInterval;
-  if (counts == aLast.counts && !refresh) {
+  WaitingCounts waiting = Waiting(aNow);
+  const bool idle = counts.empty() && waiting.empty();
+  const bool wasIdle = aLast.counts.empty() && aLast.waiting.empty();
+  if ((idle && wasIdle) || !IsDue(aLast, counts, waiting, aNow)) {
     return;
   }
   // Sent also when nothing is in flight any more: the other daemons must drop the earlier counts.
-  mMesh.Broadcast(MakeLoadMessage(counts, LoadScope::kSender), aAudience);
-  aLast = { std::move(counts), aNow };
+  mMesh.Broadcast(MakeLoadMessage(counts, LoadScope::kSender, waiting), aAudience);
+  aLast = { std::move(counts), std::move(waiting), aNow };
 }
 
 std::string LoadReporter::ChooseRelay(Instant aNow)
@@ -132,11 +169,12 @@
   if (aRelay == mRelay) {
     return;
   }
-  if (!mRelay.empty()) {
-    mSelector.SetPeerCounts(mRelay, {}, aNow);
-  } else {
-    for (const std::string& it : mLoadRelay.DomainReporters()) {
-      mSelector.SetPeerCounts(it, {}, aNow);
+  const std::vector<std::string> replaced =
+    mRelay.empty() ? mLoadRelay.DomainReporters() : std::vector<std::string>{ mRelay };
+  for (const std::string& it : replaced) {
+    mSelector.SetPeerCounts(it, {}, aNow);
+    if (mContention != nullptr) {
+      mContention->Allotment().RemoveOthers(it);
     }
   }
   mRelay = aRelay;
@@ -153,12 +191,13 @@
     return;
   }
   InFlightCounts counts = mSelector.InFlight();
-  if (counts == mReportToRelay.counts && aNow - mReportToRelay.sentAt < kRefreshInterval) {
+  WaitingCounts waiting = Waiting(aNow);
+  if (!IsDue(mReportToRelay, counts, waiting, aNow)) {
     return;
   }
   // Sent also when nothing is in flight: only daemons that report get summaries.
-  mMesh.Send(mRelay, MakeLoadMessage(counts, LoadScope::kMember), Delivery::kNowOrNever);
-  mReportToRelay = { std::move(counts), aNow };
+  mMesh.Send(mRelay, MakeLoadMessage(counts, LoadScope::kMember, waiting), Delivery::kNowOrNever);
+  mReportToRelay = { std::move(counts), std::move(waiting), aNow };
 }
 
 } // namespace hawthornlug
--- a/runtime/load_reporter.h
+++ b/runtime/load_reporter.h
@@ -2,6 +2,7 @@
 /// Reports to the other daemons how many requests this one has in flight at each server.
 #pragma once
 
+#include "limits/contention.h"
 #include "membership/relay_choice.h"
 #include "routing/load_summary.h"
 #include "routing/server_selector.h"
@@ -30,6 +31,9 @@
   /// Sets the daemons that may be relays: those of the own domain, the preferred one first, and
   /// those of the other domains.
   void SetRelays(std::vector<std::string> aOwnDomain, std::set<std::string> aOtherDomains);
+  /// Makes the reports contain the requests that wait for servers, and hands over those of the
+  /// other daemons.
+  void SetContention(Contention& aContention);
   /// Takes another daemon's report.
   void OnReport(const MeshPeer& aSender, const wire::RouterLoad& aReport, Instant aNow);
   /// To be called every few milliseconds.
@@ -40,6 +44,7 @@
   struct LastReport
   {
     InFlightCounts counts;
+    WaitingCounts waiting;
     Instant sentAt;
   };
 
@@ -52,6 +57,15 @@
   /// The daemon to report to; empty if this daemon is the relay itself, or there is none.
   std::string ChooseRelay(Instant aNow);
   void ReportToRelay(Instant aNow);
+  /// This daemon's waiting requests; none if they are not reported.
+  WaitingCounts Waiting(Instant aNow) const;
+  /// Whether a report differs from the last one, or has to be repeated.
+  static bool IsDue(const LastReport& aLast,
+                    const InFlightCounts& aCounts,
+                    const WaitingCounts& aWaiting,
+                    Instant aNow);
+  /// Records the requests that wait at other daemons.
+  void SetOthersWaiting(const std::string& aSender, const wire::RouterLoad& aReport, Instant aNow);
   void ChangeRelay(const std::string& aRelay, Instant aNow);
 
   ServerSelector& mSelector;
@@ -64,6 +78,8 @@
   /// The daemon that is reported to; empty if there is none.
   std::string mRelay;
   LastReport mReportToRelay;
+  /// Null if waiting requests are not reported.
+  Contention* mContention = nullptr;
 };
 
 } // namespace hawthornlug
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -67,6 +67,12 @@
       [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
         OnObjects(aKind, aObjects);
       })
+  , mContendedQueue(aSettings.features.Has(LoadFeature::kContention)
+                      ? std::make_unique<ContendedQueue>(aSettings.self.id,
+                                                         mSelector,
+                                                         aServices.log,
+                                                         aServices.metrics)
+                      : nullptr)
   , mForwarder({ mRoutes,
                  mSelector,
                  aServices.backends,
@@ -76,13 +82,18 @@
                  aServices.timers,
                  aServices.log,
                  aServices.metrics,
-                 aServices.spans },
+                 aServices.spans,
+                 mContendedQueue.get() },
                aSettings.retries)
   , mStartedAt(aServices.timers.Now())
 {
   mMesh.SetListener(*this);
   mSelector.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
   mForwarder.SetTraceSample(aSettings.traceSample);
+  if (mContendedQueue) {
+    mSelector.SetContention(true);
+    mLoadReporter.SetContention(mContendedQueue->Decisions());
+  }
 }
 
 void RouterDaemon::ApplySettings(const RouterSettings& aSettings)
@@ -151,6 +162,9 @@
   for (const auto& [service, ranges] : mRanges) {
     ranges->Tick(aNow, state);
   }
+  if (mContendedQueue) {
+    mContendedQueue->Tick(aNow);
+  }
   mForwarder.Dispatch();
   if (mWarmUpPermits.Tick(mForwarder.WaitingForCold(), mLeaving, aNow)) {
     mForwarder.Dispatch();
@@ -166,6 +180,11 @@
   // keep their part of the budget.
   mForwarder.SetDaemonCounts(1 + static_cast<unsigned>(mMesh.KnownPeers(aNow).size()));
   mSelector.SetDaemonCounts(mMesh.DaemonsByDomain());
+  if (mContendedQueue) {
+    const double heard = 1.0 + static_cast<double>(mMesh.LivePeers().size());
+    const double known = 1.0 + static_cast<double>(mMesh.KnownPeers(aNow).size());
+    mContendedQueue->Decisions().Allotment().SetHeardShare(std::min(1.0, heard / known));
+  }
   if (aNow - mStartedAt < kSettleTime) {
     return;
   }
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -6,6 +6,7 @@
 #include "limits/shared_retry_budget.h"
 #include "membership/pending_removals.h"
 #include "ports/object_store.h"
+#include "runtime/contended_queue.h"
 #include "runtime/forwarder.h"
 #include "runtime/load_reporter.h"
 #include "runtime/mesh.h"
@@ -137,6 +138,8 @@
   StoreFollower mStoreFollower;
   ObjectExchange mObjectExchange;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
+  /// Null without LoadFeature::kContention.
+  std::unique_ptr<ContendedQueue> mContendedQueue;
   Forwarder mForwarder;
   PendingRemovals mPendingRemovals;
   Instant mStartedAt;
--- a/tests/routing/server_selector_test.cpp
+++ b/tests/routing/server_selector_test.cpp
@@ -313,3 +313,86 @@
   slots.pop_back();
   CHECK(ChosenServer(selector, need) == "far");
 }
+
+namespace {
+
+/// A selector with one owner of keys, whose circuit breaker is open.
+ServerSelector FailingOwner(bool aContention, ForwardResult aLast)
+{
+  ServerSelector selector("home");
+  ServiceRule rule;
+  rule.name = "s";
+  rule.keyed = true;
+  selector.SetServiceRule(rule);
+  ServerEntry owner = Entry("owner", "home");
+  owner.slots = 4;
+  selector.Put(owner, kStart);
+  selector.SetContention(aContention);
+  for (unsigned n = 0; n < 10; ++n) {
+    selector.OnResult("owner", Sample(ForwardResult::kBroken), kStart);
+  }
+  selector.OnResult("owner", Sample(aLast), kStart);
+  REQUIRE(selector.IsFailing("owner", kStart));
+  return selector;
+}
+
+} // namespace
+
+// Guards against an open circuit breaker that makes the keys of an owner unavailable, and against
+// requests for an owner that can't be reached.
+TEST_CASE("an owner that can be reached gets half of its slots while its circuit breaker is open",
+          "[routing][contention]")
+{
+  struct Row
+  {
+    bool contention;
+    ForwardResult last;
+    unsigned sent;
+  };
+  const auto row = GENERATE(values<Row>({
+    { false, ForwardResult::kNotRun, 0 },
+    { true, ForwardResult::kNotRun, 2 },
+    { true, ForwardResult::kBroken, 2 },
+    { true, ForwardResult::kTimedOut, 2 },
+    { true, ForwardResult::kConnectionRefused, 0 },
+    { true, ForwardResult::kUnreachable, 0 },
+  }));
+  INFO(row.contention << " " << NameOf(kForwardResultNames, row.last));
+  ServerSelector selector = FailingOwner(row.contention, row.last);
+  ServerRequirements need = Need();
+  need.owner = "owner";
+  need.idempotent = false;
+  std::vector<InFlightSlot> slots;
+  while (slots.size() < 5 && selector.Choose(need, kStart).server) {
+    slots.push_back(selector.Take("owner", kStart));
+  }
+  CHECK(slots.size() == row.sent);
+  CHECK(selector.Choose(need, kStart).unavailability ==
+        (row.sent > 0 ? ServerUnavailability::kFull : ServerUnavailability::kFailing));
+}
+
+// Guards against requests without keys that are sent to a failing server though others are well.
+TEST_CASE("an open circuit breaker still keeps requests without an owner away",
+          "[routing][contention]")
+{
+  ServerSelector selector = FailingOwner(true, ForwardResult::kNotRun);
+  ServerRequirements need = Need();
+  need.idempotent = false;
+  CHECK(selector.Choose(need, kStart).unavailability == ServerUnavailability::kFailing);
+}
+
+TEST_CASE("the room of a service is that of its open servers", "[routing][contention]")
+{
+  ServerSelector selector = Selector();
+  const InFlightSlot slot = selector.Take("near", kStart);
+  const ServerRoom near = selector.RoomOf("near", milliseconds(200), kStart);
+  CHECK(near.slots == 3);
+  CHECK(near.outstanding == 1);
+  CHECK(near.perSecond == Approx(15.0));
+  CHECK(selector.RoomOfService("s", milliseconds(200), kStart).slots == 6);
+  CHECK(selector.RoomOfService("s", milliseconds(200), kStart).outstanding == 1);
+  selector.SetDomainsOutOfService({ "away" });
+  CHECK(selector.RoomOfService("s", milliseconds(200), kStart).slots == 3);
+  CHECK(selector.RoomOf("gone", milliseconds(200), kStart).slots == 0);
+  CHECK(selector.RoomOfService("gone", milliseconds(200), kStart).slots == 0);
+}
--- a/tests/runtime/load_relay_test.cpp
+++ b/tests/runtime/load_relay_test.cpp
@@ -26,6 +26,7 @@
 /// What a relay of a domain with 57 daemons sends and receives.
 constexpr double kRelayMessagesPerSecond = 2500;
 constexpr const char* kServer = "s0";
+constexpr std::uint32_t kWaitedFor = 4711;
 
 /// Daemons with the parts that report load, and a network that delivers at once. "d0", "d1", ...
 /// are in the domains "z0", "z1", ... in turn; the servers "s0", "s1", ... own keys.
@@ -72,6 +73,25 @@
     ++mChanges;
   }
 
+  /// A request of the daemon arrives for a contended target, and waits until the next one does.
+  void AddWaiting(const std::string& aDaemon)
+  {
+    ContendingRequest request;
+    request.target = kWaitedFor;
+    Contention& contention = mNodes.at(aDaemon)->contention;
+    contention.BeginPass();
+    contention.OnWaiting(request, mTimers.now);
+    contention.EndPass();
+  }
+
+  /// The requests that the daemon believes to wait at others.
+  unsigned KnownWaiting(const std::string& aDaemon) const
+  {
+    Node& node = *mNodes.at(aDaemon);
+    node.contention.Tick(mTimers.now);
+    return TotalOf(node.contention.Allotment().OthersFor(kWaitedFor));
+  }
+
   InFlightSlot Take(const std::string& aDaemon)
   {
     return mNodes.at(aDaemon)->selector.Take(kServer, mTimers.now);
@@ -161,8 +181,10 @@
       , servers(aServers)
       , mesh(port, timers, aFleet.mLog, { aId, 1 }, aDomain, aId)
       , selector(aDomain, aId)
+      , contention(aId)
       , reporter(selector, mesh)
     {
+      reporter.SetContention(contention);
       mesh.SetListener(*this);
       ServiceRule rule;
       rule.name = "keyed";
@@ -222,6 +244,7 @@
     unsigned servers;
     Mesh mesh;
     ServerSelector selector;
+    Contention contention;
     LoadReporter reporter;
     std::deque<InFlightSlot> slots;
     std::uint64_t rolesOf = 0;
@@ -360,3 +383,34 @@
   CHECK(fleet.TimeUntilKnown(daemon, true, 1) == Duration::zero());
   CHECK(fleet.TimeUntilKnown(daemon, false, 1) == Duration::zero());
 }
+
+// Guards against requests that daemons of other domains don't know of, or count twice.
+TEST_CASE("all daemons know how many requests wait at the others", "[runtime][load][contention]")
+{
+  const auto shape = GENERATE(values<Shape>({ { 5, 2, 10 }, { 60, 3, 10 } }));
+  INFO(shape.daemons << " daemons in " << shape.domains << " domains");
+  LoadFleet fleet(shape.daemons, shape.domains, shape.servers);
+  fleet.Run(kStartTime);
+  const std::vector<std::string> waiting = { fleet.FirstRelay(), "d1", "d4" };
+  const std::set<std::string> distinct(waiting.begin(), waiting.end());
+  const auto known = [&](const std::string& aDaemon) {
+    return fleet.KnownWaiting(aDaemon) + (distinct.contains(aDaemon) ? 1 : 0);
+  };
+  for (unsigned n = 0; n < 50; ++n) {
+    for (const std::string& it : distinct) {
+      fleet.AddWaiting(it);
+    }
+    fleet.Run(kTick);
+    if (Duration(kTick) * n > kMaxForeignAge) {
+      for (const std::string& it : fleet.Ids()) {
+        INFO(it << " after " << n);
+        REQUIRE(known(it) == distinct.size());
+      }
+    }
+  }
+  // They expire, however long the daemon that reported them goes on to run.
+  fleet.Run(seconds(2));
+  for (const std::string& it : fleet.Ids()) {
+    CHECK(fleet.KnownWaiting(it) == 0);
+  }
+}
