Contention: cost of a pass doesn't grow with targets; requests that were turned away; model of a burst

A pass over the queue visited each target of recent requests. A request that a server has turned away is now also rejected when its share of the room comes too late, instead of being sent again after 150 ms. The room of a service no longer counts servers that are failing, paused or warming up.

--- a/limits/contention.cpp
+++ b/limits/contention.cpp
@@ -30,9 +30,12 @@
 void Contention::Tick(Instant aNow)
 {
   mAllotment.Tick(aNow);
-  for (auto& [number, target] : mTargets) {
-    AdvancePeriod(target, aNow);
+  std::erase_if(mContendedAt,
+                [aNow](const auto& aEntry) { return aNow - aEntry.second >= kContendedTime; });
+  if (aNow - mTargetsExpiredAt < kTargetLifetime) {
+    return;
   }
+  mTargetsExpiredAt = aNow;
   std::erase_if(
     mTargets, [aNow](const auto& aEntry) { return aNow - aEntry.second.usedAt > kTargetLifetime; });
 }
@@ -48,16 +51,28 @@
   aTarget.periodStart = age < 2 * kArrivalPeriod ? aTarget.periodStart + kArrivalPeriod : aNow;
 }
 
-WaitingLevels Contention::DemandOf(const Target& aTarget)
+WaitingLevels Contention::DemandOf(std::uint32_t aTarget, Instant aNow) const
 {
-  WaitingLevels demand{};
+  const auto waiting = mWaiting.find(aTarget);
+  WaitingLevels demand = waiting == mWaiting.end() ? WaitingLevels{} : waiting->second;
+  const auto it = mTargets.find(aTarget);
+  if (it == mTargets.end()) {
+    return demand;
+  }
+  Target target = it->second;
+  AdvancePeriod(target, aNow);
   for (std::size_t n = 0; n < kWaitingLevels; ++n) {
-    demand.at(n) =
-      std::max(aTarget.waiting.at(n), aTarget.arrivals.at(n) + aTarget.earlierArrivals.at(n));
+    demand.at(n) = std::max(demand.at(n), target.arrivals.at(n) + target.earlierArrivals.at(n));
   }
   return demand;
 }
 
+WaitingLevels Contention::WaitingInPass(std::uint32_t aTarget) const
+{
+  const auto it = mWaitingInPass.find(aTarget);
+  return it == mWaitingInPass.end() ? WaitingLevels{} : it->second;
+}
+
 int Contention::DemotionOf(const ContendingRequest& aRequest) const
 {
   const auto it = mTargets.find(aRequest.target);
@@ -88,22 +103,18 @@
                               const ServerRoom& aRoom,
                               Instant aNow)
 {
-  const Target& target = mTargets[aRequest.target];
-  return mAllotment.ShareOf(aRequest.target, LevelOf(aRequest), DemandOf(target), aRoom, aNow);
+  return mAllotment.ShareOf(
+    aRequest.target, LevelOf(aRequest), DemandOf(aRequest.target, aNow), aRoom, aNow);
 }
 
 void Contention::BeginPass()
 {
-  for (auto& [number, target] : mTargets) {
-    target.waitingInPass = {};
-  }
+  mWaitingInPass.clear();
 }
 
 void Contention::EndPass()
 {
-  for (auto& [number, target] : mTargets) {
-    target.waiting = target.waitingInPass;
-  }
+  mWaiting = mWaitingInPass;
 }
 
 bool Contention::IsLimited(const ContendingRequest& aRequest, const ServerRoom& aRoom, Instant aNow)
@@ -127,10 +138,8 @@
 
 void Contention::OnWaiting(const ContendingRequest& aRequest, Instant aNow)
 {
-  Target& target = mTargets[aRequest.target];
-  target.usedAt = aNow;
-  target.contendedAt = aNow;
-  ++target.waitingInPass.at(LevelOf(aRequest));
+  mContendedAt[aRequest.target] = aNow;
+  ++mWaitingInPass[aRequest.target].at(LevelOf(aRequest));
 }
 
 void Contention::OnRejected(const ContendingRequest& aRequest,
@@ -138,7 +147,7 @@
                             Duration aTargetLatency,
                             Instant aNow)
 {
-  mTargets[aRequest.target].contendedAt = aNow;
+  mContendedAt[aRequest.target] = aNow;
   if (aWaited < kArrivalTime) {
     ++mTotals.rejectedAtArrival;
   } else if (aWaited < aTargetLatency / 2) {
@@ -156,33 +165,32 @@
   if (aRoom.slots == 0) {
     return;
   }
-  const Target& target = mTargets[aRequest.target];
+  const WaitingLevels before = WaitingInPass(aRequest.target);
   const RoomShare share = ShareOf(aRequest, aRoom, aNow);
   const std::size_t level = LevelOf(aRequest);
   const unsigned atServer =
     aRoom.outstanding >= aRoom.slots ? aRoom.outstanding - aRoom.slots + 1 : 0;
   double wait = 0.0;
   if (share.unlimited) {
-    const unsigned ahead = TotalOf(target.waitingInPass);
-    wait = (ahead + atServer) / aRoom.perSecond;
+    wait = (TotalOf(before) + atServer) / aRoom.perSecond;
   } else {
-    const double missing = target.waitingInPass.at(level) + 1.0 - share.credit;
+    const double missing = before.at(level) + 1.0 - share.credit;
     wait = std::max(0.0, missing) / std::max(share.perSecond, 1.0 / kLongestWaitSeconds) +
            atServer / aRoom.perSecond;
   }
   aQueue.contended = true;
   aQueue.expectedWait = FromSeconds(std::min(wait, kLongestWaitSeconds));
   const WaitingLevels others = mAllotment.OthersFor(aRequest.target);
-  aQueue.othersInTime = TotalOf(target.waitingInPass) + TotalOf(others) > 0;
+  aQueue.othersInTime = TotalOf(before) + TotalOf(others) > 0;
 }
 
 WaitingCounts Contention::Demand(Instant aNow) const
 {
   WaitingCounts demand;
-  for (const auto& [number, target] : mTargets) {
-    const WaitingLevels levels = DemandOf(target);
-    if (aNow - target.contendedAt < kContendedTime && TotalOf(levels) > 0) {
-      demand[number] = levels;
+  for (const auto& [target, contendedAt] : mContendedAt) {
+    const WaitingLevels levels = DemandOf(target, aNow);
+    if (aNow - contendedAt < kContendedTime && TotalOf(levels) > 0) {
+      demand[target] = levels;
     }
   }
   LimitTargets(demand, kMaxWaitingTargets);
--- a/limits/contention.h
+++ b/limits/contention.h
@@ -87,22 +87,27 @@
     WaitingLevels arrivals{};
     WaitingLevels earlierArrivals{};
     Instant periodStart;
-    /// Requests that were left waiting by the last pass, and by the one in progress.
-    WaitingLevels waiting{};
-    WaitingLevels waitingInPass{};
-    /// When a request last waited or was rejected for lack of room.
-    Instant contendedAt;
     Instant usedAt;
   };
 
   /// The level of a request with regard to its key.
   std::size_t LevelOf(const ContendingRequest& aRequest) const;
   static void AdvancePeriod(Target& aTarget, Instant aNow);
-  static WaitingLevels DemandOf(const Target& aTarget);
+  /// This daemon's demand for a target.
+  WaitingLevels DemandOf(std::uint32_t aTarget, Instant aNow) const;
+  /// The requests that the pass in progress has left waiting for a target so far.
+  WaitingLevels WaitingInPass(std::uint32_t aTarget) const;
   RoomShare ShareOf(const ContendingRequest& aRequest, const ServerRoom& aRoom, Instant aNow);
 
   RoomAllotment mAllotment;
+  /// All targets of recent requests. They are not visited one by one with each request.
   std::map<std::uint32_t, Target> mTargets;
+  /// When a request for a target last waited or was rejected for lack of room.
+  std::map<std::uint32_t, Instant> mContendedAt;
+  /// Requests that were left waiting by the last pass, and by the one in progress.
+  WaitingCounts mWaiting;
+  WaitingCounts mWaitingInPass;
+  Instant mTargetsExpiredAt;
   ContentionTotals mTotals;
 };
 
--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -439,7 +439,8 @@
     return sum;
   }
   for (const auto& [id, server] : servers->second) {
-    if (!IsOpen(*server)) {
+    if (!IsOpen(*server) || aNow < server->pausedUntil || aNow < server->circuitOpenUntil ||
+        NeedsPermit(*server, aNow)) {
       continue;
     }
     const ServerRoom room = RoomOf(*server, aWork, aNow);
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -162,7 +162,8 @@
   /// The room of a server for requests that take @p aWork at normal speed; no slots if it is not
   /// registered.
   ServerRoom RoomOf(const std::string& aId, Duration aWork, Instant aNow) const;
-  /// The room of all servers of a service that accept requests.
+  /// The room of all servers of a service that accept requests: those that are failing, paused or
+  /// warming up don't count.
   ServerRoom RoomOfService(const std::string& aService, Duration aWork, Instant aNow) const;
 
   /// Chooses a server with room for the request. Take() must be called to count the request.
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -348,7 +348,10 @@
 
 bool Forwarder::IsContending(const RoutedRequest& aRequest) const
 {
-  return mServices.contended != nullptr && aRequest.unavailability == ServerUnavailability::kFull;
+  const bool turnedAway = aRequest.unavailability == ServerUnavailability::kNone &&
+                          aRequest.attempts > 0 && aRequest.lastResult == ForwardResult::kNotRun;
+  return mServices.contended != nullptr &&
+         (turnedAway || aRequest.unavailability == ServerUnavailability::kFull);
 }
 
 QueuedRequest Forwarder::AsQueued(const RoutedRequest& aRequest)
@@ -363,7 +366,8 @@
 bool Forwarder::TakeRoom(RoutedRequest& aRequest, Instant aNow)
 {
   const bool hasRoom = aRequest.unavailability == ServerUnavailability::kNone;
-  if (mServices.contended == nullptr || !(hasRoom || IsContending(aRequest))) {
+  const bool isFull = aRequest.unavailability == ServerUnavailability::kFull;
+  if (mServices.contended == nullptr || !(hasRoom || isFull)) {
     return true;
   }
   ContendedQueue& contended = *mServices.contended;
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -138,7 +138,8 @@
   WaitingRequest DescribeWaiting(const RoutedRequest& aRequest, Instant aNow) const;
   /// The situation in which a request waits, as of the last attempt to choose a server for it.
   WaitConditions DescribeQueue(const RoutedRequest& aRequest, Instant aNow) const;
-  /// Whether the request waits because all servers that may run it are full.
+  /// Whether the request waits because all servers that may run it are full, as far as is known
+  /// or as one of them has stated.
   bool IsContending(const RoutedRequest& aRequest) const;
   static QueuedRequest AsQueued(const RoutedRequest& aRequest);
   /// Takes this daemon's part of the room of the chosen server, if that is contended; returns false
--- a/tests/limits/room_allotment_test.cpp
+++ b/tests/limits/room_allotment_test.cpp
@@ -34,6 +34,12 @@
 constexpr std::uint64_t kHotKey = 1;
 constexpr Duration kSettleTime = seconds(3);
 constexpr Duration kMeasuredTime = seconds(20);
+/// A burst for one key as it was seen in a fleet of 88 daemons.
+constexpr Duration kBurstTime = seconds(5);
+constexpr double kBurstArrivalsPerSecond = 820.0;
+/// Time until the daemons know of a burst, and the server has ended what it got until then: no
+/// daemon can know of the requests that others send within the age of a report.
+constexpr Duration kUnknownTime = milliseconds(300);
 
 /// What is unlike the normal case.
 enum class Fault
@@ -51,6 +57,9 @@
   double hotShare;
   /// Whether daemons share the room.
   bool contention = true;
+  /// Whether the run is a burst that begins with an idle fleet and whose rejected callers come back
+  /// once.
+  bool burst = false;
 };
 
 struct ModelRequest
@@ -59,6 +68,7 @@
   unsigned daemon = 0;
   Instant receivedAt;
   bool isNew = true;
+  bool cameBack = false;
 };
 
 struct Counts
@@ -73,6 +83,7 @@
   unsigned reachedServer = 0;
   unsigned turnedAway = 0;
   unsigned rejected = 0;
+  unsigned rejectedAtArrival = 0;
   unsigned rejectedLate = 0;
   double busySlots = 0.0;
   unsigned steps = 0;
@@ -110,9 +121,11 @@
   Results Run()
   {
     const Instant start = mNow;
-    for (; mNow < start + kSettleTime + kMeasuredTime; mNow += kStep) {
-      mMeasuring = mNow - start >= kSettleTime;
+    const Duration runTime = mScenario.burst ? kBurstTime : kSettleTime + kMeasuredTime;
+    for (; mNow < start + runTime; mNow += kStep) {
+      mMeasuring = mNow - start >= (mScenario.burst ? kUnknownTime : kSettleTime);
       Arrive();
+      ComeBack();
       Serve();
       for (unsigned n = 0; n < kDaemons; ++n) {
         if ((mNow - Instant()) % kPassInterval == kStep * (n % 20)) {
@@ -171,7 +184,8 @@
 
   void Arrive()
   {
-    std::poisson_distribution<unsigned> arrivals(kArrivalsPerSecond * InSeconds(kStep));
+    const double rate = mScenario.burst ? kBurstArrivalsPerSecond : kArrivalsPerSecond;
+    std::poisson_distribution<unsigned> arrivals(rate * InSeconds(kStep));
     for (unsigned n = arrivals(mRandom); n > 0; --n) {
       ModelRequest request;
       request.daemon = static_cast<unsigned>(mRandom() % kDaemons);
@@ -186,6 +200,21 @@
     }
   }
 
+  /// Rejected callers that have waited as long as they were told come back, to any daemon.
+  void ComeBack()
+  {
+    while (!mReturning.empty() && mReturning.begin()->first <= mNow) {
+      ModelRequest request = mReturning.begin()->second;
+      mReturning.erase(mReturning.begin());
+      request.daemon = static_cast<unsigned>(mRandom() % kDaemons);
+      request.isNew = true;
+      request.cameBack = true;
+      request.receivedAt = mNow;
+      mDaemons[request.daemon]->waiting.push_back(request);
+      Pass(request.daemon);
+    }
+  }
+
   WaitingRequest Describe(const Daemon& aDaemon, const ModelRequest& aRequest) const
   {
     WaitingRequest view;
@@ -256,8 +285,13 @@
       return false;
     }
     aDaemon.contention.OnRejected(aRequest.terms, view.waited, kTarget, mNow);
+    if (mScenario.burst && !aRequest.cameBack) {
+      const double spread = std::uniform_real_distribution<>(0.0, 1.0)(mRandom);
+      mReturning.emplace(mNow + RetryAfter(view, queue, spread), aRequest);
+    }
     if (mMeasuring) {
       ++mResults.rejected;
+      mResults.rejectedAtArrival += view.waited <= milliseconds(10) ? 1 : 0;
       mResults.rejectedLate += view.waited > kTarget / 2 ? 1 : 0;
     }
     return true;
@@ -342,6 +376,7 @@
   std::deque<ModelRequest> mQueue;
   std::list<std::pair<ModelRequest, Instant>> mRunning;
   std::deque<Snapshot> mReports;
+  std::multimap<Instant, ModelRequest> mReturning;
   Results mResults;
 };
 
@@ -393,3 +428,27 @@
   CHECK(results.TurnedAwayShare() > 0.1);
   CHECK(results.LateShare() > 0.9);
 }
+
+// Guards against shares that settle only after a burst is over.
+TEST_CASE("once daemons know of a burst for one key, they reject it at its arrival",
+          "[limits][contention]")
+{
+  const Results results = Model({ "burst", Fault::kNone, 0.98, true, true }).Run();
+  const auto& [urgent, normal, low, lowest] = results.byPriority;
+  const double capacity = kSlots / InSeconds(kServiceTime) * InSeconds(kBurstTime - kUnknownTime);
+  CAPTURE(results.reachedServer,
+          results.TurnedAwayShare(),
+          results.BusyShare(),
+          results.LateShare(),
+          results.rejected,
+          results.rejectedAtArrival,
+          urgent.served,
+          normal.served,
+          urgent.inTime + normal.inTime,
+          ServedShare(results.others));
+  CHECK(results.TurnedAwayShare() < 0.05);
+  CHECK(results.rejectedAtArrival > 0.9 * results.rejected);
+  CHECK(results.LateShare() < 0.1);
+  CHECK(urgent.served + normal.served > 0.8 * capacity);
+  CHECK(urgent.served > 2 * normal.served);
+}
