Contention: demand for a dominant key follows it to its new owner; test with whole daemons

A request that an owner has turned away is no longer retried if its share of the room comes too late; that cost an attempt and a part of the retry budget.

--- a/limits/contention.cpp
+++ b/limits/contention.cpp
@@ -13,6 +13,8 @@
 /// Levels by which requests for a dominant key are less urgent: with one level, the key's requests
 /// of priority 0 took the room of other keys' requests of priority 1.
 constexpr int kDemotion = 2;
+/// A move of a key takes less than this.
+constexpr Duration kPlaceLifetime = seconds(5);
 /// Targets without requests are forgotten after this time.
 constexpr Duration kTargetLifetime = seconds(10);
 /// An expected wait that is longer than any request's timeout.
@@ -32,6 +34,8 @@
   mAllotment.Tick(aNow);
   std::erase_if(mContendedAt,
                 [aNow](const auto& aEntry) { return aNow - aEntry.second >= kContendedTime; });
+  std::erase_if(
+    mPlaces, [aNow](const auto& aEntry) { return aNow - aEntry.second.seenAt > kPlaceLifetime; });
   if (aNow - mTargetsExpiredAt < kTargetLifetime) {
     return;
   }
@@ -86,14 +90,40 @@
   return WaitingLevelOf(aRequest.priority + DemotionOf(aRequest));
 }
 
+void Contention::RecordPlace(const ContendingRequest& aRequest, Instant aNow)
+{
+  const WaitingLevels others = mAllotment.OthersFor(aRequest.target);
+  if (DemotionOf(aRequest) > 0 && TotalOf(others) > 0) {
+    mPlaces[*aRequest.key] = { aRequest.target, others, aNow };
+  }
+}
+
+void Contention::FollowKey(const ContendingRequest& aRequest, Instant aNow)
+{
+  if (!aRequest.key) {
+    return;
+  }
+  const auto place = mPlaces.find(*aRequest.key);
+  if (place == mPlaces.end() || place->second.target == aRequest.target) {
+    return;
+  }
+  mAllotment.AssumeOthers(aRequest.target, place->second.others, aNow);
+  Target& target = mTargets[aRequest.target];
+  target.usedAt = aNow;
+  target.dominant = mTargets[place->second.target].dominant;
+  place->second.target = aRequest.target;
+}
+
 void Contention::OnArrival(const ContendingRequest& aRequest, const ServerRoom& aRoom, Instant aNow)
 {
+  FollowKey(aRequest, aNow);
   Target& target = mTargets[aRequest.target];
   target.usedAt = aNow;
   AdvancePeriod(target, aNow);
   if (aRequest.key) {
     target.dominant.OnRequest(*aRequest.key, aNow);
   }
+  RecordPlace(aRequest, aNow);
   const std::size_t level = LevelOf(aRequest);
   ++target.arrivals.at(level);
   mAllotment.OnArrival(aRequest.target, level, ShareOf(aRequest, aRoom, aNow), aNow);
@@ -103,6 +133,7 @@
                               const ServerRoom& aRoom,
                               Instant aNow)
 {
+  FollowKey(aRequest, aNow);
   return mAllotment.ShareOf(
     aRequest.target, LevelOf(aRequest), DemandOf(aRequest.target, aNow), aRoom, aNow);
 }
--- a/limits/contention.h
+++ b/limits/contention.h
@@ -90,6 +90,18 @@
     Instant usedAt;
   };
 
+  /// Where the requests for a dominant key went last, and what others wanted of that target.
+  struct KeyPlace
+  {
+    std::uint32_t target = 0;
+    WaitingLevels others{};
+    Instant seenAt;
+  };
+
+  /// Carries the demand for a dominant key over to its new owner, of which no report can know yet.
+  void FollowKey(const ContendingRequest& aRequest, Instant aNow);
+  /// Remembers the owner of a dominant key.
+  void RecordPlace(const ContendingRequest& aRequest, Instant aNow);
   /// The level of a request with regard to its key.
   std::size_t LevelOf(const ContendingRequest& aRequest) const;
   static void AdvancePeriod(Target& aTarget, Instant aNow);
@@ -108,6 +120,8 @@
   WaitingCounts mWaiting;
   WaitingCounts mWaitingInPass;
   Instant mTargetsExpiredAt;
+  /// By dominant key.
+  std::map<std::uint64_t, KeyPlace> mPlaces;
   ContentionTotals mTotals;
 };
 
--- a/limits/room_allotment.cpp
+++ b/limits/room_allotment.cpp
@@ -23,6 +23,9 @@
 /// 700 ms. With 500 ms, a third of the daemons sent all that waited at once, and the server turned
 /// 18 % of the requests away (test, "a relay lost").
 constexpr Duration kShareLifetime = milliseconds(1500);
+/// Time until the reports of all daemons contain the demand for a target that had none: the age
+/// that counts from other domains may have.
+constexpr Duration kAssumptionLifetime = milliseconds(400);
 /// Credits that have not been used for this long are forgotten.
 constexpr Duration kCreditLifetime = seconds(30);
 
@@ -63,6 +66,7 @@
 {
   mOthers.Expire(aNow);
   mTotal = mOthers.Total();
+  std::erase_if(mAssumed, [aNow](const auto& aEntry) { return aNow >= aEntry.second.until; });
   std::erase_if(
     mCredits, [aNow](const auto& aEntry) { return aNow - aEntry.second.usedAt > kCreditLifetime; });
 }
@@ -70,7 +74,19 @@
 WaitingLevels RoomAllotment::OthersFor(std::uint32_t aTarget) const
 {
   const auto it = mTotal.find(aTarget);
-  return it == mTotal.end() ? WaitingLevels{} : it->second;
+  WaitingLevels levels = it == mTotal.end() ? WaitingLevels{} : it->second;
+  const auto assumed = mAssumed.find(aTarget);
+  if (assumed != mAssumed.end()) {
+    for (std::size_t n = 0; n < kWaitingLevels; ++n) {
+      levels.at(n) = std::max(levels.at(n), assumed->second.levels.at(n));
+    }
+  }
+  return levels;
+}
+
+void RoomAllotment::AssumeOthers(std::uint32_t aTarget, const WaitingLevels& aLevels, Instant aNow)
+{
+  mAssumed[aTarget] = { aLevels, aNow + kAssumptionLifetime };
 }
 
 double RoomAllotment::RoomPerSecond(const ServerRoom& aRoom) const
--- a/limits/room_allotment.h
+++ b/limits/room_allotment.h
@@ -55,6 +55,8 @@
 
   /// Whether a report of other daemons is current.
   bool HasReports() const { return !mOthers.IsEmpty(); }
+  /// Assumes a demand of other daemons for a target until their reports can contain it.
+  void AssumeOthers(std::uint32_t aTarget, const WaitingLevels& aLevels, Instant aNow);
   /// The demand of the other daemons for a target.
   WaitingLevels OthersFor(std::uint32_t aTarget) const;
   /// The share of a level, from this daemon's own demand @p aOwn and that of the others. Unlimited
@@ -76,6 +78,12 @@
     Instant usedAt;
   };
 
+  struct AssumedDemand
+  {
+    WaitingLevels levels{};
+    Instant until;
+  };
+
   /// The credits for a target; a new one begins with the daemon's own fractions.
   Credits& CreditsOf(std::uint32_t aTarget, Instant aNow);
   /// Requests that may be sent to the target in a second by the daemons that are heard.
@@ -85,6 +93,7 @@
   WaitingSummary mOthers;
   /// The sum of mOthers.
   WaitingCounts mTotal;
+  std::map<std::uint32_t, AssumedDemand> mAssumed;
   std::map<std::uint32_t, Credits> mCredits;
   double mHeardShare = 1.0;
 };
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -84,8 +84,10 @@
   std::list<Attempt> openAttempts;
   bool hedged = false;
   ForwardResult lastResult = ForwardResult::kUnreachable;
-  /// Whether it has been counted as a request for a server that may be contended.
+  /// Whether it has been counted as a request for a server that may be contended, and the owner of
+  /// its key then.
   bool isCounted = false;
+  std::string countedFor;
   /// Why the last choice of a server found none.
   ServerUnavailability unavailability = ServerUnavailability::kNone;
   /// When the first of the pauses ends for which all servers had asked then; otherwise the epoch.
@@ -363,6 +365,12 @@
            aRequest.work };
 }
 
+bool Forwarder::IsHopeless(const RoutedRequest& aRequest, Instant aNow) const
+{
+  return IsContending(aRequest) && DecideWait(DescribeWaiting(aRequest, aNow),
+                                              DescribeQueue(aRequest, aNow)) != WaitDecision::kWait;
+}
+
 bool Forwarder::TakeRoom(RoutedRequest& aRequest, Instant aNow)
 {
   const bool hasRoom = aRequest.unavailability == ServerUnavailability::kNone;
@@ -372,8 +380,9 @@
   }
   ContendedQueue& contended = *mServices.contended;
   const QueuedRequest queued = AsQueued(aRequest);
-  if (!aRequest.isCounted) {
+  if (!aRequest.isCounted || aRequest.countedFor != aRequest.owner) {
     aRequest.isCounted = true;
+    aRequest.countedFor = aRequest.owner;
     contended.OnArrival(queued, aNow);
   }
   if (!hasRoom) {
@@ -645,6 +654,9 @@
     if (request.attempts >= request.route.maxAttempts) {
       return false;
     }
+    if (aResult == ForwardResult::kNotRun && request.keyed && IsHopeless(request, aNow)) {
+      return false;
+    }
     if (!nothingSent && !BudgetOf(request.service).TakeRetry(aNow, mDaemons)) {
       return false;
     }
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -142,6 +142,8 @@
   /// or as one of them has stated.
   bool IsContending(const RoutedRequest& aRequest) const;
   static QueuedRequest AsQueued(const RoutedRequest& aRequest);
+  /// Whether the owner of its key, which may have turned it away, will have no room for it in time.
+  bool IsHopeless(const RoutedRequest& aRequest, Instant aNow) const;
   /// Takes this daemon's part of the room of the chosen server, if that is contended; returns false
   /// if there is none for this request.
   bool TakeRoom(RoutedRequest& aRequest, Instant aNow);
--- a/tests/limits/contention_test.cpp
+++ b/tests/limits/contention_test.cpp
@@ -217,3 +217,27 @@
   queue.expectedWait = seconds(20);
   CHECK(RetryAfter(Request(), queue, 0.0) == Request().timeLeft / 3);
 }
+
+// Guards against daemons that all send their waiting requests when a hot key has a new owner.
+TEST_CASE("the demand for a dominant key follows it to its new owner", "[limits][contention]")
+{
+  Contention contention("d1");
+  const ServerRoom room{ 4, 5, 20.0 };
+  contention.Allotment().SetOthers("d2", { { kTarget, { 0, 0, 500, 0 } } }, kStart);
+  contention.Tick(kStart);
+  for (unsigned n = 0; n < 10; ++n) {
+    contention.OnArrival(Terms(0, 1), room, kStart);
+  }
+  ContendingRequest moved = Terms(0, 1);
+  moved.target = kTarget + 1;
+  ContendingRequest other = Terms(0, 2);
+  other.target = kTarget + 2;
+  CHECK_FALSE(contention.IsLimited(other, room, kStart));
+  CHECK(contention.IsLimited(moved, room, kStart + milliseconds(300)));
+  CHECK(contention.DemotionOf(moved) > 0);
+  contention.Tick(kStart + milliseconds(699));
+  CHECK(contention.IsLimited(moved, room, kStart + milliseconds(699)));
+  // By then, reports contain the demand for the new owner.
+  contention.Tick(kStart + milliseconds(700));
+  CHECK_FALSE(contention.IsLimited(moved, room, kStart + milliseconds(700)));
+}
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -58,19 +58,33 @@
     rule.host = "h";
     rule.pathPrefix = "/";
     rule.shares = { { kService, 1.0 } };
+    rule.timeout = milliseconds(1200);
+    rule.targetLatency = milliseconds(600);
+    config.routes.push_back(rule);
+    rule.name = "normal";
+    rule.pathPrefix = "/normal/";
+    rule.priority = 1;
     config.routes.push_back(rule);
     return config;
   }
 };
 
-class UnusedCallerHeaders : public CallerHeaders
+/// Reads the key of a request from the header "Key".
+class SimulatedCallerHeaders : public CallerHeaders
 {
 public:
-  std::optional<CallerTerms> Read(const http::Request&) override { return std::nullopt; }
-  http::Response Answer(int aStatus, const CallerTerms&, Duration) override
+  std::optional<CallerTerms> Read(const http::Request& aRequest) override
+  {
+    CallerTerms terms;
+    terms.requestId = "r";
+    terms.key = static_cast<RangeKey>(std::stoul(std::string(aRequest.headers.Get("Key"))));
+    return terms;
+  }
+  http::Response Answer(int aStatus, const CallerTerms&, Duration aRetryAfter) override
   {
     http::Response response;
     response.status = aStatus;
+    response.headers.Add("Retry-After", std::to_string(InSeconds(aRetryAfter)));
     return response;
   }
 };
@@ -268,6 +282,64 @@
   mTimers.After(kServerDelay, [outcome, aDone] { aDone(outcome); });
 }
 
+void GrantingBackends::RunRequests(unsigned aSlots, std::size_t aQueue, Duration aServiceTime)
+{
+  mSlots = aSlots;
+  mQueue = aQueue;
+  mServiceTime = aServiceTime;
+}
+
+std::shared_ptr<http::Call> GrantingBackends::Forward(const http::Request&,
+                                                      const ForwardTerms& aTerms,
+                                                      ForwardDone aDone)
+{
+  struct UncancelledCall : http::Call
+  {
+    void Cancel() override {}
+  };
+  if (mSlots == 0) {
+    return nullptr;
+  }
+  mTimers.After(kServerDelay, [this, server = aTerms.instance, done = std::move(aDone)] {
+    Accept(server, done);
+  });
+  return std::make_shared<UncancelledCall>();
+}
+
+void GrantingBackends::Accept(const std::string& aServer, ForwardDone aDone)
+{
+  ++reached;
+  RunningServer& server = mServers[aServer];
+  if (server.running < mSlots) {
+    Start(aServer, std::move(aDone));
+  } else if (server.queue.size() < mQueue) {
+    server.queue.push_back(std::move(aDone));
+  } else {
+    ++turnedAway;
+    ForwardOutcome outcome;
+    outcome.result = ForwardResult::kNotRun;
+    aDone(std::move(outcome));
+  }
+}
+
+void GrantingBackends::Start(const std::string& aServer, ForwardDone aDone)
+{
+  ++mServers[aServer].running;
+  mTimers.After(mServiceTime, [this, aServer, done = std::move(aDone)] {
+    RunningServer& server = mServers[aServer];
+    --server.running;
+    if (!server.queue.empty()) {
+      ForwardDone next = std::move(server.queue.front());
+      server.queue.pop_front();
+      Start(aServer, std::move(next));
+    }
+    ForwardOutcome outcome;
+    outcome.result = ForwardResult::kAnswered;
+    outcome.response.status = 200;
+    done(std::move(outcome));
+  });
+}
+
 void GrantingBackends::Grant(const GrantCommand& aCommand, Duration, CommandDone aDone)
 {
   Answer(aCommand.server.id, aDone);
@@ -299,6 +371,7 @@
     settings.self.id = "d" + std::to_string(aNumber);
     settings.domain = aDomain;
     settings.meshEndpoint = EndpointOf(aNumber);
+    settings.features = aSimulation.mShape.features;
     settings.linkBytesPerSecond = aSimulation.mShape.linkBytesPerSecond;
     for (unsigned n = 0; n < 3; ++n) {
       settings.seeds.push_back(EndpointOf(n));
@@ -308,7 +381,7 @@
   RouterSettings settings;
   SimulatedStore::Port store;
   SimulatedReader reader;
-  UnusedCallerHeaders headers;
+  SimulatedCallerHeaders headers;
   UnusedSpans spans;
   SimulatedPeers peers;
   /// Until when the link is taken by what was sent and received.
--- a/tests/support/router_simulation.h
+++ b/tests/support/router_simulation.h
@@ -4,6 +4,7 @@
 
 #include "runtime/router_daemon.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -112,7 +113,7 @@
   Version mRevision = 1;
 };
 
-/// Servers that grant and release what they are told to. Requests are not forwarded.
+/// Servers that grant and release what they are told to. They run requests if that is switched on.
 class GrantingBackends : public BackendPort
 {
 public:
@@ -120,12 +121,9 @@
     : mTimers(aTimers)
   {
   }
-  std::shared_ptr<http::Call> Forward(const http::Request&,
-                                      const ForwardTerms&,
-                                      ForwardDone) override
-  {
-    return nullptr;
-  }
+  std::shared_ptr<http::Call> Forward(const http::Request& aRequest,
+                                      const ForwardTerms& aTerms,
+                                      ForwardDone aDone) override;
   void Grant(const GrantCommand& aCommand, Duration aTimeout, CommandDone aDone) override;
   void Release(const ReleaseCommand& aCommand, Duration aTimeout, CommandDone aDone) override;
   void CheckHealth(const std::string& aAddress,
@@ -133,13 +131,31 @@
                    Duration aTimeout,
                    HealthDone aDone) override;
 
+  /// Makes each server run @p aSlots requests at a time and queue as many as @p aQueue more.
+  void RunRequests(unsigned aSlots, std::size_t aQueue, Duration aServiceTime);
+
   /// Servers that state in every answer that they leave.
   std::set<std::string> leaving;
+  /// Requests that have reached a server, and those of them that it turned away.
+  unsigned reached = 0;
+  unsigned turnedAway = 0;
 
 private:
+  struct RunningServer
+  {
+    unsigned running = 0;
+    std::deque<ForwardDone> queue;
+  };
+
   void Answer(const std::string& aServer, const CommandDone& aDone);
+  void Accept(const std::string& aServer, ForwardDone aDone);
+  void Start(const std::string& aServer, ForwardDone aDone);
 
   SimulatedTimers& mTimers;
+  std::map<std::string, RunningServer> mServers;
+  unsigned mSlots = 0;
+  std::size_t mQueue = 0;
+  Duration mServiceTime = Duration::zero();
 };
 
 /// Daemons "d0", "d1", ... spread over failure domains, with a keyed service "s" whose servers they
@@ -154,6 +170,7 @@
     unsigned servers = 9;
     /// Bytes a second that a daemon's link carries, in each direction; 0 is without limit.
     double linkBytesPerSecond = 0.0;
+    LoadFeatures features{};
   };
 
   explicit RouterSimulation(const Shape& aShape);
