--- a/limits/contention.h
+++ b/limits/contention.h
@@ -19,6 +19,7 @@
 {
   /// The server or service that may run it; see WaitingCounts.
   std::uint32_t target = 0;
+  /// Differs between keys of one service and between services.
   std::optional<std::uint64_t> key;
   int priority = 0;
 };
--- a/limits/room_allotment.cpp
+++ b/limits/room_allotment.cpp
@@ -120,7 +120,11 @@
   }
   share.unlimited = false;
   share.served = given / demand.at(aLevel);
-  share.perSecond = share.served * aOwn.at(aLevel) / window;
+  // The expected wait does not follow the corrections: they change with each report, and a request
+  // that has been accepted would be rejected at the next one.
+  const double usual = aRoom.perSecond * mHeardShare * window;
+  share.perSecond =
+    DivideRoom(usual, demand).at(aLevel) / demand.at(aLevel) * aOwn.at(aLevel) / window;
   share.credit = CreditsOf(aTarget, aNow).levels.at(aLevel);
   return share;
 }
--- a/limits/room_allotment.h
+++ b/limits/room_allotment.h
@@ -18,9 +18,9 @@
 {
   /// The room suffices for all requests of the level and of those above it.
   bool unlimited = true;
-  /// Share of the level's requests for which there is room, from 0 to 1.
+  /// Share of the level's requests for which there is room now, from 0 to 1.
   double served = 1.0;
-  /// Requests of this daemon and level that may be sent in a second.
+  /// Requests of this daemon and level that may be sent in a second, on average.
   double perSecond = 0.0;
   /// Requests that may be sent now; the fraction is carried over.
   double credit = 0.0;
--- a/runtime/contended_queue.cpp
+++ b/runtime/contended_queue.cpp
@@ -1,12 +1,13 @@
 #include "runtime/contended_queue.h"
 
-#include <algorithm>
+#include <limits>
 
 namespace hawthornlug {
 
 namespace {
 
 constexpr Duration kLogInterval = seconds(1);
+constexpr unsigned kRangeKeyBits = std::numeric_limits<RangeKey>::digits;
 
 } // namespace
 
@@ -65,7 +66,8 @@
   terms.target = aRequest.owner.empty() ? WaitingTargetOf(aRequest.service)
                                         : ServerSelector::HashedIdOf(aRequest.owner);
   if (aRequest.key) {
-    terms.key = *aRequest.key;
+    // The keys of two services have nothing to do with each other.
+    terms.key = std::uint64_t{ WaitingTargetOf(aRequest.service) } << kRangeKeyBits | *aRequest.key;
   }
   terms.priority = aRequest.priority;
   return terms;
