--- a/tests/runtime/forwarder_contention_test.cpp
+++ b/tests/runtime/forwarder_contention_test.cpp
@@ -241,3 +241,31 @@
   REQUIRE(StatusOf(exchange) == 503);
   CHECK(RetryAfterSeconds(*exchange) == Approx(0.4));
 }
+
+// Guards against a key of one service that is taken for the same number of another service, whose
+// requests would then be limited by the demand for the first.
+TEST_CASE("keys of two services have nothing to do with each other", "[runtime][contention]")
+{
+  ContendedFixture fixture(true);
+  ServerEntry entry;
+  entry.slots = 4;
+  for (const char* const it : { "owner-t", "owner-u" }) {
+    entry.id = it;
+    entry.service = entry.id.substr(entry.id.size() - 1);
+    fixture.selector.Put(entry, fixture.timers.now);
+  }
+  const Instant now = fixture.timers.now;
+  const QueuedRequest hot{ "t", "owner-t", 7, 0, milliseconds(200) };
+  const QueuedRequest other{ "u", "owner-u", 7, 0, milliseconds(200) };
+  fixture.contended.Decisions().Allotment().SetOthers(
+    "other", { { ServerSelector::HashedIdOf("owner-t"), { 900, 900, 900, 0 } } }, now);
+  fixture.contended.Tick(now);
+  for (unsigned n = 0; n < 10; ++n) {
+    fixture.contended.OnArrival(hot, now);
+  }
+  CHECK(fixture.contended.DemotionOf(hot) > 0);
+  CHECK(fixture.contended.IsLimited(hot, now));
+  CHECK_FALSE(fixture.contended.IsLimited(other, now));
+  CHECK(fixture.contended.DemotionOf(other) == 0);
+  CHECK(fixture.contended.IsLimited(hot, now));
+}
