--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Indexed by EventId.
-constexpr std::array<EventInfo, 67> kCatalogue = { {
+constexpr auto kCatalogue = std::to_array<EventInfo>({
   { 100, 'i', "started" },           { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },           { 103, 'e', "listen-failed" },
   { 200, 'i', "config-in-force" },   { 201, 'w', "config-refused" },
@@ -44,8 +44,8 @@
   { 644, 'i', "server-paused" },     { 645, 'w', "pause-adjusted" },
   { 806, 'w', "answer-unread" },     { 810, 'w', "key-refused" },
   { 811, 'w', "over-quota" },        { 820, 'i', "quota-limits" },
-  { 821, 'i', "quota-keeper" },
-} };
+  { 821, 'i', "quota-keeper" },      { 830, 'i', "servers-contended" },
+});
 
 } // namespace
 
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -84,6 +84,7 @@
   kOverQuota,
   kQuotaLimits,
   kQuotaKeeper,
+  kServersContended,
 };
 
 /// Number, level and name of an event.
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -190,6 +190,9 @@
 {
   WaitingRequest view;
   view.priority = aRequest.route.priority;
+  if (IsContending(aRequest)) {
+    view.priority += mServices.contended->DemotionOf(AsQueued(aRequest));
+  }
   view.waited = aNow - aRequest.waitingSince;
   view.targetLatency = aRequest.route.targetLatency;
   view.timeToTarget = aRequest.targetAt - aNow;
@@ -215,6 +218,9 @@
     return aLeft.first < aRight.first;
   });
   mWaiting.clear();
+  if (mServices.contended != nullptr) {
+    mServices.contended->BeginPass();
+  }
   for (const auto& [rank, request] : order) {
     if (request->done) {
       continue;
@@ -229,8 +235,14 @@
     if ((mayBeSent && TrySend(request, now)) || AnswerIfWaitFutile(request, now)) {
       continue;
     }
+    if (IsContending(*request)) {
+      mServices.contended->OnWaiting(AsQueued(*request), now);
+    }
     Enqueue(request);
   }
+  if (mServices.contended != nullptr) {
+    mServices.contended->EndPass();
+  }
   mDispatching = false;
 }
 
@@ -260,6 +272,54 @@
   return need;
 }
 
+bool Forwarder::IsContending(const RoutedRequest& aRequest) const
+{
+  const bool turnedAway = aRequest.unavailability == ServerUnavailability::kNone &&
+                          aRequest.attempts > 0 && aRequest.lastResult == ForwardResult::kNotRun;
+  return mServices.contended != nullptr &&
+         (turnedAway || aRequest.unavailability == ServerUnavailability::kFull);
+}
+
+QueuedRequest Forwarder::AsQueued(const RoutedRequest& aRequest)
+{
+  return { aRequest.service,
+           aRequest.owner,
+           aRequest.keyed ? aRequest.terms.key : std::nullopt,
+           aRequest.route.priority,
+           aRequest.work };
+}
+
+bool Forwarder::IsHopeless(const RoutedRequest& aRequest, Instant aNow) const
+{
+  return IsContending(aRequest) && DecideWait(DescribeWaiting(aRequest, aNow),
+                                              DescribeQueue(aRequest, aNow)) != WaitDecision::kWait;
+}
+
+bool Forwarder::TakeRoom(RoutedRequest& aRequest, Instant aNow)
+{
+  const bool hasRoom = aRequest.unavailability == ServerUnavailability::kNone;
+  const bool isFull = aRequest.unavailability == ServerUnavailability::kFull;
+  if (mServices.contended == nullptr || !(hasRoom || isFull)) {
+    return true;
+  }
+  ContendedQueue& contended = *mServices.contended;
+  const QueuedRequest queued = AsQueued(aRequest);
+  if (!aRequest.isCounted || aRequest.countedFor != aRequest.owner) {
+    aRequest.isCounted = true;
+    aRequest.countedFor = aRequest.owner;
+    contended.OnArrival(queued, aNow);
+  }
+  if (!hasRoom) {
+    return false;
+  }
+  if (!contended.MaySend(queued, aNow)) {
+    aRequest.unavailability = ServerUnavailability::kFull;
+    return false;
+  }
+  contended.OnSent(queued, aNow);
+  return true;
+}
+
 bool Forwarder::TrySend(const RoutedRequestPtr& aRequest, Instant aNow)
 {
   RoutedRequest& request = *aRequest;
@@ -276,10 +336,13 @@
     }
     request.owner = range->server;
   }
-  const ServerChoice choice = mServices.selector.Choose(NeedOf(request, aNow), aNow);
+  ServerRequirements need = NeedOf(request, aNow);
+  need.allotted =
+    mServices.contended != nullptr && mServices.contended->IsLimited(AsQueued(request), aNow);
+  const ServerChoice choice = mServices.selector.Choose(need, aNow);
   request.unavailability = choice.unavailability;
   request.pausedUntil = choice.pausedUntil;
-  if (!choice.server) {
+  if (!TakeRoom(request, aNow) || !choice.server) {
     return false;
   }
   SendTo(aRequest, choice, aNow);
@@ -299,6 +362,9 @@
   queue.usableServers = freesSoon ? 1 : 0;
   queue.pausedFor = std::max(aRequest.pausedUntil - aNow, Duration::zero());
   queue.untilStop = mEndsAt - aNow;
+  if (IsContending(aRequest)) {
+    mServices.contended->Describe(queue, AsQueued(aRequest), aNow);
+  }
   return queue;
 }
 
@@ -310,6 +376,10 @@
   if (verdict == WaitDecision::kWait) {
     return false;
   }
+  if (IsContending(request)) {
+    mServices.contended->OnRejected(
+      AsQueued(request), aNow - request.receivedAt, request.route.targetLatency, aNow);
+  }
   AnswerUnserved(aRequest, verdict, queue);
   return true;
 }
@@ -514,6 +584,9 @@
     if (request.attempts >= request.route.maxAttempts) {
       return false;
     }
+    if (aResult == ForwardResult::kNotRun && request.keyed && IsHopeless(request, aNow)) {
+      return false;
+    }
     if (!nothingSent && !BudgetOf(request.service).TakeRetry(aNow, mDaemons)) {
       return false;
     }
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -16,6 +16,7 @@
 #include "ports/span_port.h"
 #include "routing/route_table.h"
 #include "routing/server_selector.h"
+#include "runtime/contended_queue.h"
 #include "runtime/organisation_metrics.h"
 #include "runtime/quota_claim.h"
 #include "runtime/range_finder.h"
@@ -44,6 +45,8 @@
   Metrics& metrics;
   SpanPort& spans;
   QuotaGate& quotas;
+  /// Null if daemons don't share the room of contended servers.
+  ContendedQueue* contended = nullptr;
 };
 
 /// Handles a request from its arrival to its answer: finds the route, chooses a server, sends
@@ -133,6 +136,15 @@
   WaitingRequest DescribeWaiting(const RoutedRequest& aRequest, Instant aNow) const;
   /// The situation in which a request waits, as of the last attempt to choose a server for it.
   WaitConditions DescribeQueue(const RoutedRequest& aRequest, Instant aNow) const;
+  /// Whether the request waits because all servers that may run it are full, as far as is known
+  /// or as one of them has stated.
+  bool IsContending(const RoutedRequest& aRequest) const;
+  static QueuedRequest AsQueued(const RoutedRequest& aRequest);
+  /// Whether the owner of its key, which may have turned it away, will have no room for it in time.
+  bool IsHopeless(const RoutedRequest& aRequest, Instant aNow) const;
+  /// Takes this daemon's part of the room of the chosen server, if that is contended; returns false
+  /// if there is none for this request.
+  bool TakeRoom(RoutedRequest& aRequest, Instant aNow);
   SharedRetryBudget& BudgetOf(const std::string& aService);
 
   ForwarderServices mServices;
--- a/runtime/forwarder_request.h
+++ b/runtime/forwarder_request.h
@@ -66,6 +66,10 @@
   std::list<Attempt> openAttempts;
   bool hedged = false;
   ForwardResult lastResult = ForwardResult::kUnreachable;
+  /// Whether it has been counted as a request for a server that may be contended, and the owner of
+  /// its key then.
+  bool isCounted = false;
+  std::string countedFor;
   /// Why the last choice of a server found none.
   ServerUnavailability unavailability = ServerUnavailability::kNone;
   /// When the first of the pauses ends for which all servers had asked then; otherwise the epoch.
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -75,6 +75,12 @@
       aServices.log,
       aServices.metrics,
       aServices.timers.Now())
+  , mContendedQueue(aSettings.features.Has(LoadFeature::kContention)
+                      ? std::make_unique<ContendedQueue>(aSettings.self.id,
+                                                         mSelector,
+                                                         aServices.log,
+                                                         aServices.metrics)
+                      : nullptr)
   , mForwarder({ mRoutes,
                  mSelector,
                  aServices.backends,
@@ -85,13 +91,18 @@
                  aServices.log,
                  aServices.metrics,
                  aServices.spans,
-                 mQuotaExchange },
+                 mQuotaExchange,
+                 mContendedQueue.get() },
                aSettings.retries)
   , mStartedAt(aServices.timers.Now())
 {
   mMesh.SetListener(*this);
   mSelector.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
   mForwarder.SetTraceSample(aSettings.traceSample);
+  if (mContendedQueue) {
+    mSelector.SetContention(true);
+    mLoadReporter.SetContention(mContendedQueue->Decisions());
+  }
 }
 
 void RouterDaemon::ApplySettings(const RouterSettings& aSettings)
@@ -161,6 +172,9 @@
     ranges->Tick(aNow, state);
   }
   mQuotaExchange.Tick(aNow);
+  if (mContendedQueue) {
+    mContendedQueue->Tick(aNow);
+  }
   mForwarder.Dispatch();
   if (mWarmUpPermits.Tick(mForwarder.WaitingForCold(), mLeaving, aNow)) {
     mForwarder.Dispatch();
@@ -178,6 +192,11 @@
   mForwarder.SetDaemonCounts(daemons);
   mQuotaExchange.SetDaemonCount(daemons);
   mSelector.SetDaemonCounts(mMesh.DaemonsByDomain());
+  if (mContendedQueue) {
+    const double heard = 1.0 + static_cast<double>(mMesh.LivePeers().size());
+    const double known = 1.0 + static_cast<double>(mMesh.KnownPeers(aNow).size());
+    mContendedQueue->Decisions().Allotment().SetHeardShare(std::min(1.0, heard / known));
+  }
   if (aNow - mStartedAt < kSettleTime) {
     return;
   }
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -6,6 +6,7 @@
 #include "limits/shared_retry_budget.h"
 #include "membership/pending_removals.h"
 #include "ports/object_store.h"
+#include "runtime/contended_queue.h"
 #include "runtime/forwarder.h"
 #include "runtime/load_reporter.h"
 #include "runtime/mesh.h"
@@ -144,6 +145,8 @@
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
   /// Grants requests out of the organisations' quotas; outlives the forwarder's requests.
   QuotaExchange mQuotaExchange;
+  /// Null without LoadFeature::kContention.
+  std::unique_ptr<ContendedQueue> mContendedQueue;
   Forwarder mForwarder;
   PendingRemovals mPendingRemovals;
   Instant mStartedAt;
