Servers' speeds: learned from the measurements of all daemons

A daemon of a fleet of 88 measures each server about once in eight seconds, too rarely to learn its speed. With the feature request-cost, daemons report sums and numbers of their samples once a second (ServiceTimes) through the relay that they use for load reports, or directly in a fleet of fewer than 16.

--- a/core/event_log.h
+++ b/core/event_log.h
@@ -80,6 +80,8 @@
   kServerPaused,
   kPauseAdjusted,
   kAnswerUnread,
+  kServiceTimesImplausible,
+  kServerSpeedsKnown,
 };
 
 /// Number, level and name of an event.
--- a/routing/forward_result.h
+++ b/routing/forward_result.h
@@ -19,6 +19,13 @@
   double slowness = 1.0;
 };
 
+/// Whether a server reports that it takes clearly longer than it normally does. Service times of
+/// such periods say nothing about the server's lasting speed.
+inline bool IsSlowForAWhile(const LoadReport& aReport)
+{
+  return aReport.slowness > 1.15;
+}
+
 /// Result of forwarding a request to a server.
 enum class ForwardResult
 {
--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -136,6 +136,9 @@
   ApplyNotices(server);
   server.preference = mDaemon.empty() ? 0.0 : UnitInterval(RendezvousWeight(aEntry.id, mDaemon));
   server.number = HashedIdOf(aEntry.id);
+  if (mSpeeds != nullptr) {
+    mSpeeds->Put(server.number, aEntry.service, aEntry.incarnation, aNow);
+  }
   mServersByNumber[server.number] = &server;
 }
 
@@ -148,6 +151,9 @@
   const auto numbered = mServersByNumber.find(HashedIdOf(aId));
   if (numbered != mServersByNumber.end() && numbered->second == &it->second) {
     mServersByNumber.erase(numbered);
+    if (mSpeeds != nullptr) {
+      mSpeeds->Remove(HashedIdOf(aId));
+    }
   }
   mServersByService[it->second.entry.service].erase(aId);
   mServers.erase(it);
@@ -261,13 +267,27 @@
   return 1.0;
 }
 
+bool ServerSelector::IsSlowForAWhile(const std::string& aId, Instant aNow) const
+{
+  const auto it = mServers.find(aId);
+  return it != mServers.end() && it->second.load &&
+         aNow - it->second.loadReceivedAt < kSlownessLifetime &&
+         hawthornlug::IsSlowForAWhile(*it->second.load);
+}
+
+double ServerSelector::LastingServiceTimeOf(const Server& aServer, Instant aNow) const
+{
+  return mSpeeds == nullptr ? aServer.relativeServiceTime
+                            : mSpeeds->RelativeServiceTimeOf(aServer.number, aNow);
+}
+
 double ServerSelector::RelativeServiceTimeOf(const std::string& aId, Instant aNow) const
 {
   const auto it = mServers.find(aId);
   if (it == mServers.end()) {
     return 1.0;
   }
-  return it->second.relativeServiceTime * ReportedSlowness(it->second, aNow);
+  return LastingServiceTimeOf(it->second, aNow) * ReportedSlowness(it->second, aNow);
 }
 
 Duration ServerSelector::ExpectedCompletion(const Server& aServer,
@@ -275,7 +295,7 @@
                                             Instant aNow) const
 {
   const double serviceTime =
-    InSeconds(aWork) * aServer.relativeServiceTime * ReportedSlowness(aServer, aNow);
+    InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
   const unsigned slots = std::max(1U, aServer.entry.slots);
   const unsigned outstanding = Outstanding(aServer, aNow);
   const double serviceRounds =
@@ -286,7 +306,7 @@
 Duration ServerSelector::SlotInterval(const Server& aServer, Duration aWork, Instant aNow) const
 {
   const double serviceTime =
-    InSeconds(aWork) * aServer.relativeServiceTime * ReportedSlowness(aServer, aNow);
+    InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
   return FromSeconds(serviceTime / std::max(1U, aServer.entry.slots));
 }
 
@@ -505,6 +525,12 @@
     server.nextTrialAt = aNow + kTrialInterval;
   }
   const bool contended = aSample.outstanding >= server.entry.slots;
+  if (mSpeeds != nullptr) {
+    if (!failed && !contended) {
+      ShareSample(server, aSample, aNow);
+    }
+    return;
+  }
   if (answered && !contended && aSample.work > Duration::zero()) {
     const double slowness = aSample.load ? std::max(0.1, aSample.load->slowness) : 1.0;
     const double sample = InSeconds(aSample.elapsed) / InSeconds(aSample.work) / slowness;
@@ -514,6 +540,16 @@
   }
 }
 
+void ServerSelector::ShareSample(const Server& aServer, const ForwardSample& aSample, Instant aNow)
+{
+  const bool slowForAWhile =
+    aSample.slowWhenSent || (aSample.load && hawthornlug::IsSlowForAWhile(*aSample.load));
+  const bool usual = aNow >= aServer.coldUntil && !slowForAWhile;
+  if (usual && aSample.workIsMeasured && aSample.work > Duration::zero()) {
+    mSpeeds->OnSample(aServer.number, InSeconds(aSample.elapsed) / InSeconds(aSample.work), aNow);
+  }
+}
+
 void ServerSelector::SetPeerCounts(const std::string& aDaemon,
                                    const InFlightCounts& aCounts,
                                    Instant aNow)
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -8,6 +8,7 @@
 #include "routing/route_config.h"
 #include "routing/server_entry.h"
 #include "routing/server_notices.h"
+#include "routing/server_speeds.h"
 
 #include <map>
 #include <memory>
@@ -102,6 +103,10 @@
   /// Requests that were known to be at the server when this one was sent, without this one.
   unsigned outstanding = 0;
   std::optional<LoadReport> load;
+  /// Whether the expected service time follows from measurements.
+  bool workIsMeasured = false;
+  /// Whether the server was known to be slow for a while when the request was sent.
+  bool slowWhenSent = false;
 };
 
 /// Keeps the state of the registered servers and chooses one for each request: under normal load
@@ -118,6 +123,9 @@
   ServerSelector(const ServerSelector&) = delete;
   ServerSelector& operator=(const ServerSelector&) = delete;
 
+  /// Uses and feeds speeds that daemons share instead of this daemon's own measurements alone; to
+  /// be called before the first server is added.
+  void ShareSpeeds(ServerSpeeds& aSpeeds) { mSpeeds = &aSpeeds; }
   /// Adds or updates a server. A new incarnation starts without the samples of the earlier one.
   void Put(const ServerEntry& aEntry, Instant aNow);
   void Remove(const std::string& aId, Instant aNow);
@@ -184,6 +192,8 @@
   unsigned MaxConnectionsTo(const std::string& aId) const;
   /// The server's current service time relative to a server of normal speed; above 1 is slower.
   double RelativeServiceTimeOf(const std::string& aId, Instant aNow) const;
+  /// Whether the server currently reports that it takes longer than normal.
+  bool IsSlowForAWhile(const std::string& aId, Instant aNow) const;
   /// Whether the server is still warming up.
   bool IsCold(const std::string& aId, Instant aNow) const;
   /// Whether the server gets trial requests only because it failed or could not be reached.
@@ -265,6 +275,12 @@
   static double FailureShare(const Server& aServer, Instant aNow);
   /// The slowness that the server reported; 1 if there is no current report.
   double ReportedSlowness(const Server& aServer, Instant aNow) const;
+  /// The server's service time relative to a server of normal speed, without the slowness that it
+  /// reports.
+  double LastingServiceTimeOf(const Server& aServer, Instant aNow) const;
+  /// Passes a request's service time to the shared speeds if it was measured under usual
+  /// conditions.
+  void ShareSample(const Server& aServer, const ForwardSample& aSample, Instant aNow);
   /// Expected time until a request that is sent now is answered.
   Duration ExpectedCompletion(const Server& aServer, Duration aWork, Instant aNow) const;
   /// Whether requests to the server need permits.
@@ -286,6 +302,8 @@
   std::map<std::string, unsigned> mDaemonsByDomain;
   std::set<std::string> mDomainsOutOfService;
   ServerNotices mNotices;
+  /// Null if this daemon uses its own measurements alone.
+  ServerSpeeds* mSpeeds = nullptr;
   double mWarmUpOvershoot = 1.0;
   double mWarmUpSlack = 0.0;
 };
--- a/runtime/load_reporter.h
+++ b/runtime/load_reporter.h
@@ -10,6 +10,7 @@
 #include "runtime/mesh.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +31,12 @@
   /// Sets the daemons that may be relays: those of the own domain, the preferred one first, and
   /// those of the other domains.
   void SetRelays(std::vector<std::string> aOwnDomain, std::set<std::string> aOtherDomains);
+  /// The daemon that this one reports to, empty if it is the relay itself; none if the fleet is so
+  /// small that it uses no relays.
+  std::optional<std::string> RelayInUse() const
+  {
+    return IsFleetRelayed() ? std::optional<std::string>(mRelay) : std::nullopt;
+  }
   /// Takes another daemon's report.
   void OnReport(const MeshPeer& aSender, const wire::RouterLoad& aReport, Instant aNow);
   /// To be called every few milliseconds.
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -33,6 +33,8 @@
 constexpr Duration kLoneDirectoryInterval = seconds(4);
 /// ...and at which registrars read them, to find daemons that all others have lost.
 constexpr Duration kDirectoryInterval = seconds(30);
+/// Interval at which the number of servers with a known speed is recorded.
+constexpr Duration kSpeedsInterval = seconds(1);
 /// Longest time until a daemon knows what another one has reported, also through relays.
 constexpr Duration kMaxHeartbeatGap = milliseconds(1200);
 
@@ -50,6 +52,7 @@
           aSettings.meshEndpoint,
           aSettings.power)
   , mLoadReporter(mSelector, mMesh)
+  , mSpeedExchange(mSpeeds, mMesh, aServices.log)
   , mNoticeRelay(mSelector, mMesh, *this, aServices.timers, aServices.log, aServices.metrics)
   , mWarmUpPermits(mSelector, mMesh, aServices.timers.Now())
   , mStoreFollower(aServices.store,
@@ -81,6 +84,9 @@
   , mStartedAt(aServices.timers.Now())
 {
   mMesh.SetListener(*this);
+  if (mSettings.features.Has(LoadFeature::kRequestCost)) {
+    mSelector.ShareSpeeds(mSpeeds);
+  }
   mSelector.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
   mForwarder.SetTraceSample(aSettings.traceSample);
 }
@@ -157,6 +163,27 @@
   }
   mForwarder.Hedge();
   mLoadReporter.Tick(aNow);
+  if (mSettings.features.Has(LoadFeature::kRequestCost)) {
+    UpdateSpeeds(aNow);
+  }
+}
+
+void RouterDaemon::UpdateSpeeds(Instant aNow)
+{
+  mSpeedExchange.Tick(mLoadReporter.RelayInUse(), aNow);
+  if (aNow - mSpeedsObservedAt < kSpeedsInterval) {
+    return;
+  }
+  mSpeedsObservedAt = aNow;
+  const std::size_t servers = mSpeeds.ServerCount();
+  const std::size_t known = mSpeeds.KnownServers(aNow);
+  mServices.metrics.Set("server_speeds_known", static_cast<double>(known));
+  const bool mostKnown = known > 0 && 2 * known >= servers;
+  if (mostKnown != mSpeedsKnown) {
+    mSpeedsKnown = mostKnown;
+    mServices.log.Write(EventId::kServerSpeedsKnown,
+                        { { "known", known }, { "servers", servers } });
+  }
 }
 
 void RouterDaemon::UpdateRoles(Instant aNow)
@@ -201,6 +228,7 @@
       otherDomains.insert(relays.begin(), relays.end());
     }
   }
+  mSpeedExchange.SetForeignRelays(otherDomains);
   mLoadReporter.SetRelays(std::move(ownDomain), std::move(otherDomains));
 }
 
@@ -477,6 +505,8 @@
   const Instant now = mServices.timers.Now();
   if (aMessage.has_load()) {
     mLoadReporter.OnReport(aPeer, aMessage.load(), now);
+  } else if (aMessage.has_service_times()) {
+    mSpeedExchange.OnReport(aPeer, aMessage.service_times(), now);
   } else if (aMessage.has_key_work()) {
     if (RangeRunner* const ranges = FindRanges(aMessage.key_work().service())) {
       ranges->OnKeyWorkReport(aMessage.key_work());
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -12,6 +12,7 @@
 #include "runtime/object_exchange.h"
 #include "runtime/range_runner.h"
 #include "runtime/server_notice_relay.h"
+#include "runtime/speed_exchange.h"
 #include "runtime/store_follower.h"
 #include "runtime/warm_up_permits.h"
 
@@ -104,6 +105,8 @@
   void Tick(Instant aNow);
   /// Records by how much the event loop is behind, and logs it if that is much.
   void ObserveLoopDelay(Instant aNow);
+  /// Exchanges the servers' speeds with other daemons and records how many are known.
+  void UpdateSpeeds(Instant aNow);
   void OnObjects(ObjectKind aKind, const std::vector<StoredObject>& aObjects);
   void OnServer(const StoredObject& aObject);
   void RemoveServer(const std::string& aId);
@@ -129,9 +132,12 @@
   RouterServices mServices;
   ObjectMirror mMirror;
   RouteTable mRoutes;
+  /// Used only with the feature kRequestCost.
+  ServerSpeeds mSpeeds;
   ServerSelector mSelector;
   Mesh mMesh;
   LoadReporter mLoadReporter;
+  SpeedExchange mSpeedExchange;
   ServerNoticeRelay mNoticeRelay;
   WarmUpPermits mWarmUpPermits;
   StoreFollower mStoreFollower;
@@ -157,6 +163,10 @@
   Instant mTickedAt;
   /// Messages of other daemons that were received since then.
   unsigned mMessagesSinceTick = 0;
+  /// When the number of servers with a known speed was last recorded, and whether it was at least
+  /// half of them.
+  Instant mSpeedsObservedAt;
+  bool mSpeedsKnown = false;
   std::unique_ptr<TimerSubscription> mTimer;
 };
 
