Request costs: servers are chosen by expected cost, outstanding work and bytes

With the feature request-cost, the expected service time follows from route, method, body size and key; the time until a full server has a free slot from the mean remaining times of the requests there; and the cost of another failure domain from the bytes of request and answer. Daemons that know the same spread their choices the more, the more slots are taken: without that, shared speeds made all of them choose the same servers from the same old reports. Without the feature, limits/route_work decides as before.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -43,7 +43,7 @@
   { 701, 'w', "message-malformed" }, { 643, 'i', "server-said-leaving" },
   { 644, 'i', "server-paused" },     { 645, 'w', "pause-adjusted" },
   { 806, 'w', "answer-unread" },     { 840, 'w', "implausible-speeds" },
-  { 841, 'i', "server-speeds-known" },
+  { 841, 'i', "speeds-known" },
 } };
 
 } // namespace
--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -1,6 +1,8 @@
 #include "routing/server_selector.h"
 
 #include "core/hashing.h"
+#include "routing/choice_spread.h"
+#include "routing/domain_cost.h"
 
 #include <algorithm>
 #include <cmath>
@@ -66,8 +68,12 @@
 
 } // namespace
 
-InFlightSlot::InFlightSlot(std::shared_ptr<unsigned> aCounter)
+InFlightSlot::InFlightSlot(std::shared_ptr<unsigned> aCounter,
+                           std::shared_ptr<OutstandingWork> aWork,
+                           std::uint64_t aRequest)
   : mCounter(std::move(aCounter))
+  , mWork(std::move(aWork))
+  , mRequest(aRequest)
 {
   ++*mCounter;
 }
@@ -82,6 +88,8 @@
   if (this != &aOther) {
     Release();
     mCounter = std::move(aOther.mCounter);
+    mWork = std::move(aOther.mWork);
+    mRequest = aOther.mRequest;
   }
   return *this;
 }
@@ -92,6 +100,10 @@
     --*mCounter;
     mCounter.reset();
   }
+  if (mWork) {
+    mWork->Remove(mRequest);
+    mWork.reset();
+  }
 }
 
 ServerSelector::ServerSelector(std::string aDomain, std::string aDaemon)
@@ -119,9 +131,11 @@
     // Samples and reports of the earlier incarnation don't apply to this one. Only the count of
     // requests in flight is kept, since those slots have not been released yet.
     const auto inFlight = server.inFlight;
+    const auto work = server.work;
     const std::string service = server.entry.service;
     server = Server();
     server.inFlight = inFlight;
+    server.work = work;
     server.entry.service = service;
   }
   const Instant coldUntil = aNow + aEntry.warmUpLeft;
@@ -296,6 +310,10 @@
 {
   const double serviceTime =
     InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
+  if (mEstimates != nullptr) {
+    const double pace = LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
+    return Scaled(aWork + SlotWait(aServer, aWork, aNow), pace);
+  }
   const unsigned slots = std::max(1U, aServer.entry.slots);
   const unsigned outstanding = Outstanding(aServer, aNow);
   const double serviceRounds =
@@ -303,6 +321,19 @@
   return FromSeconds(serviceTime + serviceRounds * serviceTime);
 }
 
+Duration ServerSelector::SlotWait(const Server& aServer, Duration aWork, Instant aNow) const
+{
+  const unsigned outstanding = Outstanding(aServer, aNow);
+  if (outstanding < aServer.entry.slots) {
+    return Duration::zero();
+  }
+  const auto own = static_cast<unsigned>(aServer.work->Requests());
+  const Duration each = mEstimates->MeanRemainingOf(aServer.entry.service, aWork);
+  const Duration others = each * (outstanding - std::min(outstanding, own));
+  return TimeToFreeSlot(
+    outstanding, aServer.entry.slots, aServer.work->Remaining(*mEstimates, aNow) + others);
+}
+
 Duration ServerSelector::SlotInterval(const Server& aServer, Duration aWork, Instant aNow) const
 {
   const double serviceTime =
@@ -396,6 +427,23 @@
   return ServerUnavailability::kNone;
 }
 
+double ServerSelector::SpreadOf(const std::string& aService, Instant aNow) const
+{
+  const auto it = mServersByService.find(aService);
+  if (mSpeeds == nullptr || it == mServersByService.end()) {
+    return 0.0;
+  }
+  unsigned taken = 0;
+  unsigned slots = 0;
+  for (const auto& [id, server] : it->second) {
+    if (server->entry.domain == mDomain && IsOpen(*server)) {
+      taken += std::min(Outstanding(*server, aNow), server->entry.slots);
+      slots += server->entry.slots;
+    }
+  }
+  return ChoiceSpread(taken, slots);
+}
+
 double ServerSelector::CostOf(const Server& aServer,
                               const ServerRequirements& aNeed,
                               Instant aNow) const
@@ -408,9 +456,14 @@
   const double late = std::max(0.0, completion - InSeconds(aNeed.timeToTarget));
   double cost = completion + kOverTargetCost * late;
   cost += kFailureCost * FailureShare(aServer, aNow) * InSeconds(aNeed.work);
-  cost += kPreferenceCost * aServer.preference * InSeconds(aNeed.work);
+  if (mSpeeds == nullptr) {
+    cost += kPreferenceCost * aServer.preference * InSeconds(aNeed.work);
+  }
   if (aServer.entry.domain != mDomain) {
-    cost += kOtherDomainCost * InSeconds(aNeed.targetLatency);
+    cost += OtherDomainCostOf(aServer, aNeed, aNow);
+  }
+  if (mEstimates != nullptr && late > 0.0) {
+    cost += MissedTargetCost(aNeed.targetLatency);
   }
   if (aNow < aServer.coldUntil) {
     // A cold server is slow. The extra cost is small, so that under load it still gets the few
@@ -420,6 +473,66 @@
   return cost;
 }
 
+double ServerSelector::OtherDomainCostOf(const Server& aServer,
+                                         const ServerRequirements& aNeed,
+                                         Instant aNow) const
+{
+  if (mEstimates == nullptr || !aNeed.expectedBytes) {
+    return kOtherDomainCost * InSeconds(aNeed.targetLatency);
+  }
+  // Other domains do not report their requests at their own servers, except those that own keys.
+  const bool isLoadKnown = IsKeyed(aServer.entry.service) ||
+                           (aServer.load && aNow - aServer.loadReceivedAt < kLoadReportLifetime);
+  return OtherDomainCost(*aNeed.expectedBytes, aNeed.targetLatency) +
+         (isLoadKnown ? 0.0 : UnknownLoadCost(aNeed.work));
+}
+
+const ServerSelector::Server* ServerSelector::BetterOf(const BestServer& aOwn,
+                                                       const BestServer& aOther,
+                                                       const ServerRequirements& aNeed,
+                                                       Instant aNow) const
+{
+  if (aOwn.server == nullptr || aOther.server == nullptr) {
+    return aOwn.server == nullptr ? aOther.server : aOwn.server;
+  }
+  // That a daemon prefers other servers is no reason to leave its domain.
+  const bool isOtherBetter =
+    CostOf(*aOther.server, aNeed, aNow) < CostOf(*aOwn.server, aNeed, aNow);
+  return isOtherBetter ? aOther.server : aOwn.server;
+}
+
+bool ServerSelector::StaysInDomain(const Server& aOther,
+                                   const ServerRequirements& aNeed,
+                                   Instant aNow) const
+{
+  const auto it = mServersByService.find(aNeed.service);
+  const bool applies = mEstimates != nullptr && aNeed.expectedBytes && aNeed.owner.empty() &&
+                       aOther.entry.domain != mDomain && it != mServersByService.end();
+  return applies && std::any_of(it->second.begin(), it->second.end(), [&](const auto& aEntry) {
+           const Server& server = *aEntry.second;
+           const bool isFull = server.entry.domain == mDomain &&
+                               Outstanding(server, aNow) >= server.entry.slots &&
+                               UnavailabilityOf(server, aNeed, CapacityLimit::kSlots, aNow) ==
+                                 ServerUnavailability::kFull;
+           return isFull && WaitsForOwnDomain(CostOf(server, aNeed, aNow),
+                                              ExpectedCompletion(server, aNeed.work, aNow),
+                                              CostOf(aOther, aNeed, aNow),
+                                              aNeed.timeToTarget);
+         });
+}
+
+double ServerSelector::RankOf(const Server& aServer,
+                              const ServerRequirements& aNeed,
+                              double aSpread,
+                              Instant aNow) const
+{
+  if (aNow < aServer.circuitOpenUntil) {
+    return CostOf(aServer, aNeed, aNow);
+  }
+  const double completion = InSeconds(ExpectedCompletion(aServer, aNeed.work, aNow));
+  return CostOf(aServer, aNeed, aNow) + aSpread * aServer.preference * completion;
+}
+
 ServerChoice ServerSelector::Choose(const ServerRequirements& aNeed, Instant aNow) const
 {
   ServerChoice choice = ChooseAmong(aNeed, CapacityLimit::kSlots, aNow);
@@ -434,8 +547,9 @@
                                          Instant aNow) const
 {
   ServerChoice choice;
-  const Server* best = nullptr;
-  double bestCost = 0.0;
+  BestServer ownBest;
+  BestServer otherBest;
+  const double spread = SpreadOf(aNeed.service, aNow);
   bool allPaused = true;
   Instant firstPauseEnd = Instant::max();
   const auto consider = [&](const Server& aServer) {
@@ -452,10 +566,11 @@
       }
       return;
     }
-    const double cost = CostOf(aServer, aNeed, aNow);
-    if (best == nullptr || cost < bestCost) {
-      best = &aServer;
-      bestCost = cost;
+    const bool isOther = mSpeeds != nullptr && aServer.entry.domain != mDomain;
+    BestServer& rival = isOther ? otherBest : ownBest;
+    const double rank = RankOf(aServer, aNeed, spread, aNow);
+    if (rival.server == nullptr || rank < rival.rank) {
+      rival = { &aServer, rank };
     }
   };
   if (!aNeed.owner.empty()) {
@@ -468,7 +583,10 @@
       consider(*server);
     }
   }
-  if (best != nullptr) {
+  const Server* const best = BetterOf(ownBest, otherBest, aNeed, aNow);
+  if (best != nullptr && StaysInDomain(*best, aNeed, aNow)) {
+    choice.unavailability = ServerUnavailability::kFull;
+  } else if (best != nullptr) {
     choice.server = best->entry;
     choice.unavailability = ServerUnavailability::kNone;
     choice.completion = ExpectedCompletion(*best, aNeed.work, aNow);
@@ -479,7 +597,7 @@
   return choice;
 }
 
-InFlightSlot ServerSelector::Take(const std::string& aId, Instant aNow)
+InFlightSlot ServerSelector::Take(const std::string& aId, Instant aNow, const RunningWork& aWork)
 {
   const auto it = mServers.find(aId);
   if (it == mServers.end()) {
@@ -491,7 +609,11 @@
   if (aNow < server.circuitOpenUntil) {
     server.nextTrialAt = aNow + kTrialInterval;
   }
-  return InFlightSlot(server.inFlight);
+  if (mEstimates == nullptr) {
+    return InFlightSlot(server.inFlight);
+  }
+  const double pace = LastingServiceTimeOf(server, aNow) * ReportedSlowness(server, aNow);
+  return InFlightSlot(server.inFlight, server.work, server.work->Add(aWork, pace, aNow));
 }
 
 void ServerSelector::OnResult(const std::string& aId, const ForwardSample& aSample, Instant aNow)
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -5,6 +5,7 @@
 #include "core/instant.h"
 #include "routing/forward_result.h"
 #include "routing/load_summary.h"
+#include "routing/outstanding_work.h"
 #include "routing/route_config.h"
 #include "routing/server_entry.h"
 #include "routing/server_notices.h"
@@ -25,7 +26,10 @@
 {
 public:
   InFlightSlot() = default;
-  explicit InFlightSlot(std::shared_ptr<unsigned> aCounter);
+  /// @p aRequest: the request's number in @p aWork, which may be null.
+  explicit InFlightSlot(std::shared_ptr<unsigned> aCounter,
+                        std::shared_ptr<OutstandingWork> aWork = nullptr,
+                        std::uint64_t aRequest = 0);
   ~InFlightSlot();
   InFlightSlot(InFlightSlot&& aOther) noexcept = default;
   InFlightSlot& operator=(InFlightSlot&& aOther) noexcept;
@@ -38,6 +42,9 @@
 private:
   /// Requests in flight at the server; null after the release.
   std::shared_ptr<unsigned> mCounter;
+  /// Where the request's work is counted; null if it is not.
+  std::shared_ptr<OutstandingWork> mWork;
+  std::uint64_t mRequest = 0;
 };
 
 /// What a request requires of a server, and the data by which servers are compared.
@@ -57,6 +64,8 @@
   std::vector<std::string> triedServers;
   /// Id of the server that owns the request's key; empty if any server of the service may run it.
   std::string owner;
+  /// Expected bytes of the request and its answer; none while that is not known.
+  std::optional<std::size_t> expectedBytes;
 };
 
 /// Why a server can't be chosen for a request at present.
@@ -126,6 +135,9 @@
   /// Uses and feeds speeds that daemons share instead of this daemon's own measurements alone; to
   /// be called before the first server is added.
   void ShareSpeeds(ServerSpeeds& aSpeeds) { mSpeeds = &aSpeeds; }
+  /// Compares servers by the work that requests still require, and other failure domains by the
+  /// bytes of a request; to be called before the first server is added.
+  void UseEstimates(const WorkEstimator& aEstimates) { mEstimates = &aEstimates; }
   /// Adds or updates a server. A new incarnation starts without the samples of the earlier one.
   void Put(const ServerEntry& aEntry, Instant aNow);
   void Remove(const std::string& aId, Instant aNow);
@@ -164,7 +176,8 @@
   /// Chooses a server with room for the request. Take() must be called to count the request.
   ServerChoice Choose(const ServerRequirements& aNeed, Instant aNow) const;
   /// Counts a request that is about to be sent as in flight until the returned slot is released.
-  InFlightSlot Take(const std::string& aId, Instant aNow);
+  /// @p aWork: what it is expected to cost.
+  InFlightSlot Take(const std::string& aId, Instant aNow, const RunningWork& aWork = {});
   /// Updates a server's averages, failure state and load with the result of a request.
   void OnResult(const std::string& aId, const ForwardSample& aSample, Instant aNow);
   /// Sets another daemon's requests in flight by server number; replaces its earlier report.
@@ -217,6 +230,8 @@
     /// This daemon's own preference, from 0 to 1; lower is preferred.
     double preference = 0.0;
     std::shared_ptr<unsigned> inFlight = std::make_shared<unsigned>(0);
+    /// What this daemon's requests there still require; empty without estimates.
+    std::shared_ptr<OutstandingWork> work = std::make_shared<OutstandingWork>();
     /// By daemon id.
     std::map<std::string, PeerCount> peerCounts;
     std::optional<LoadReport> load;
@@ -260,6 +275,26 @@
   ServerChoice ChooseAmong(const ServerRequirements& aNeed,
                            CapacityLimit aCapacityLimit,
                            Instant aNow) const;
+  /// Expected time on a server of normal speed until a slot is free for one more request.
+  Duration SlotWait(const Server& aServer, Duration aWork, Instant aNow) const;
+  /// Cost in seconds of sending the request to a server of another failure domain.
+  double OtherDomainCostOf(const Server& aServer,
+                           const ServerRequirements& aNeed,
+                           Instant aNow) const;
+  /// The server that ranks first so far among those of a domain.
+  struct BestServer
+  {
+    const Server* server = nullptr;
+    double rank = 0.0;
+  };
+  /// The better one of the best servers of the own domain and of the others; null if there is none.
+  const Server* BetterOf(const BestServer& aOwn,
+                         const BestServer& aOther,
+                         const ServerRequirements& aNeed,
+                         Instant aNow) const;
+  /// Whether the request waits for a full server of the own domain instead of being sent to
+  /// @p aOther.
+  bool StaysInDomain(const Server& aOther, const ServerRequirements& aNeed, Instant aNow) const;
   /// Mean time between two slots that become free while all are taken.
   Duration SlotInterval(const Server& aServer, Duration aWork, Instant aNow) const;
   bool IsOpen(const Server& aServer) const;
@@ -286,8 +321,17 @@
   /// Whether requests to the server need permits.
   bool NeedsPermit(const Server& aServer, Instant aNow) const;
   double WarmUpLimitOf(const Server& aServer) const;
+  /// The extra cost of the server that this daemon prefers least, as a multiple of the expected
+  /// completion; see ChoiceSpread().
+  double SpreadOf(const std::string& aService, Instant aNow) const;
   /// Cost in seconds by which servers are compared: the lowest is chosen.
   double CostOf(const Server& aServer, const ServerRequirements& aNeed, Instant aNow) const;
+  /// The cost by which servers of the same failure domain are compared: with shared speeds, servers
+  /// that this daemon does not prefer cost more. @p aSpread: SpreadOf() the service.
+  double RankOf(const Server& aServer,
+                const ServerRequirements& aNeed,
+                double aSpread,
+                Instant aNow) const;
 
   std::string mDomain;
   std::string mDaemon;
@@ -302,6 +346,8 @@
   std::map<std::string, unsigned> mDaemonsByDomain;
   std::set<std::string> mDomainsOutOfService;
   ServerNotices mNotices;
+  /// Null if servers are compared by the number of outstanding requests.
+  const WorkEstimator* mEstimates = nullptr;
   /// Null if this daemon uses its own measurements alone.
   ServerSpeeds* mSpeeds = nullptr;
   double mWarmUpOvershoot = 1.0;
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "runtime/forwarder.h"
 
+#include "limits/route_work.h"
 #include "routing/attempt_history.h"
 #include "runtime/range_runner.h"
 
@@ -45,6 +46,8 @@
   Incarnation incarnation = 0;
   /// Time that the server takes for work, relative to a server of normal speed.
   double pace = 1.0;
+  /// The server reported that it was slow for a while, or was warming up, when this was sent.
+  bool slowWhenSent = false;
   /// Requests known to be at the server when this one was sent, this one excluded.
   unsigned outstanding = 0;
   Instant sentAt;
@@ -103,6 +106,7 @@
 Forwarder::Forwarder(ForwarderServices aServices, const RetryAllowance& aRetries)
   : mServices(aServices)
   , mAllowance(aRetries)
+  , mWork(std::make_unique<RouteWork>())
 {
 }
 
@@ -248,7 +252,7 @@
   request.targetAt = request.receivedAt + route->targetLatency;
   request.deadline =
     request.receivedAt + std::min(route->timeout, request.terms.timeout.value_or(route->timeout));
-  request.work = mRouteWork.Of(route->name, route->targetLatency);
+  request.work = mWork->Of(TraitsOf(request), route->targetLatency);
   if (request.keyed) {
     // Requests that can't be served count too: they show where capacity is missing.
     RangeRunner* const ranges = mServices.ranges.FindRanges(request.service);
@@ -317,7 +321,19 @@
   return byServer;
 }
 
-ServerRequirements Forwarder::NeedOf(const RoutedRequest& aRequest, Instant aNow)
+RequestTraits Forwarder::TraitsOf(const RoutedRequest& aRequest)
+{
+  const http::Request& received = aRequest.exchange->Received();
+  RequestTraits traits{
+    aRequest.route.name, aRequest.service, received.method, received.body.size(), std::nullopt
+  };
+  if (aRequest.keyed) {
+    traits.key = aRequest.terms.key;
+  }
+  return traits;
+}
+
+ServerRequirements Forwarder::NeedOf(const RoutedRequest& aRequest, Instant aNow) const
 {
   ServerRequirements need;
   need.service = aRequest.service;
@@ -326,6 +342,9 @@
   need.timeToTarget = aRequest.targetAt - aNow;
   need.idempotent = aRequest.route.idempotent;
   need.owner = aRequest.owner;
+  if (const auto answerBytes = mWork->AnswerBytesOf(aRequest.route.name)) {
+    need.expectedBytes = aRequest.exchange->Received().body.size() + *answerBytes;
+  }
   if (!aRequest.keyed) {
     need.triedServers = aRequest.triedServers;
   }
@@ -435,7 +454,9 @@
   attempt.outstanding = aChoice.outstanding;
   attempt.sentAt = aNow;
   LogIfCold(request, server.id, aNow);
-  attempt.slot = mServices.selector.Take(server.id, aNow);
+  attempt.slowWhenSent = mServices.selector.IsSlowForAWhile(server.id, aNow) ||
+                         mServices.selector.IsCold(server.id, aNow);
+  attempt.slot = mServices.selector.Take(server.id, aNow, { request.route.name, request.work });
   ForwardTerms terms;
   terms.address = server.address;
   terms.instance = server.id;
@@ -482,6 +503,8 @@
   sample.work = request.work;
   sample.outstanding = aAttempt.outstanding;
   sample.load = aOutcome.load;
+  sample.workIsMeasured = mWork->IsMeasured(request.route.name);
+  sample.slowWhenSent = aAttempt.slowWhenSent;
   // A reused connection that broke was probably closed while idle, which says little about the
   // server. A time-out counts as a failure, although it says nothing about the server if the
   // caller's own deadline was its cause.
@@ -491,7 +514,13 @@
   }
   const ServerEntry* const server = mServices.selector.Find(aAttempt.server);
   if (served && server != nullptr && aAttempt.outstanding < server->slots) {
-    mRouteWork.OnServed(request.route.name, sample.elapsed, aAttempt.pace);
+    mWork->OnServed(
+      TraitsOf(request),
+      { sample.elapsed,
+        aAttempt.pace,
+        request.work,
+        aOutcome.response.body.size(),
+        aAttempt.slowWhenSent || (aOutcome.load && IsSlowForAWhile(*aOutcome.load)) });
   }
 }
 
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -7,9 +7,9 @@
 #include "core/timer_service.h"
 #include "http/server.h"
 #include "limits/hedge_policy.h"
-#include "limits/route_work.h"
 #include "limits/shared_retry_budget.h"
 #include "limits/waiting_policy.h"
+#include "limits/work_estimator.h"
 #include "ports/backend_port.h"
 #include "ports/caller_headers.h"
 #include "ports/span_port.h"
@@ -48,6 +48,13 @@
   Forwarder(ForwarderServices aServices, const RetryAllowance& aRetries);
   ~Forwarder() override;
 
+  /// Replaces the estimate of the service time by route alone; to be called before the first
+  /// request.
+  void SetWorkEstimator(std::unique_ptr<WorkEstimator> aEstimator)
+  {
+    mWork = std::move(aEstimator);
+  }
+  const WorkEstimator& Estimates() const { return *mWork; }
   void OnRequest(std::shared_ptr<http::Exchange> aExchange) override;
   void OnBadRequest(int aStatus, http::ReadState aState) override;
   void OnUnreadResponse(std::size_t aBytes) override;
@@ -108,7 +115,8 @@
                          Instant aEnd,
                          const std::string& aOutcome) const;
   void Record(const RoutedRequest& aRequest, Span aSpan) const;
-  static ServerRequirements NeedOf(const RoutedRequest& aRequest, Instant aNow);
+  ServerRequirements NeedOf(const RoutedRequest& aRequest, Instant aNow) const;
+  static RequestTraits TraitsOf(const RoutedRequest& aRequest);
   /// Queues the request for another attempt if limits and budget allow it; returns false if it
   /// must be answered now.
   bool Retry(const RoutedRequestPtr& aRequest, ForwardResult aResult, Instant aNow);
@@ -140,7 +148,7 @@
   ForwarderServices mServices;
   RetryAllowance mAllowance;
   std::map<std::string, SharedRetryBudget> mBudgets;
-  RouteWork mRouteWork;
+  std::unique_ptr<WorkEstimator> mWork;
   std::list<RoutedRequestPtr> mWaiting;
   /// Requests whose first attempt is in flight and may be hedged.
   std::list<std::weak_ptr<RoutedRequest>> mHedgeable;
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -1,6 +1,7 @@
 #include "runtime/router_daemon.h"
 
 #include "core/json_text.h"
+#include "limits/request_cost.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -85,7 +86,9 @@
 {
   mMesh.SetListener(*this);
   if (mSettings.features.Has(LoadFeature::kRequestCost)) {
+    mForwarder.SetWorkEstimator(std::make_unique<RequestCost>());
     mSelector.ShareSpeeds(mSpeeds);
+    mSelector.UseEstimates(mForwarder.Estimates());
   }
   mSelector.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
   mForwarder.SetTraceSample(aSettings.traceSample);
@@ -178,6 +181,9 @@
   const std::size_t servers = mSpeeds.ServerCount();
   const std::size_t known = mSpeeds.KnownServers(aNow);
   mServices.metrics.Set("server_speeds_known", static_cast<double>(known));
+  for (const auto& [route, error] : mForwarder.Estimates().Errors()) {
+    mServices.metrics.Set("request_cost_error{route=\"" + route + "\"}", error);
+  }
   const bool mostKnown = known > 0 && 2 * known >= servers;
   if (mostKnown != mSpeedsKnown) {
     mSpeedsKnown = mostKnown;
--- a/tests/routing/server_selector_test.cpp
+++ b/tests/routing/server_selector_test.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// Selection of a server: free slots, own failure domain first, cold and failing servers.
 
+#include "limits/request_cost.h"
+#include "routing/choice_spread.h"
 #include "routing/server_selector.h"
 
 #include <catch2/catch.hpp>
@@ -313,3 +315,165 @@
   slots.pop_back();
   CHECK(ChosenServer(selector, need) == "far");
 }
+
+namespace {
+
+/// A selector with shared speeds and estimates, with the servers of Selector().
+struct CostFixture
+{
+  CostFixture()
+  {
+    selector.ShareSpeeds(speeds);
+    selector.UseEstimates(cost);
+    selector.Put(Entry("near", "home"), kStart);
+    selector.Put(Entry("far", "away"), kStart);
+    selector.SetDaemonCounts({ { "home", 2 }, { "away", 2 } });
+  }
+
+  /// Makes the answers of the other domain known, so that its load is.
+  void ReportLoad(const std::string& aId)
+  {
+    ForwardSample sample = Sample(ForwardResult::kAnswered);
+    sample.load = LoadReport{ 0, 0, 3, 1.0 };
+    selector.OnResult(aId, sample, kStart);
+  }
+
+  void LearnSpeeds(double aNear, double aFar)
+  {
+    speeds.Add({ { ServerSelector::HashedIdOf("near"), { 1000, 1000 * aNear } },
+                 { ServerSelector::HashedIdOf("far"), { 1000, 1000 * aFar } } },
+               kStart);
+  }
+
+  static ServerRequirements NeedOf(std::size_t aBytes)
+  {
+    ServerRequirements need = Need();
+    need.expectedBytes = aBytes;
+    return need;
+  }
+
+  ServerSpeeds speeds;
+  RequestCost cost;
+  ServerSelector selector{ "home" };
+};
+
+} // namespace
+
+TEST_CASE("shared speeds decide the relative service time, not this daemon's samples alone",
+          "[routing][speeds]")
+{
+  CostFixture it;
+  it.LearnSpeeds(1.5, 0.5);
+  CHECK(it.selector.RelativeServiceTimeOf("near", kStart) == Approx(1.5).epsilon(0.1));
+  CHECK(it.selector.RelativeServiceTimeOf("far", kStart) == Approx(0.5).epsilon(0.1));
+}
+
+// Guards against samples that say nothing about a server's lasting speed.
+TEST_CASE("only usual samples with a measured estimate are shared", "[routing][speeds]")
+{
+  CostFixture it;
+  ForwardSample sample = Sample(ForwardResult::kAnswered, milliseconds(400));
+  it.selector.OnResult("near", sample, kStart);
+  CHECK(it.speeds.TakeOwnSums().empty());
+  sample.workIsMeasured = true;
+  sample.slowWhenSent = true;
+  it.selector.OnResult("near", sample, kStart);
+  sample.slowWhenSent = false;
+  sample.load = LoadReport{ 0, 0, 3, 3.0 };
+  it.selector.OnResult("near", sample, kStart);
+  sample.load->slowness = 1.0;
+  sample.outstanding = 3;
+  it.selector.OnResult("near", sample, kStart);
+  sample.outstanding = 0;
+  sample.failed = true;
+  it.selector.OnResult("near", sample, kStart);
+  CHECK(it.speeds.TakeOwnSums().empty());
+  sample.failed = false;
+  it.selector.OnResult("near", sample, kStart);
+  CHECK(it.speeds.TakeOwnSums().size() == 1);
+}
+
+TEST_CASE("a small request crosses to a faster domain, a large one stays while it is in time",
+          "[routing][cost]")
+{
+  CostFixture it;
+  it.LearnSpeeds(1.5, 0.5);
+  it.ReportLoad("far");
+  CHECK(ChosenServer(it.selector, CostFixture::NeedOf(400)) == "far");
+  CHECK(ChosenServer(it.selector, CostFixture::NeedOf(90000)) == "near");
+  ServerRequirements late = CostFixture::NeedOf(90000);
+  late.timeToTarget = milliseconds(200);
+  CHECK(ChosenServer(it.selector, late) == "far");
+  // Before the first answer the size is not known, and the cost is that of the feature's absence.
+  CHECK(ChosenServer(it.selector, Need()) == "near");
+}
+
+TEST_CASE("a large request waits for its own domain only while that can answer soon",
+          "[routing][cost]")
+{
+  CostFixture it;
+  std::vector<InFlightSlot> slots;
+  for (int n = 0; n < 3; ++n) {
+    slots.push_back(it.selector.Take("near", kStart, { "r", milliseconds(30) }));
+  }
+  ServerRequirements need = CostFixture::NeedOf(90000);
+  need.work = milliseconds(30);
+  need.idempotent = true;
+  // The slots become free fast enough for one request to wait at the server.
+  CHECK(ChosenServer(it.selector, need) == "near");
+  slots.push_back(it.selector.Take("near", kStart, { "r", milliseconds(30) }));
+  CHECK(ChosenServer(it.selector, need) == "full");
+  need.timeToTarget = milliseconds(60);
+  CHECK(ChosenServer(it.selector, need) == "far");
+}
+
+TEST_CASE("outstanding work counts in time: long requests make a server wait longer",
+          "[routing][cost]")
+{
+  CostFixture it;
+  std::vector<InFlightSlot> slots;
+  for (int n = 0; n < 3; ++n) {
+    slots.push_back(it.selector.Take("near", kStart, { "r", milliseconds(20) }));
+    slots.push_back(it.selector.Take("far", kStart, { "r", milliseconds(900) }));
+  }
+  ServerRequirements need = CostFixture::NeedOf(0);
+  need.work = milliseconds(30);
+  const ServerChoice near = it.selector.Choose(need, kStart);
+  REQUIRE(near.server);
+  CHECK(near.server->id == "near");
+  CHECK(near.completion < milliseconds(45));
+  SECTION("released slots leave no work behind")
+  {
+    slots.clear();
+    CHECK(it.selector.Choose(need, kStart).completion == milliseconds(30));
+  }
+}
+
+TEST_CASE("the spread of choices grows with the share of taken slots", "[routing][cost]")
+{
+  CHECK(ChoiceSpread(0, 40) == Approx(0.0));
+  CHECK(ChoiceSpread(20, 40) == Approx(2.0));
+  CHECK(ChoiceSpread(40, 40) <= 6.0);
+  CHECK(ChoiceSpread(0, 0) == Approx(0.0));
+}
+
+TEST_CASE("remaining work falls with the time that requests have run", "[routing][cost]")
+{
+  RequestCost cost;
+  RequestTraits traits{ "r", "s", "GET", 0, std::nullopt };
+  for (int n = 0; n < 100; ++n) {
+    cost.OnServed(traits, { milliseconds(100), 1.0, milliseconds(100), 0, false });
+  }
+  OutstandingWork work;
+  const std::uint64_t one = work.Add({ "r", milliseconds(100) }, 1.0, kStart);
+  work.Add({ "r", milliseconds(100) }, 2.0, kStart);
+  const Duration before = work.Remaining(cost, kStart);
+  CHECK(InSeconds(before) == Approx(0.2).epsilon(0.1));
+  const Duration after = work.Remaining(cost, kStart + milliseconds(80));
+  CHECK(InSeconds(after) == Approx(0.08).margin(0.03));
+  work.Remove(one);
+  CHECK(work.Requests() == 1);
+  CHECK(TimeToFreeSlot(2, 4, milliseconds(100)) == Duration::zero());
+  CHECK(InSeconds(TimeToFreeSlot(4, 4, milliseconds(400))) == Approx(0.025).epsilon(0.001));
+  CHECK(InSeconds(TimeToFreeSlot(7, 4, milliseconds(700))) == Approx(0.1).epsilon(0.001));
+}
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Tests of the forwarder with fake backend servers and callers.
 
+#include "limits/request_cost.h"
 #include "platform/backend_calls.h"
 #include "runtime/forwarder.h"
 #include "tests/support/forwarder_parts.h"
@@ -526,3 +527,41 @@
   fixture.backends.Complete(0, ForwardResult::kAnswered, 200, { true, Duration::zero() });
   CHECK(fixture.selector.IsOpen(reborn.id));
 }
+
+// Guards against a route's work estimate that ignores what distinguishes its requests.
+TEST_CASE("with request costs, the estimate follows body size, and the size of answers is learned",
+          "[runtime][cost]")
+{
+  ForwarderFixture fixture;
+  fixture.forwarder.SetWorkEstimator(std::make_unique<RequestCost>());
+  fixture.selector.UseEstimates(fixture.forwarder.Estimates());
+  for (int n = 0; n < 60; ++n) {
+    fixture.SendRequest("safe");
+    fixture.AdvanceTime(milliseconds(40));
+    fixture.backends.Complete(fixture.backends.sent.size() - 1, ForwardResult::kAnswered);
+  }
+  const WorkEstimator& estimates = fixture.forwarder.Estimates();
+  const RequestTraits traits{ "safe", "s", "GET", 0, std::nullopt };
+  CHECK(InSeconds(estimates.Of(traits, milliseconds(600))) == Approx(0.04).epsilon(0.1));
+  CHECK(estimates.IsMeasured("safe"));
+  CHECK(estimates.AnswerBytesOf("safe") == 0U);
+  CHECK_FALSE(estimates.IsMeasured("unsafe"));
+  CHECK(estimates.Errors().at("safe") < 0.2);
+}
+
+TEST_CASE("without request costs, a route's estimate is its mean whatever the request",
+          "[runtime][cost]")
+{
+  ForwarderFixture fixture;
+  for (int n = 0; n < 60; ++n) {
+    fixture.SendRequest("safe");
+    fixture.AdvanceTime(milliseconds(40));
+    fixture.backends.Complete(fixture.backends.sent.size() - 1, ForwardResult::kAnswered);
+  }
+  const WorkEstimator& estimates = fixture.forwarder.Estimates();
+  const RequestTraits large{ "safe", "s", "PUT", 60000, 7U };
+  CHECK(InSeconds(estimates.Of(large, milliseconds(600))) == Approx(0.04).epsilon(0.1));
+  CHECK_FALSE(estimates.IsMeasured("safe"));
+  CHECK_FALSE(estimates.AnswerBytesOf("safe"));
+  CHECK(estimates.Errors().empty());
+}
--- a/tests/runtime/router_daemon_test.cpp
+++ b/tests/runtime/router_daemon_test.cpp
@@ -221,3 +221,29 @@
   CHECK(simulation.InForce(1) == daemons);
   CHECK(AllKnowOwners(simulation, daemons));
 }
+
+// Guards against a daemon that does not pass reports on to the shared speeds, or does without the
+// feature.
+TEST_CASE("daemons learn servers' speeds from reports only with the feature", "[runtime][speeds]")
+{
+  const bool isOn = GENERATE(false, true);
+  RouterSimulation::Shape shape{ 6, 2, 4 };
+  shape.features.Set(LoadFeature::kRequestCost, isOn);
+  RouterSimulation simulation(shape);
+  simulation.Run(seconds(5));
+  REQUIRE(simulation.InForce(1) == 6);
+  wire::Envelope message;
+  message.mutable_from()->set_incarnation(1);
+  message.mutable_service_times()->add_servers(ServerSelector::HashedIdOf("server-0"));
+  message.mutable_service_times()->add_samples(50);
+  message.mutable_service_times()->add_relative_times(60000);
+  for (unsigned n = 0; n < 6; ++n) {
+    message.mutable_from()->set_id(n == 0 ? "d1" : "d0");
+    simulation.Daemon(n)->Take(message);
+  }
+  simulation.Run(seconds(2));
+  const std::string metrics = simulation.metrics.Text();
+  const bool isKnown = metrics.find("hawthornlug_server_speeds_known 1\n") != std::string::npos;
+  INFO(metrics);
+  CHECK(isKnown == isOn);
+}
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -300,6 +300,7 @@
     settings.domain = aDomain;
     settings.meshEndpoint = EndpointOf(aNumber);
     settings.linkBytesPerSecond = aSimulation.mShape.linkBytesPerSecond;
+    settings.features = aSimulation.mShape.features;
     for (unsigned n = 0; n < 3; ++n) {
       settings.seeds.push_back(EndpointOf(n));
     }
--- a/tests/support/router_simulation.h
+++ b/tests/support/router_simulation.h
@@ -154,6 +154,7 @@
     unsigned servers = 9;
     /// Bytes a second that a daemon's link carries, in each direction; 0 is without limit.
     double linkBytesPerSecond = 0.0;
+    LoadFeatures features = {};
   };
 
   explicit RouterSimulation(const Shape& aShape);
