--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -308,12 +308,12 @@
                                             Duration aWork,
                                             Instant aNow) const
 {
-  const double serviceTime =
-    InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
   if (mEstimates != nullptr) {
     const double pace = LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
     return Scaled(aWork + SlotWait(aServer, aWork, aNow), pace);
   }
+  const double serviceTime =
+    InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
   const unsigned slots = std::max(1U, aServer.entry.slots);
   const unsigned outstanding = Outstanding(aServer, aNow);
   const double serviceRounds =
@@ -526,11 +526,12 @@
                               double aSpread,
                               Instant aNow) const
 {
-  if (aNow < aServer.circuitOpenUntil) {
-    return CostOf(aServer, aNeed, aNow);
+  const double cost = CostOf(aServer, aNeed, aNow);
+  if (aSpread <= 0.0 || aNow < aServer.circuitOpenUntil) {
+    return cost;
   }
   const double completion = InSeconds(ExpectedCompletion(aServer, aNeed.work, aNow));
-  return CostOf(aServer, aNeed, aNow) + aSpread * aServer.preference * completion;
+  return cost + aSpread * aServer.preference * completion;
 }
 
 ServerChoice ServerSelector::Choose(const ServerRequirements& aNeed, Instant aNow) const
--- a/tests/routing/server_selector_test.cpp
+++ b/tests/routing/server_selector_test.cpp
@@ -413,6 +413,7 @@
 {
   CostFixture it;
   std::vector<InFlightSlot> slots;
+  slots.reserve(4);
   for (int n = 0; n < 3; ++n) {
     slots.push_back(it.selector.Take("near", kStart, { "r", milliseconds(30) }));
   }
--- a/tests/routing/shared_speeds_model_test.cpp
+++ b/tests/routing/shared_speeds_model_test.cpp
@@ -274,7 +274,7 @@
       mSentForeign[aRequest->route->name] += foreign ? 1 : 0;
       mForeignBytes += foreign ? aRequest->route->answerBytes : 0;
     }
-    Schedule(mNow + (foreign ? kOneWayForeign : kOneWay), [this, server, aRequest, foreign] {
+    Schedule(mNow + (foreign ? kOneWayForeign : kOneWay), [this, server, aRequest] {
       mServers[server].queue.push_back(aRequest);
       Start(server);
     });
--- a/tests/runtime/speed_exchange_test.cpp
+++ b/tests/runtime/speed_exchange_test.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::uint32_t kServers = 255;
-constexpr unsigned kDomains = 3;
+constexpr std::size_t kDomains = 3;
 
 /// One daemon's exchange, fed with what its mesh has received.
 struct ExchangeNode
@@ -68,7 +68,7 @@
   }
 
   /// Makes each domain use its @p aRank th daemon as its relay; others may be candidates too.
-  void UseRelays(unsigned aRank)
+  void UseRelays(std::size_t aRank)
   {
     for (std::size_t n = 0; n < nodes.size(); ++n) {
       const std::size_t relay = aRank * kDomains + n % kDomains;
@@ -198,13 +198,15 @@
         foreignBytes += foreign ? aMessage.ByteSizeLong() : 0;
       }
     };
-  constexpr int kSeconds = 20;
-  for (int second = 0; second < kSeconds; ++second) {
+  constexpr std::size_t kSeconds = 20;
+  for (std::size_t second = 0; second < kSeconds; ++second) {
     for (std::size_t n = 0; n < fleet.nodes.size(); ++n) {
       // 30 requests a second at each of 88 daemons.
-      for (std::uint32_t it = 0; it < 30; ++it) {
+      for (std::size_t it = 0; it < 30; ++it) {
         fleet.nodes[n]->speeds.OnSample(
-          (it * 17 + n * 31 + second * 7) % kServers, 1.0, fleet.simulation.timers.now);
+          static_cast<std::uint32_t>((it * 17 + n * 31 + second * 7) % kServers),
+          1.0,
+          fleet.simulation.timers.now);
       }
     }
     fleet.Run(seconds(1));
