--- a/core/event_log.h
+++ b/core/event_log.h
@@ -85,6 +85,8 @@
   kQuotaLimits,
   kQuotaKeeper,
   kServersContended,
+  kServiceTimesImplausible,
+  kServerSpeedsKnown,
 };
 
 /// Number, level and name of an event.
--- a/routing/server_selector.cpp
+++ b/routing/server_selector.cpp
@@ -1,6 +1,8 @@
 #include "routing/server_selector.h"
 
 #include "core/hashing.h"
+#include "routing/choice_spread.h"
+#include "routing/domain_cost.h"
 
 #include <algorithm>
 #include <cmath>
@@ -71,8 +73,12 @@
 
 } // namespace
 
-InFlightSlot::InFlightSlot(std::shared_ptr<unsigned> aCounter)
+InFlightSlot::InFlightSlot(std::shared_ptr<unsigned> aCounter,
+                           std::shared_ptr<OutstandingWork> aWork,
+                           std::uint64_t aRequest)
   : mCounter(std::move(aCounter))
+  , mWork(std::move(aWork))
+  , mRequest(aRequest)
 {
   ++*mCounter;
 }
@@ -87,6 +93,8 @@
   if (this != &aOther) {
     Release();
     mCounter = std::move(aOther.mCounter);
+    mWork = std::move(aOther.mWork);
+    mRequest = aOther.mRequest;
   }
   return *this;
 }
@@ -97,6 +105,10 @@
     --*mCounter;
     mCounter.reset();
   }
+  if (mWork) {
+    mWork->Remove(mRequest);
+    mWork.reset();
+  }
 }
 
 ServerSelector::ServerSelector(std::string aDomain, std::string aDaemon)
@@ -124,9 +136,11 @@
     // Samples and reports of the earlier incarnation don't apply to this one. Only the count of
     // requests in flight is kept, since those slots have not been released yet.
     const auto inFlight = server.inFlight;
+    const auto work = server.work;
     const std::string service = server.entry.service;
     server = Server();
     server.inFlight = inFlight;
+    server.work = work;
     server.entry.service = service;
   }
   const Instant coldUntil = aNow + aEntry.warmUpLeft;
@@ -141,6 +155,9 @@
   ApplyNotices(server);
   server.preference = mDaemon.empty() ? 0.0 : UnitInterval(RendezvousWeight(aEntry.id, mDaemon));
   server.number = HashedIdOf(aEntry.id);
+  if (mSpeeds != nullptr) {
+    mSpeeds->Put(server.number, aEntry.service, aEntry.incarnation, aNow);
+  }
   mServersByNumber[server.number] = &server;
 }
 
@@ -153,6 +170,9 @@
   const auto numbered = mServersByNumber.find(HashedIdOf(aId));
   if (numbered != mServersByNumber.end() && numbered->second == &it->second) {
     mServersByNumber.erase(numbered);
+    if (mSpeeds != nullptr) {
+      mSpeeds->Remove(HashedIdOf(aId));
+    }
   }
   mServersByService[it->second.entry.service].erase(aId);
   mServers.erase(it);
@@ -266,21 +286,39 @@
   return 1.0;
 }
 
+bool ServerSelector::IsSlowForAWhile(const std::string& aId, Instant aNow) const
+{
+  const auto it = mServers.find(aId);
+  return it != mServers.end() && it->second.load &&
+         aNow - it->second.loadReceivedAt < kSlownessLifetime &&
+         hawthornlug::IsSlowForAWhile(*it->second.load);
+}
+
+double ServerSelector::LastingServiceTimeOf(const Server& aServer, Instant aNow) const
+{
+  return mSpeeds == nullptr ? aServer.relativeServiceTime
+                            : mSpeeds->RelativeServiceTimeOf(aServer.number, aNow);
+}
+
 double ServerSelector::RelativeServiceTimeOf(const std::string& aId, Instant aNow) const
 {
   const auto it = mServers.find(aId);
   if (it == mServers.end()) {
     return 1.0;
   }
-  return it->second.relativeServiceTime * ReportedSlowness(it->second, aNow);
+  return LastingServiceTimeOf(it->second, aNow) * ReportedSlowness(it->second, aNow);
 }
 
 Duration ServerSelector::ExpectedCompletion(const Server& aServer,
                                             Duration aWork,
                                             Instant aNow) const
 {
+  if (mEstimates != nullptr) {
+    const double pace = LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
+    return Scaled(aWork + SlotWait(aServer, aWork, aNow), pace);
+  }
   const double serviceTime =
-    InSeconds(aWork) * aServer.relativeServiceTime * ReportedSlowness(aServer, aNow);
+    InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
   const unsigned slots = std::max(1U, aServer.entry.slots);
   const unsigned outstanding = Outstanding(aServer, aNow);
   const double serviceRounds =
@@ -288,10 +326,23 @@
   return FromSeconds(serviceTime + serviceRounds * serviceTime);
 }
 
+Duration ServerSelector::SlotWait(const Server& aServer, Duration aWork, Instant aNow) const
+{
+  const unsigned outstanding = Outstanding(aServer, aNow);
+  if (outstanding < aServer.entry.slots) {
+    return Duration::zero();
+  }
+  const auto own = static_cast<unsigned>(aServer.work->Requests());
+  const Duration each = mEstimates->MeanRemainingOf(aServer.entry.service, aWork);
+  const Duration others = each * (outstanding - std::min(outstanding, own));
+  return TimeToFreeSlot(
+    outstanding, aServer.entry.slots, aServer.work->Remaining(*mEstimates, aNow) + others);
+}
+
 Duration ServerSelector::SlotInterval(const Server& aServer, Duration aWork, Instant aNow) const
 {
   const double serviceTime =
-    InSeconds(aWork) * aServer.relativeServiceTime * ReportedSlowness(aServer, aNow);
+    InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
   return FromSeconds(serviceTime / std::max(1U, aServer.entry.slots));
 }
 
@@ -418,7 +469,7 @@
   room.slots = UsableSlots(aServer, aNow);
   room.outstanding = Outstanding(aServer, aNow);
   const double serviceTime =
-    InSeconds(aWork) * aServer.relativeServiceTime * ReportedSlowness(aServer, aNow);
+    InSeconds(aWork) * LastingServiceTimeOf(aServer, aNow) * ReportedSlowness(aServer, aNow);
   room.perSecond = room.slots / std::max(serviceTime, InSeconds(milliseconds(1)));
   return room;
 }
@@ -451,6 +502,23 @@
   return sum;
 }
 
+double ServerSelector::SpreadOf(const std::string& aService, Instant aNow) const
+{
+  const auto it = mServersByService.find(aService);
+  if (mSpeeds == nullptr || it == mServersByService.end()) {
+    return 0.0;
+  }
+  unsigned taken = 0;
+  unsigned slots = 0;
+  for (const auto& [id, server] : it->second) {
+    if (server->entry.domain == mDomain && IsOpen(*server)) {
+      taken += std::min(Outstanding(*server, aNow), server->entry.slots);
+      slots += server->entry.slots;
+    }
+  }
+  return ChoiceSpread(taken, slots);
+}
+
 double ServerSelector::CostOf(const Server& aServer,
                               const ServerRequirements& aNeed,
                               Instant aNow) const
@@ -463,9 +531,14 @@
   const double late = std::max(0.0, completion - InSeconds(aNeed.timeToTarget));
   double cost = completion + kOverTargetCost * late;
   cost += kFailureCost * FailureShare(aServer, aNow) * InSeconds(aNeed.work);
-  cost += kPreferenceCost * aServer.preference * InSeconds(aNeed.work);
+  if (mSpeeds == nullptr) {
+    cost += kPreferenceCost * aServer.preference * InSeconds(aNeed.work);
+  }
   if (aServer.entry.domain != mDomain) {
-    cost += kOtherDomainCost * InSeconds(aNeed.targetLatency);
+    cost += OtherDomainCostOf(aServer, aNeed, aNow);
+  }
+  if (mEstimates != nullptr && late > 0.0) {
+    cost += MissedTargetCost(aNeed.targetLatency);
   }
   if (aNow < aServer.coldUntil) {
     // A cold server is slow. The extra cost is small, so that under load it still gets the few
@@ -475,6 +548,67 @@
   return cost;
 }
 
+double ServerSelector::OtherDomainCostOf(const Server& aServer,
+                                         const ServerRequirements& aNeed,
+                                         Instant aNow) const
+{
+  if (mEstimates == nullptr || !aNeed.expectedBytes) {
+    return kOtherDomainCost * InSeconds(aNeed.targetLatency);
+  }
+  // Other domains do not report their requests at their own servers, except those that own keys.
+  const bool isLoadKnown = IsKeyed(aServer.entry.service) ||
+                           (aServer.load && aNow - aServer.loadReceivedAt < kLoadReportLifetime);
+  return OtherDomainCost(*aNeed.expectedBytes, aNeed.targetLatency) +
+         (isLoadKnown ? 0.0 : UnknownLoadCost(aNeed.work));
+}
+
+const ServerSelector::Server* ServerSelector::BetterOf(const BestServer& aOwn,
+                                                       const BestServer& aOther,
+                                                       const ServerRequirements& aNeed,
+                                                       Instant aNow) const
+{
+  if (aOwn.server == nullptr || aOther.server == nullptr) {
+    return aOwn.server == nullptr ? aOther.server : aOwn.server;
+  }
+  // That a daemon prefers other servers is no reason to leave its domain.
+  const bool isOtherBetter =
+    CostOf(*aOther.server, aNeed, aNow) < CostOf(*aOwn.server, aNeed, aNow);
+  return isOtherBetter ? aOther.server : aOwn.server;
+}
+
+bool ServerSelector::StaysInDomain(const Server& aOther,
+                                   const ServerRequirements& aNeed,
+                                   Instant aNow) const
+{
+  const auto it = mServersByService.find(aNeed.service);
+  const bool applies = mEstimates != nullptr && aNeed.expectedBytes && aNeed.owner.empty() &&
+                       aOther.entry.domain != mDomain && it != mServersByService.end();
+  return applies && std::any_of(it->second.begin(), it->second.end(), [&](const auto& aEntry) {
+           const Server& server = *aEntry.second;
+           const bool isFull = server.entry.domain == mDomain &&
+                               Outstanding(server, aNow) >= server.entry.slots &&
+                               UnavailabilityOf(server, aNeed, CapacityLimit::kSlots, aNow) ==
+                                 ServerUnavailability::kFull;
+           return isFull && WaitsForOwnDomain(CostOf(server, aNeed, aNow),
+                                              ExpectedCompletion(server, aNeed.work, aNow),
+                                              CostOf(aOther, aNeed, aNow),
+                                              aNeed.timeToTarget);
+         });
+}
+
+double ServerSelector::RankOf(const Server& aServer,
+                              const ServerRequirements& aNeed,
+                              double aSpread,
+                              Instant aNow) const
+{
+  const double cost = CostOf(aServer, aNeed, aNow);
+  if (aSpread <= 0.0 || aNow < aServer.circuitOpenUntil) {
+    return cost;
+  }
+  const double completion = InSeconds(ExpectedCompletion(aServer, aNeed.work, aNow));
+  return cost + aSpread * aServer.preference * completion;
+}
+
 ServerChoice ServerSelector::Choose(const ServerRequirements& aNeed, Instant aNow) const
 {
   ServerChoice choice = ChooseAmong(aNeed, CapacityLimit::kSlots, aNow);
@@ -489,8 +623,9 @@
                                          Instant aNow) const
 {
   ServerChoice choice;
-  const Server* best = nullptr;
-  double bestCost = 0.0;
+  BestServer ownBest;
+  BestServer otherBest;
+  const double spread = SpreadOf(aNeed.service, aNow);
   bool allPaused = true;
   Instant firstPauseEnd = Instant::max();
   const auto consider = [&](const Server& aServer) {
@@ -507,10 +642,11 @@
       }
       return;
     }
-    const double cost = CostOf(aServer, aNeed, aNow);
-    if (best == nullptr || cost < bestCost) {
-      best = &aServer;
-      bestCost = cost;
+    const bool isOther = mSpeeds != nullptr && aServer.entry.domain != mDomain;
+    BestServer& rival = isOther ? otherBest : ownBest;
+    const double rank = RankOf(aServer, aNeed, spread, aNow);
+    if (rival.server == nullptr || rank < rival.rank) {
+      rival = { &aServer, rank };
     }
   };
   if (!aNeed.owner.empty()) {
@@ -523,7 +659,10 @@
       consider(*server);
     }
   }
-  if (best != nullptr) {
+  const Server* const best = BetterOf(ownBest, otherBest, aNeed, aNow);
+  if (best != nullptr && StaysInDomain(*best, aNeed, aNow)) {
+    choice.unavailability = ServerUnavailability::kFull;
+  } else if (best != nullptr) {
     choice.server = best->entry;
     choice.unavailability = ServerUnavailability::kNone;
     choice.completion = ExpectedCompletion(*best, aNeed.work, aNow);
@@ -534,7 +673,7 @@
   return choice;
 }
 
-InFlightSlot ServerSelector::Take(const std::string& aId, Instant aNow)
+InFlightSlot ServerSelector::Take(const std::string& aId, Instant aNow, const RunningWork& aWork)
 {
   const auto it = mServers.find(aId);
   if (it == mServers.end()) {
@@ -546,7 +685,11 @@
   if (aNow < server.circuitOpenUntil) {
     server.nextTrialAt = aNow + kTrialInterval;
   }
-  return InFlightSlot(server.inFlight);
+  if (mEstimates == nullptr) {
+    return InFlightSlot(server.inFlight);
+  }
+  const double pace = LastingServiceTimeOf(server, aNow) * ReportedSlowness(server, aNow);
+  return InFlightSlot(server.inFlight, server.work, server.work->Add(aWork, pace, aNow));
 }
 
 void ServerSelector::OnResult(const std::string& aId, const ForwardSample& aSample, Instant aNow)
@@ -581,6 +724,12 @@
     server.nextTrialAt = aNow + kTrialInterval;
   }
   const bool contended = aSample.outstanding >= server.entry.slots;
+  if (mSpeeds != nullptr) {
+    if (!failed && !contended) {
+      ShareSample(server, aSample, aNow);
+    }
+    return;
+  }
   if (answered && !contended && aSample.work > Duration::zero()) {
     const double slowness = aSample.load ? std::max(0.1, aSample.load->slowness) : 1.0;
     const double sample = InSeconds(aSample.elapsed) / InSeconds(aSample.work) / slowness;
@@ -590,6 +739,16 @@
   }
 }
 
+void ServerSelector::ShareSample(const Server& aServer, const ForwardSample& aSample, Instant aNow)
+{
+  const bool slowForAWhile =
+    aSample.slowWhenSent || (aSample.load && hawthornlug::IsSlowForAWhile(*aSample.load));
+  const bool usual = aNow >= aServer.coldUntil && !slowForAWhile;
+  if (usual && aSample.workIsMeasured && aSample.work > Duration::zero()) {
+    mSpeeds->OnSample(aServer.number, InSeconds(aSample.elapsed) / InSeconds(aSample.work), aNow);
+  }
+}
+
 void ServerSelector::SetPeerCounts(const std::string& aDaemon,
                                    const InFlightCounts& aCounts,
                                    Instant aNow)
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "runtime/forwarder.h"
 
+#include "limits/route_work.h"
 #include "runtime/forwarder_request.h"
 #include "runtime/range_runner.h"
 
@@ -55,6 +56,7 @@
   , mAdmission(aServices.routes, aServices.headers)
   , mSpans(aServices.spans)
   , mOrganisations(aServices.metrics, aServices.routes)
+  , mWork(std::make_unique<RouteWork>())
 {
 }
 
@@ -136,7 +138,7 @@
   const Duration timeout = request.route.timeout;
   request.deadline =
     request.receivedAt + std::min(timeout, request.terms.timeout.value_or(timeout));
-  request.work = mRouteWork.Of(request.route.name, request.route.targetLatency);
+  request.work = mWork->Of(TraitsOf(request), request.route.targetLatency);
   if (!request.organisation.empty()) {
     request.quota.Begin(mServices.quotas.Claim(request.organisation, request.receivedAt),
                         mOpenClaims);
@@ -257,7 +259,19 @@
   return byServer;
 }
 
-ServerRequirements Forwarder::NeedOf(const RoutedRequest& aRequest, Instant aNow)
+RequestTraits Forwarder::TraitsOf(const RoutedRequest& aRequest)
+{
+  const http::Request& received = aRequest.exchange->Received();
+  RequestTraits traits{
+    aRequest.route.name, aRequest.service, received.method, received.body.size(), std::nullopt
+  };
+  if (aRequest.keyed) {
+    traits.key = aRequest.terms.key;
+  }
+  return traits;
+}
+
+ServerRequirements Forwarder::NeedOf(const RoutedRequest& aRequest, Instant aNow) const
 {
   ServerRequirements need;
   need.service = aRequest.service;
@@ -266,6 +280,9 @@
   need.timeToTarget = aRequest.targetAt - aNow;
   need.idempotent = aRequest.route.idempotent;
   need.owner = aRequest.owner;
+  if (const auto answerBytes = mWork->AnswerBytesOf(aRequest.route.name)) {
+    need.expectedBytes = aRequest.exchange->Received().body.size() + *answerBytes;
+  }
   if (!aRequest.keyed) {
     need.triedServers = aRequest.triedServers;
   }
@@ -433,7 +450,9 @@
   attempt.outstanding = aChoice.outstanding;
   attempt.sentAt = aNow;
   LogIfCold(request, server.id, aNow);
-  attempt.slot = mServices.selector.Take(server.id, aNow);
+  attempt.slowWhenSent = mServices.selector.IsSlowForAWhile(server.id, aNow) ||
+                         mServices.selector.IsCold(server.id, aNow);
+  attempt.slot = mServices.selector.Take(server.id, aNow, { request.route.name, request.work });
   ForwardTerms terms;
   terms.address = server.address;
   terms.instance = server.id;
@@ -484,6 +503,8 @@
   sample.work = request.work;
   sample.outstanding = aAttempt.outstanding;
   sample.load = aOutcome.load;
+  sample.workIsMeasured = mWork->IsMeasured(request.route.name);
+  sample.slowWhenSent = aAttempt.slowWhenSent;
   // A reused connection that broke was probably closed while idle, which says little about the
   // server. A time-out counts as a failure, although it says nothing about the server if the
   // caller's own deadline was its cause.
@@ -493,7 +514,13 @@
   }
   const ServerEntry* const server = mServices.selector.Find(aAttempt.server);
   if (served && server != nullptr && aAttempt.outstanding < server->slots) {
-    mRouteWork.OnServed(request.route.name, sample.elapsed, aAttempt.pace);
+    mWork->OnServed(
+      TraitsOf(request),
+      { sample.elapsed,
+        aAttempt.pace,
+        request.work,
+        aOutcome.response.body.size(),
+        aAttempt.slowWhenSent || (aOutcome.load && IsSlowForAWhile(*aOutcome.load)) });
   }
 }
 
--- a/runtime/forwarder_request.h
+++ b/runtime/forwarder_request.h
@@ -20,6 +20,8 @@
   Incarnation incarnation = 0;
   /// Time that the server takes for work, relative to a server of normal speed.
   double pace = 1.0;
+  /// The server reported that it was slow for a while, or was warming up, when this was sent.
+  bool slowWhenSent = false;
   /// Requests known to be at the server when this one was sent, this one excluded.
   unsigned outstanding = 0;
   Instant sentAt;
--- a/runtime/load_reporter.h
+++ b/runtime/load_reporter.h
@@ -11,6 +11,7 @@
 #include "runtime/mesh.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,12 @@
   /// Makes the reports contain the requests that wait for servers, and hands over those of the
   /// other daemons.
   void SetContention(Contention& aContention);
+  /// The daemon that this one reports to, empty if it is the relay itself; none if the fleet is so
+  /// small that it uses no relays.
+  std::optional<std::string> RelayInUse() const
+  {
+    return IsFleetRelayed() ? std::optional<std::string>(mRelay) : std::nullopt;
+  }
   /// Takes another daemon's report.
   void OnReport(const MeshPeer& aSender, const wire::RouterLoad& aReport, Instant aNow);
   /// To be called every few milliseconds.
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -373,6 +373,7 @@
     settings.meshEndpoint = EndpointOf(aNumber);
     settings.features = aSimulation.mShape.features;
     settings.linkBytesPerSecond = aSimulation.mShape.linkBytesPerSecond;
+    settings.features = aSimulation.mShape.features;
     for (unsigned n = 0; n < 3; ++n) {
       settings.seeds.push_back(EndpointOf(n));
     }
