Placement: moves limited by work in motion, and hot keys that stay where they are

With the feature 'placement', the leader of a keyed service plans with PlanFleet() (placement/fleet_planner) instead of PlanRanges(). Moves for balance are limited by the work in motion (a tenth of the measured work) and by what a target takes in (as many ranges at a time as it has slots), not to six at a time. The busiest key of a server stays where it is if it alone has more than the server's share, and its neighbours leave, in parallel. Work by key is measured with two half-lives (placement/key_profile). Ranges that have moved within 5 s move again only off servers that have 1.35 times the mean; servers that have not answered a release for 1 s shed nothing further. New events H850 and H851, metrics placement_moves_total, placement_work_in_motion and placement_hottest_key_share. Without the feature nothing decides differently; the tests of PlanRanges() are run for both planners with the same assertions.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Indexed by EventId.
-constexpr std::array<EventInfo, 63> kCatalogue = { {
+constexpr std::array<EventInfo, 65> kCatalogue = { {
   { 100, 'i', "started" },           { 101, 'i', "stopping" },
   { 102, 'i', "stopped" },           { 103, 'e', "listen-failed" },
   { 200, 'i', "config-in-force" },   { 201, 'w', "config-refused" },
@@ -42,7 +42,8 @@
   { 642, 'i', "cold-forward" },      { 711, 'e', "task-failed" },
   { 701, 'w', "message-malformed" }, { 643, 'i', "server-said-leaving" },
   { 644, 'i', "server-paused" },     { 645, 'w', "pause-adjusted" },
-  { 806, 'w', "answer-unread" },
+  { 806, 'w', "answer-unread" },     { 850, 'w', "hot-key" },
+  { 851, 'i', "hot-key-over" },
 } };
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -80,6 +80,8 @@
   kServerPaused,
   kPauseAdjusted,
   kAnswerUnread,
+  kHotKey,
+  kHotKeyOver,
 };
 
 /// Number, level and name of an event.
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -536,6 +536,7 @@
     next.renewAt = aNow;
     next.grantsExpireAt = aNow;
     next.phaseSince = aNow;
+    next.movedAt = range.rebinds ? range.movedAt : aNow;
     if (range.rebinds) {
       // The incarnation that is there now may have accepted grants that were meant for the earlier
       // one, and has forgotten the tokens by which that one refused earlier leaders.
@@ -640,6 +641,7 @@
     }
     left.owned.keys.to = right.owned.keys.to;
     left.renewAt = std::min(left.renewAt, right.renewAt);
+    left.movedAt = std::max(left.movedAt, right.movedAt);
     left.grantsExpireAt = std::max(left.grantsExpireAt, right.grantsExpireAt);
     left.unansweredExpireAt = std::max(left.unansweredExpireAt, right.unansweredExpireAt);
     mRanges.erase(next);
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -230,6 +230,8 @@
     /// Handover data from the previous owner, for the next one.
     std::string handover;
     Instant phaseSince;
+    /// When the range last got another owner from this leader.
+    Instant movedAt;
     /// When the next command to give up the keys may be sent.
     Instant retryAt;
     /// The owner has been sent a command to give up the keys: it starts no more work on them.
@@ -248,6 +250,10 @@
   /// Whether grants to the owner have failed for longer than kUnresponsiveAfter, so that its keys
   /// should move to another server.
   bool IsOwnerUnresponsive(const Range& aRange, Instant aNow) const;
+  /// Whether a move of the range should wait: its owner serves it, but has left a grant unanswered.
+  /// That grant may be applied late, so that after a release no server could be given the keys
+  /// until it has expired, and nobody would serve them.
+  bool ShouldStay(const Range& aRange, Instant aNow) const;
 
 private:
   enum class State
@@ -282,10 +288,6 @@
   void ConfirmLeadership(Instant aAskedAt, Instant aNow);
   /// Whether the owner is taken to serve the keys for as long as it holds them.
   static bool IsServed(const Range& aRange);
-  /// Whether a move of the range should wait: its owner serves it, but has left a grant unanswered.
-  /// That grant may be applied late, so that after a release no server could be given the keys
-  /// until it has expired, and nobody would serve them.
-  bool ShouldStay(const Range& aRange, Instant aNow) const;
   /// Gives up a move whose release has not been sent.
   static void CancelMove(Range& aRange, Instant aNow);
   /// Notes that no server holds the range any more.
--- /dev/null
+++ b/placement/hot_keys.cpp
@@ -0,0 +1,33 @@
+#include "placement/hot_keys.h"
+
+#include <algorithm>
+
+namespace hawthornlug {
+
+double BalancedUtilisation(const std::vector<ServerLoad>& aServers)
+{
+  double work = 0.0;
+  double capacity = 0.0;
+  std::vector<const ServerLoad*> byBusiest;
+  for (const ServerLoad& it : aServers) {
+    work += it.work;
+    capacity += it.capacity;
+    byBusiest.push_back(&it);
+  }
+  std::sort(
+    byBusiest.begin(), byBusiest.end(), [](const ServerLoad* aLeft, const ServerLoad* aRight) {
+      return aLeft->BusiestUtilisation() > aRight->BusiestUtilisation();
+    });
+  for (const ServerLoad* it : byBusiest) {
+    const bool isLast = capacity <= it->capacity * 1.001;
+    if (isLast || it->BusiestUtilisation() * capacity <= work) {
+      break;
+    }
+    // Only the key stays there: the server's other work is for the others.
+    work -= it->busiestWork;
+    capacity -= it->capacity;
+  }
+  return capacity > 0.0 ? std::max(0.0, work) / capacity : 0.0;
+}
+
+} // namespace hawthornlug
--- a/placement/range_planner.h
+++ b/placement/range_planner.h
@@ -18,6 +18,8 @@
   double capacity = 1.0;
   /// Whether keys may be moved to it.
   bool open = true;
+  /// Number of requests that it runs at the same time. Used by PlanFleet().
+  unsigned slots = 4;
 };
 
 /// A range as the planner sees it.
@@ -31,6 +33,12 @@
   /// of service or unresponsive.
   bool mustMove = false;
   bool moving = false;
+  /// A move for balance would not be begun now. Used by PlanFleet(), like the following fields.
+  bool mustStay = false;
+  /// It got its owner so recently that it should not move again without need.
+  bool justMoved = false;
+  /// It is being moved, and its owner has not answered the release for longer than usual.
+  bool overdue = false;
 };
 
 /// Limits and thresholds of PlanRanges().
--- /dev/null
+++ b/runtime/placement_report.cpp
@@ -0,0 +1,62 @@
+#include "runtime/placement_report.h"
+
+namespace hawthornlug {
+
+namespace {
+
+/// A key counts as hot until this many plans in a row have found it cool: one near the limit would
+/// be logged again and again otherwise.
+constexpr unsigned kCoolPlans = 8;
+
+} // namespace
+
+PlacementReport::PlacementReport(std::string aService, DecisionLog& aLog, Metrics& aMetrics)
+  : mService(std::move(aService))
+  , mLog(aLog)
+  , mMetrics(aMetrics)
+{
+}
+
+void PlacementReport::OnMoveBegun(FleetMoveReason aReason)
+{
+  mMetrics.Count("placement_moves_total{service=\"" + mService + "\",reason=\"" +
+                 std::string(NameOf(kFleetMoveReasonNames, aReason)) + "\"}");
+}
+
+void PlacementReport::OnPlanned(const FleetPlan& aPlan)
+{
+  const std::string labels = "{service=\"" + mService + "\"}";
+  const double total = aPlan.totalWork > 0.0 ? aPlan.totalWork : 1.0;
+  mMetrics.Set("placement_work_in_motion" + labels, aPlan.workInMotion / total);
+  mMetrics.Set("placement_hottest_key_share" + labels, aPlan.busiestKeyWork / total);
+  for (auto& [server, it] : mHotKeys) {
+    ++it.coolPlans;
+  }
+  for (const HotKey& it : aPlan.hotKeys) {
+    NoteHotKey(it);
+  }
+  std::erase_if(mHotKeys, [this](const auto& aKnown) {
+    const bool isOver = aKnown.second.coolPlans > kCoolPlans;
+    if (isOver) {
+      Log(EventId::kHotKeyOver, aKnown.first, aKnown.second.hot.key, aKnown.second.hot.work);
+    }
+    return isOver;
+  });
+}
+
+void PlacementReport::NoteHotKey(const HotKey& aHotKey)
+{
+  const auto known = mHotKeys.find(aHotKey.server);
+  if (known == mHotKeys.end() || known->second.hot.key != aHotKey.key) {
+    Log(EventId::kHotKey, aHotKey.server, aHotKey.key, aHotKey.work);
+  }
+  mHotKeys[aHotKey.server] = { aHotKey, 0 };
+}
+
+void PlacementReport::Log(EventId aEvent, const std::string& aServer, RangeKey aKey, double aWork)
+{
+  mLog.Write(
+    aEvent, { { "service", mService }, { "server", aServer }, { "key", aKey }, { "work", aWork } });
+}
+
+} // namespace hawthornlug
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -45,6 +45,12 @@
 constexpr unsigned kTableMessagesPerSecond = 900;
 /// Timeout of the health check of a server that is to get its first keys.
 constexpr Duration kVettingTimeout = milliseconds(500);
+/// Keys that have moved are served slowly for some seconds if their handover is missing: they do
+/// not move again within this time without need.
+constexpr Duration kSettleTime = seconds(5);
+/// A release waits for the running requests, so for about a service time. One that takes longer
+/// than this shows that its server is slow to answer.
+constexpr Duration kUsualRelease = milliseconds(1000);
 /// Shortest interval between two requests for the range table.
 constexpr Duration kTableRequestInterval = milliseconds(300);
 
@@ -53,13 +59,16 @@
 RangeRunner::RangeRunner(std::string aService,
                          const GrantTiming& aTiming,
                          RangeServices aServices,
-                         std::function<void()> aChanged)
+                         std::function<void()> aChanged,
+                         const LoadFeatures& aFeatures)
   : mService(std::move(aService))
   , mTiming(aTiming)
   , mServices(aServices)
   , mOnRangesChanged(std::move(aChanged))
   , mGranter(aServices.mesh.Self(), aTiming)
+  , mPlansByCost(aFeatures.Has(LoadFeature::kPlacement))
   , mKeyLoad(kLoadHalfLife)
+  , mReport(mService, aServices.log, aServices.metrics)
   , mStartedAt(aServices.timers.Now())
   , mServersChangedAt(mStartedAt)
   , mLeaderSeenAt(mStartedAt)
@@ -380,33 +389,45 @@
   }
 }
 
-void RangeRunner::Plan(Instant aNow)
+std::set<std::string> RangeRunner::UnresponsiveOwners(Instant aNow) const
 {
-  mKeyLoad.Decay(aNow);
-  std::vector<PlannedServer> servers;
-  std::map<std::string, bool> unresponsive;
+  std::set<std::string> owners;
   for (const auto& [from, range] : mGranter.Ranges()) {
     if (mGranter.IsOwnerUnresponsive(range, aNow)) {
-      unresponsive[range.owned.owner.id] = true;
+      owners.insert(range.owned.owner.id);
     }
   }
+  return owners;
+}
+
+std::vector<PlannedServer> RangeRunner::ServersToPlan(const std::set<std::string>& aUnresponsive,
+                                                      Instant aNow) const
+{
+  std::vector<PlannedServer> servers;
   for (const ServerEntry& it : mServices.selector.ServersOf(mService)) {
     PlannedServer server;
     server.id = it.id;
+    server.slots = it.slots;
     server.capacity =
       it.slots / std::max(0.2, mServices.selector.RelativeServiceTimeOf(it.id, aNow));
-    server.open = mServices.selector.IsOpen(it.id) && !unresponsive.contains(it.id) &&
+    server.open = mServices.selector.IsOpen(it.id) && !aUnresponsive.contains(it.id) &&
                   !mServices.selector.IsFailing(it.id, aNow) &&
                   mVetting.MayOwn({ it.id, it.incarnation });
     servers.push_back(server);
   }
+  return servers;
+}
+
+std::vector<PlannedRange> RangeRunner::RangesToPlan(const std::set<std::string>& aUnresponsive,
+                                                    Instant aNow) const
+{
   std::vector<PlannedRange> ranges;
   for (const auto& [from, range] : mGranter.Ranges()) {
     PlannedRange it;
     it.keys = range.owned.keys;
     it.owner = range.owned.owner.id;
     it.moving = range.phase != RangePhase::kHeld;
-    const bool ownerOpen = mServices.selector.IsOpen(it.owner) && !unresponsive.contains(it.owner);
+    const bool ownerOpen = mServices.selector.IsOpen(it.owner) && !aUnresponsive.contains(it.owner);
     if (it.moving) {
       it.target = range.target;
       const bool writing = range.phase == RangePhase::kWriting;
@@ -414,13 +435,51 @@
     } else {
       it.mustMove = !ownerOpen;
     }
+    it.mustStay = mGranter.ShouldStay(range, aNow);
+    it.justMoved = aNow - range.movedAt < kSettleTime;
+    it.overdue = range.phase == RangePhase::kReleasing && aNow - range.phaseSince > kUsualRelease;
     ranges.push_back(std::move(it));
   }
+  return ranges;
+}
+
+void RangeRunner::Plan(Instant aNow)
+{
+  const std::set<std::string> unresponsive = UnresponsiveOwners(aNow);
+  const std::vector<PlannedServer> servers = ServersToPlan(unresponsive, aNow);
+  const std::vector<PlannedRange> ranges = RangesToPlan(unresponsive, aNow);
+  if (mPlansByCost) {
+    PlanByCost(ranges, servers, aNow);
+    return;
+  }
+  mKeyLoad.Decay(aNow);
   for (const RangeMove& it : PlanRanges(ranges, servers, mKeyLoad, {})) {
     mGranter.Move(it, aNow);
   }
 }
 
+void RangeRunner::PlanByCost(const std::vector<PlannedRange>& aRanges,
+                             const std::vector<PlannedServer>& aServers,
+                             Instant aNow)
+{
+  mKeyProfile.Decay(aNow);
+  const FleetPlan plan = PlanFleet(aRanges, aServers, mKeyProfile.Table(), {});
+  for (const FleetMove& it : plan.moves) {
+    mGranter.Move(it.move, aNow);
+    if (IsMoving(it.move)) {
+      mReport.OnMoveBegun(it.reason);
+    }
+  }
+  mReport.OnPlanned(plan);
+}
+
+bool RangeRunner::IsMoving(const RangeMove& aMove) const
+{
+  const auto it = mGranter.Ranges().find(aMove.keys.from);
+  return it != mGranter.Ranges().end() && it->second.owned.keys == aMove.keys &&
+         it->second.target == aMove.to;
+}
+
 void RangeRunner::Execute(const std::vector<GranterAction>& aActions)
 {
   for (const GranterAction& it : aActions) {
@@ -565,6 +624,15 @@
   mUnreportedWork[aKey] += aWork;
 }
 
+void RangeRunner::CountWork(RangeKey aKey, Duration aWork, Instant aNow)
+{
+  if (mPlansByCost) {
+    mKeyProfile.Add(aKey, aWork, aNow);
+  } else {
+    mKeyLoad.Add(aKey, aWork, aNow);
+  }
+}
+
 void RangeRunner::ReportWork(Instant aNow)
 {
   if (mUnreportedWork.empty() || aNow - mReportedAt < kReportInterval) {
@@ -575,7 +643,7 @@
   work.swap(mUnreportedWork);
   if (mGranter.IsLeader()) {
     for (const auto& [key, it] : work) {
-      mKeyLoad.Add(key, it, aNow);
+      CountWork(key, it, aNow);
     }
     return;
   }
@@ -600,7 +668,7 @@
     if (aWork.keys(n) > kLastKey) {
       continue;
     }
-    mKeyLoad.Add(aWork.keys(n), milliseconds(aWork.work_ms(n)), now);
+    CountWork(aWork.keys(n), milliseconds(aWork.work_ms(n)), now);
   }
 }
 
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -3,22 +3,28 @@
 /// keys), executes the leader's commands and distributes the range table to the other daemons.
 #pragma once
 
+#include "core/load_features.h"
 #include "core/metrics.h"
 #include "ownership/range_directory.h"
 #include "ownership/range_granter.h"
 #include "ownership/term_history.h"
+#include "placement/fleet_planner.h"
 #include "placement/key_load.h"
+#include "placement/key_profile.h"
 #include "placement/range_planner.h"
 #include "placement/server_vetting.h"
 #include "ports/backend_port.h"
 #include "ports/object_store.h"
 #include "routing/server_selector.h"
 #include "runtime/mesh.h"
+#include "runtime/placement_report.h"
 #include "runtime/server_notice_sink.h"
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace hawthornlug {
 
@@ -63,7 +69,8 @@
   RangeRunner(std::string aService,
               const GrantTiming& aTiming,
               RangeServices aServices,
-              std::function<void()> aChanged);
+              std::function<void()> aChanged,
+              const LoadFeatures& aFeatures = {});
 
   /// To be called every few milliseconds.
   void Tick(Instant aNow, const RangeDaemonState& aDaemon);
@@ -106,6 +113,20 @@
   bool ShouldYield(Instant aNow) const;
   void OnRecordListed(const StoreReading& aReading);
   void Plan(Instant aNow);
+  /// Plans with PlanFleet() and begins the moves.
+  void PlanByCost(const std::vector<PlannedRange>& aRanges,
+                  const std::vector<PlannedServer>& aServers,
+                  Instant aNow);
+  /// Whether exactly these keys are on their way to this target.
+  bool IsMoving(const RangeMove& aMove) const;
+  /// Servers with a range whose owner has left grants unanswered for long.
+  std::set<std::string> UnresponsiveOwners(Instant aNow) const;
+  std::vector<PlannedServer> ServersToPlan(const std::set<std::string>& aUnresponsive,
+                                           Instant aNow) const;
+  std::vector<PlannedRange> RangesToPlan(const std::set<std::string>& aUnresponsive,
+                                         Instant aNow) const;
+  /// Adds work to the measure that the planning uses.
+  void CountWork(RangeKey aKey, Duration aWork, Instant aNow);
   /// Watches the range record, as the leader: it must still name this daemon.
   void WatchRecord(Instant aNow);
   void OnRecordWatched(const StoreReading& aReading);
@@ -143,7 +164,12 @@
   RangeGranter mGranter;
   RangeDirectory mDirectory;
   TermHistory mTerms;
+  /// Moves are limited by what moving costs.
+  bool mPlansByCost = false;
+  /// Work by key; which of the two measures is kept depends on mPlansByCost.
   KeyLoad mKeyLoad;
+  KeyProfile mKeyProfile;
+  PlacementReport mReport;
   ServerVetting mVetting;
   /// Work of requests that has not been reported to the leader yet.
   std::map<RangeKey, Duration> mUnreportedWork;
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -397,17 +397,19 @@
     mSelector.SetServiceRule(rule);
     if (rule.keyed && !mRanges.contains(name)) {
       mRanges.emplace(name,
-                      std::make_unique<RangeRunner>(name,
-                                                    mSettings.grants,
-                                                    RangeServices{ mServices.store,
-                                                                   mServices.backends,
-                                                                   mMesh,
-                                                                   mSelector,
-                                                                   mNoticeRelay,
-                                                                   mServices.timers,
-                                                                   mServices.log,
-                                                                   mServices.metrics },
-                                                    [this] { mForwarder.Dispatch(); }));
+                      std::make_unique<RangeRunner>(
+                        name,
+                        mSettings.grants,
+                        RangeServices{ mServices.store,
+                                       mServices.backends,
+                                       mMesh,
+                                       mSelector,
+                                       mNoticeRelay,
+                                       mServices.timers,
+                                       mServices.log,
+                                       mServices.metrics },
+                        [this] { mForwarder.Dispatch(); },
+                        mSettings.features));
     }
   }
 }
--- a/tests/placement/range_planner_test.cpp
+++ b/tests/placement/range_planner_test.cpp
@@ -4,6 +4,8 @@
 
 #include "placement/range_planner.h"
 
+#include "placement/fleet_planner.h"
+
 #include <catch2/catch.hpp>
 #include <map>
 
@@ -35,6 +37,33 @@
   return ranges;
 }
 
+/// Returns the moves that PlanFleet() plans, in the form of PlanRanges().
+std::vector<RangeMove> PlanByCost(const std::vector<PlannedRange>& aRanges,
+                                  const std::vector<PlannedServer>& aServers,
+                                  const KeyLoad& aLoad)
+{
+  std::vector<double> work;
+  for (RangeKey key = 0; key <= kLastKey; ++key) {
+    work.push_back(aLoad.WorkIn({ key, key }));
+  }
+  std::vector<RangeMove> moves;
+  for (const FleetMove& it : PlanFleet(aRanges, aServers, { work, work }, {}).moves) {
+    moves.push_back(it.move);
+  }
+  return moves;
+}
+
+using Planner = std::vector<RangeMove> (*)(const std::vector<PlannedRange>&,
+                                           const std::vector<PlannedServer>&,
+                                           const KeyLoad&);
+
+std::vector<RangeMove> PlanByNumber(const std::vector<PlannedRange>& aRanges,
+                                    const std::vector<PlannedServer>& aServers,
+                                    const KeyLoad& aLoad)
+{
+  return PlanRanges(aRanges, aServers, aLoad, {});
+}
+
 /// Changes the ranges as if all moves were complete.
 void ApplyMoves(std::vector<PlannedRange>& aRanges, const std::vector<RangeMove>& aMoves)
 {
@@ -110,6 +139,7 @@
 
 TEST_CASE("adjacent hot keys are split and spread over servers", "[placement]")
 {
+  const Planner plan = GENERATE(&PlanByNumber, &PlanByCost);
   const unsigned keys = GENERATE(2u, 60u, 200u);
   KeyLoad load(seconds(2));
   load.Decay(kStart);
@@ -119,7 +149,7 @@
   std::vector<PlannedRange> ranges = EqualRanges(15);
   const double before = HighestWork(WorkByServer(ranges, load));
   for (unsigned n = 0; n < 10; ++n) {
-    ApplyMoves(ranges, PlanRanges(ranges, Servers(15), load, {}));
+    ApplyMoves(ranges, plan(ranges, Servers(15), load));
   }
   const double after = HighestWork(WorkByServer(ranges, load));
   INFO(before << " -> " << after);
@@ -129,10 +159,11 @@
 
 TEST_CASE("a single hot key is not moved if that only moves the overload", "[placement]")
 {
+  const Planner plan = GENERATE(&PlanByNumber, &PlanByCost);
   KeyLoad load(seconds(2));
   load.Decay(kStart);
   load.Add(20000, seconds(30), kStart);
-  const std::vector<RangeMove> moves = PlanRanges(EqualRanges(15), Servers(15), load, {});
+  const std::vector<RangeMove> moves = plan(EqualRanges(15), Servers(15), load);
   for (const RangeMove& it : moves) {
     CHECK_FALSE(it.keys.Contains(20000));
   }
@@ -140,16 +171,18 @@
 
 TEST_CASE("a balanced load causes no moves", "[placement]")
 {
+  const Planner plan = GENERATE(&PlanByNumber, &PlanByCost);
   KeyLoad load(seconds(2));
   load.Decay(kStart);
   for (unsigned n = 0; n < 1500; ++n) {
     load.Add(n * 43, milliseconds(60), kStart);
   }
-  CHECK(PlanRanges(EqualRanges(15), Servers(15), load, {}).empty());
+  CHECK(plan(EqualRanges(15), Servers(15), load).empty());
 }
 
 TEST_CASE("a server that must lose its keys loses all of them in one plan", "[placement]")
 {
+  const Planner plan = GENERATE(&PlanByNumber, &PlanByCost);
   KeyLoad load(seconds(2));
   load.Decay(kStart);
   for (unsigned n = 0; n < 1500; ++n) {
@@ -161,7 +194,7 @@
     ranges[n].mustMove = true;
     servers[n].open = false;
   }
-  ApplyMoves(ranges, PlanRanges(ranges, servers, load, {}));
+  ApplyMoves(ranges, plan(ranges, servers, load));
   const auto work = WorkByServer(ranges, load);
   for (const char* const it : { "s3", "s4", "s5" }) {
     CHECK(work.count(it) == 0);
@@ -171,12 +204,13 @@
 
 TEST_CASE("servers that join get keys, also without load", "[placement]")
 {
+  const Planner plan = GENERATE(&PlanByNumber, &PlanByCost);
   KeyLoad load(seconds(2));
   load.Decay(kStart);
   std::vector<PlannedRange> ranges = EqualRanges(12);
   const std::vector<PlannedServer> servers = Servers(15);
   for (unsigned n = 0; n < 3; ++n) {
-    ApplyMoves(ranges, PlanRanges(ranges, servers, load, {}));
+    ApplyMoves(ranges, plan(ranges, servers, load));
   }
   std::map<std::string, unsigned> ownedKeys;
   for (const PlannedRange& it : ranges) {
@@ -187,10 +221,11 @@
 
 TEST_CASE("nothing is planned if no server may be assigned keys", "[placement]")
 {
+  const Planner plan = GENERATE(&PlanByNumber, &PlanByCost);
   KeyLoad load(seconds(2));
   std::vector<PlannedRange> ranges = EqualRanges(2);
   ranges[0].mustMove = true;
   std::vector<PlannedServer> servers = Servers(2);
   servers[0].open = servers[1].open = false;
-  CHECK(PlanRanges(ranges, servers, load, {}).empty());
+  CHECK(plan(ranges, servers, load).empty());
 }
