Placement: ranges that have cooled down are joined, and the cost of a plan is measured

A hot stretch leaves some 200 more ranges behind; each costs a renewal a second, and the record has to stay below 256 KB. With the feature 'placement': - While there are more than 3 ranges a server (or 2,000), PlanFleet() moves ranges with little work to the owner of a neighbour, within a fifth of what may be in motion. It splits no range for balance above 4,000. - The granter gives neighbours of a moved range that have the same owner the same token in the same write, so that they merge. Their owner does not change; the expiry of grants with the earlier token stays noted. Renamed ServerWork, which had the name of another struct in placement/planner.h.

--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -4,6 +4,8 @@
 #include "config/stored_config.h"
 #include "membership/membership.h"
 #include "ownership/cell_machine.h"
+#include "placement/fleet_planner.h"
+#include "placement/key_profile.h"
 #include "placement/planner.h"
 #include "routing/shard_routing_table.h"
 #include "runtime/wire_codec.h"
@@ -52,6 +54,52 @@
 }
 BENCHMARK(PlannerRound)->Args({ 218, 4 })->Args({ 16384, 1000 })->Unit(benchmark::kMicrosecond);
 
+/// A plan of the ranges of a keyed service, with the measure that it needs: 60,000 keys with work,
+/// of which 200 neighbouring ones have just become busy.
+void FleetPlanRound(benchmark::State& aState)
+{
+  const auto serverCount = static_cast<std::size_t>(aState.range(0));
+  const auto rangeCount = static_cast<std::size_t>(aState.range(1));
+  std::vector<PlannedServer> servers;
+  for (std::size_t n = 0; n < serverCount; ++n) {
+    servers.push_back({ "bookings-" + std::to_string(n), 4.0, true, 4 });
+  }
+  std::vector<PlannedRange> ranges;
+  for (std::size_t n = 0; n < rangeCount; ++n) {
+    PlannedRange range;
+    range.keys = { static_cast<RangeKey>(65536 * n / rangeCount),
+                   static_cast<RangeKey>(65536 * (n + 1) / rangeCount - 1) };
+    range.owner = servers[n % serverCount].id;
+    ranges.push_back(range);
+  }
+  KeyProfile profile;
+  Instant now{ seconds(100) };
+  const auto addWork = [&](RangeKey aFrom, RangeKey aTo, double aSeconds) {
+    for (RangeKey key = aFrom; key <= aTo; ++key) {
+      profile.Add(key, FromSeconds(aSeconds / (aTo - aFrom + 1)), now);
+    }
+  };
+  const double perSecond = 1.5 * static_cast<double>(serverCount);
+  for (int n = 0; n < 40; ++n) {
+    addWork(0, 60000, perSecond / 4);
+    now += milliseconds(250);
+    profile.Decay(now);
+  }
+  addWork(20000, 20200, perSecond / 8);
+  std::size_t moves = 0;
+  for (auto it : aState) {
+    // The time stands still, so that each round finds the same load.
+    profile.Decay(now);
+    moves = PlanFleet(ranges, servers, profile.Table(), {}).moves.size();
+  }
+  aState.counters["moves"] = static_cast<double>(moves);
+}
+BENCHMARK(FleetPlanRound)
+  ->Args({ 226, 700 })
+  ->Args({ 1000, 3000 })
+  ->Args({ 1000, 4000 })
+  ->Unit(benchmark::kMillisecond);
+
 void CellEncode(benchmark::State& aState)
 {
   const CellObject cell = MakeCell(static_cast<std::size_t>(aState.range(0)), 4);
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -391,6 +391,9 @@
     if (!changes) {
       return;
     }
+    if (mJoinsNeighbours) {
+      ShareTokens(record);
+    }
     record.writeNumber = ++mWriteNumber;
     mPendingWrite = std::move(record);
     mWriteSent = false;
@@ -404,6 +407,42 @@
   aActions.emplace_back(WriteRecord{ mRevision, EncodeRangeRecord(*mPendingWrite) });
 }
 
+void RangeGranter::ShareTokens(RangeRecord& aRecord) const
+{
+  const FencingToken token = mRevision + 1;
+  const auto share = [&](const OwnedRange& aMoved, OwnedRange& aNeighbour) {
+    const auto range = mRanges.find(aNeighbour.keys.from);
+    if (aMoved.token == token && aMoved.owner == aNeighbour.owner &&
+        range->second.phase == RangePhase::kHeld && range->second.tokenAccepted) {
+      aNeighbour.token = token;
+    }
+  };
+  // From both sides, so that a whole row of neighbours joins.
+  std::vector<OwnedRange>& ranges = aRecord.ranges;
+  for (std::size_t n = 1; n < ranges.size(); ++n) {
+    share(ranges[n - 1], ranges[n]);
+  }
+  for (std::size_t n = ranges.size(); n > 1; --n) {
+    share(ranges[n - 1], ranges[n - 2]);
+  }
+}
+
+void RangeGranter::RaiseToken(Range& aRange, FencingToken aToken, Instant aNow)
+{
+  // Grants with the earlier token count on: their expiry stays noted, and results that are still to
+  // come will not be counted any more.
+  if (aRange.pendingGrants > 0) {
+    aRange.unansweredExpireAt = aNow + mTiming.grantTimeout + MaxGrantLifetime();
+    aRange.grantsExpireAt = std::max(aRange.grantsExpireAt, aRange.unansweredExpireAt);
+    aRange.pendingGrants = 0;
+  }
+  aRange.owned.token = aToken;
+  aRange.tokenAccepted = false;
+  aRange.presumedServing = true;
+  aRange.handover.clear();
+  aRange.renewAt = aNow;
+}
+
 std::vector<GranterAction> RangeGranter::Tick(Instant aNow)
 {
   std::vector<GranterAction> actions;
@@ -520,10 +559,17 @@
   }
   for (const OwnedRange& it : mRecord.ranges) {
     const auto found = mRanges.find(it.keys.from);
-    if (found == mRanges.end() || found->second.phase != RangePhase::kWriting) {
+    if (found == mRanges.end()) {
       continue;
     }
     Range& range = found->second;
+    const bool isSame = range.owned.keys == it.keys && range.owned.owner == it.owner;
+    if (range.phase == RangePhase::kHeld && isSame && range.owned.token < it.token) {
+      RaiseToken(range, it.token, aNow);
+    }
+    if (range.phase != RangePhase::kWriting) {
+      continue;
+    }
     AddEvent({ GranterEvent::Type::kMoved,
                range.owned.keys,
                range.owned.owner.id,
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -141,6 +141,10 @@
 public:
   RangeGranter(DaemonRef aSelf, GrantTiming aTiming);
 
+  /// Whether a range that gets a new owner shares its token with the neighbouring ranges of that
+  /// owner, so that they become one range. The neighbours' owner does not change. Off by default.
+  void SetJoinsNeighbours(bool aJoins) { mJoinsNeighbours = aJoins; }
+
   /// Starts a takeover: an attempt to become leader.
   /// @p aCurrent: the stored record, if there is one.
   /// @p aOwners: servers among which all keys are divided if there is no record.
@@ -298,6 +302,11 @@
   void SendGrant(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   /// Puts new owners of released ranges into a write, and sends or repeats the pending write.
   void PlanWrite(Instant aNow, std::vector<GranterAction>& aActions);
+  /// Gives the held neighbours of the ranges whose owner changes in @p aRecord the same token, if
+  /// they have the same owner.
+  void ShareTokens(RangeRecord& aRecord) const;
+  /// Continues a held range, whose owner stays the same, with a higher token from the store.
+  void RaiseToken(Range& aRange, FencingToken aToken, Instant aNow);
   /// Makes the pending write, which is in the store as @p aRevision, the current record.
   void Commit(Version aRevision, Instant aNow);
   void CommitTakeover(Instant aNow);
@@ -314,6 +323,7 @@
 
   DaemonRef mSelf;
   GrantTiming mTiming;
+  bool mJoinsNeighbours = false;
   State mState = State::kIdle;
   RangeRecord mRecord;
   Version mRevision = 0;
--- a/placement/fleet_planner.cpp
+++ b/placement/fleet_planner.cpp
@@ -4,6 +4,7 @@
 #include "placement/move_budget.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <unordered_map>
 
@@ -15,6 +16,14 @@
 constexpr double kBaseWorkPerKey = 1e-6;
 /// Pieces with less work than this share of a server's fair share are not worth a move.
 constexpr double kMinPiece = 0.12;
+/// Ranges with at most this share of a server's fair share may be moved to join a neighbour.
+constexpr double kMaxJoinPiece = 0.12;
+/// Each plan joins one of this many surplus ranges. With four plans a second, two thirds of the
+/// surplus are joined within ten seconds.
+constexpr double kSurplusPerJoin = 40.0;
+/// Share of the work that may be in motion up to which moves that join ranges are added: the rest
+/// is kept for balance.
+constexpr double kJoinBudget = 0.2;
 /// Lower limit of a capacity, which is a divisor.
 constexpr double kMinCapacity = 0.05;
 /// A server that sheds work keeps this multiple of its fair share, or of the work of its busiest
@@ -68,6 +77,7 @@
       PlanRequiredMoves();
       AssignToEmptyServers();
       PlanBalancingMoves();
+      PlanJoins();
       ListHotKeys();
     }
     mPlan.totalWork = MeasuredIn({ 0, kLastKey });
@@ -139,7 +149,7 @@
   {
     const RangeKey key = mWork.BusiestIn(aKeys);
     const double work = mWork.WorkIn({ key, key });
-    ServerLoad& load = mServers[aServer];
+    ServerWork& load = mServers[aServer];
     if (work > load.busiestWork) {
       load.busiestKey = key;
       load.busiestWork = work;
@@ -329,7 +339,7 @@
   /// Returns the parts of a server's ranges that may leave it.
   std::vector<KeyRange> MovableParts(Server aServer) const
   {
-    const ServerLoad& load = mServers[aServer];
+    const ServerWork& load = mServers[aServer];
     std::vector<KeyRange> parts;
     for (const PlannedRange* it : mHeld[aServer]) {
       const bool isUsed = std::find(mUsed.begin(), mUsed.end(), it) != mUsed.end();
@@ -353,7 +363,7 @@
   /// Work that should leave a server.
   double ExcessOf(Server aServer) const
   {
-    const ServerLoad& load = mServers[aServer];
+    const ServerWork& load = mServers[aServer];
     if (IsTooHot(aServer)) {
       return load.work - load.busiestWork;
     }
@@ -440,6 +450,53 @@
     return after <= mMean * kTargetLimit || after <= mServers[aSource].Utilisation() * kWorthwhile;
   }
 
+  /// Moves ranges with little work to the owner of a neighbouring range, while there are many.
+  void PlanJoins()
+  {
+    const double limit =
+      std::min(mLimits.joinAbove * static_cast<double>(mServers.size()), mLimits.maxRanges / 2.0);
+    const double surplus = static_cast<double>(mRangeCount) - limit;
+    if (surplus <= 0.0) {
+      return;
+    }
+    auto joins = static_cast<std::size_t>(std::ceil(surplus / kSurplusPerJoin));
+    for (std::size_t n = 1; n < mRanges.size() && joins > 0; ++n) {
+      const PlannedRange& left = mRanges[n - 1];
+      const PlannedRange& right = mRanges[n];
+      if (Join(left, right) || Join(right, left)) {
+        --joins;
+        ++n;
+      }
+    }
+  }
+
+  /// Whether moves of this plan leave the range where and as it is.
+  bool IsSettled(const PlannedRange& aRange) const
+  {
+    const std::optional<Server> owner = Find(aRange.owner);
+    return owner && !aRange.moving && !aRange.mustMove && !aRange.mustStay && !mHasShed[*owner] &&
+           std::find(mUsed.begin(), mUsed.end(), &aRange) == mUsed.end();
+  }
+
+  /// Moves a range with little work to the owner of its neighbour, unless that would make another
+  /// move for balance necessary. Returns whether it moves.
+  bool Join(const PlannedRange& aRange, const PlannedRange& aNeighbour)
+  {
+    if (!IsSettled(aRange) || !IsSettled(aNeighbour) || aRange.justMoved) {
+      return false;
+    }
+    const Server from = *Find(aRange.owner);
+    const Server to = *Find(aNeighbour.owner);
+    const bool isLight = WorkOf(aRange.keys) <= kMaxJoinPiece * FairShareOf(to);
+    if (from == to || !isLight || mHeld[from].size() < 2 || IsTooHot(to) ||
+        IsTooMuch(to, aRange.keys) || !mBudget.HasIntake(to) ||
+        !mBudget.Allows(MeasuredIn(aRange.keys) + (1.0 - kJoinBudget) * MaxWorkInMotion())) {
+      return false;
+    }
+    AddBalancingMove(aRange.keys, from, to, FleetMoveReason::kJoin);
+    return true;
+  }
+
   void ListHotKeys()
   {
     for (Server n = 0; n < mServers.size(); ++n) {
@@ -453,7 +510,7 @@
   const WorkTable& mWork;
   const FleetPlanLimits& mLimits;
   /// The servers that keys may be moved to.
-  std::vector<ServerLoad> mServers;
+  std::vector<ServerWork> mServers;
   std::vector<std::string> mIds;
   std::unordered_map<std::string, Server> mIndexOf;
   /// For each server, its ranges that may be moved for balance.
--- a/placement/fleet_planner.h
+++ b/placement/fleet_planner.h
@@ -19,11 +19,13 @@
   kEmptyServer, ///< The target has no keys yet.
   kHotKey,      ///< Its owner has a key that is too hot for one server.
   kBalance,     ///< Its owner has more than its share of the work.
+  kJoin,        ///< It has little work, and becomes one range with its neighbour.
 };
-inline constexpr EnumNames<4> kFleetMoveReasonNames = { "owner-lost",
+inline constexpr EnumNames<5> kFleetMoveReasonNames = { "owner-lost",
                                                         "empty-server",
                                                         "hot-key",
-                                                        "balance" };
+                                                        "balance",
+                                                        "join" };
 
 /// Limits and thresholds of PlanFleet().
 struct FleetPlanLimits
@@ -39,6 +41,9 @@
   /// No range is split for balance if there are this many. A range takes up to 60 bytes in the
   /// record, which stays below 256 KB.
   unsigned maxRanges = 4000;
+  /// Ranges with little work are joined to their neighbours while there are more ranges than this
+  /// multiple of the servers, or than half of maxRanges.
+  double joinAbove = 3.0;
 };
 
 /// A move and its reason.
@@ -70,7 +75,7 @@
 };
 
 /// Plans moves in this order: ranges that must move, then keys for servers that have none, then
-/// moves for balance off the busiest servers.
+/// moves for balance off the busiest servers, then moves that join ranges.
 ///
 /// The busiest key of a server stays where it is if it alone has more than the server's share of
 /// the work: another server could do no more for it, and its requests would wait during the move.
--- a/placement/hot_keys.cpp
+++ b/placement/hot_keys.cpp
@@ -4,21 +4,21 @@
 
 namespace hawthornlug {
 
-double BalancedUtilisation(const std::vector<ServerLoad>& aServers)
+double BalancedUtilisation(const std::vector<ServerWork>& aServers)
 {
   double work = 0.0;
   double capacity = 0.0;
-  std::vector<const ServerLoad*> byBusiest;
-  for (const ServerLoad& it : aServers) {
+  std::vector<const ServerWork*> byBusiest;
+  for (const ServerWork& it : aServers) {
     work += it.work;
     capacity += it.capacity;
     byBusiest.push_back(&it);
   }
   std::sort(
-    byBusiest.begin(), byBusiest.end(), [](const ServerLoad* aLeft, const ServerLoad* aRight) {
+    byBusiest.begin(), byBusiest.end(), [](const ServerWork* aLeft, const ServerWork* aRight) {
       return aLeft->BusiestUtilisation() > aRight->BusiestUtilisation();
     });
-  for (const ServerLoad* it : byBusiest) {
+  for (const ServerWork* it : byBusiest) {
     const bool isLast = capacity <= it->capacity * 1.001;
     if (isLast || it->BusiestUtilisation() * capacity <= work) {
       break;
--- a/placement/hot_keys.h
+++ b/placement/hot_keys.h
@@ -10,7 +10,7 @@
 namespace hawthornlug {
 
 /// What one server can do and has to do, in seconds of server time per second.
-struct ServerLoad
+struct ServerWork
 {
   double capacity = 1.0;
   double work = 0.0;
@@ -29,6 +29,6 @@
 
 /// Returns the mean utilisation of the servers that can be balanced: without those whose busiest
 /// key alone has more than that.
-double BalancedUtilisation(const std::vector<ServerLoad>& aServers);
+double BalancedUtilisation(const std::vector<ServerWork>& aServers);
 
 } // namespace hawthornlug
--- a/placement/key_profile.cpp
+++ b/placement/key_profile.cpp
@@ -162,8 +162,12 @@
 void KeyProfile::FindChanges()
 {
   for (std::size_t n = 0; n < mStretches.size(); ++n) {
-    const bool isNew = NoteChange(n, kClearFactor, kChanceSamples);
-    if (isNew && mStretches[n].change == Change::kRisen) {
+    NoteChange(n, kClearFactor, kChanceSamples);
+  }
+  // The ends of a run may show only later that they have risen, too.
+  for (std::size_t n = 0; n < mStretches.size(); ++n) {
+    const Stretch& stretch = mStretches[n];
+    if (stretch.change == Change::kRisen && mDecayedAt - stretch.changedAt < kChangeInterval) {
       SpreadRise(n);
     }
   }
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -73,6 +73,7 @@
   , mServersChangedAt(mStartedAt)
   , mLeaderSeenAt(mStartedAt)
 {
+  mGranter.SetJoinsNeighbours(mPlansByCost);
 }
 
 void RangeRunner::Tick(Instant aNow, const RangeDaemonState& aDaemon)
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -193,6 +193,54 @@
   CHECK(ContainsLine(fixture.commands, "grant b 100-200 token 11"));
 }
 
+// Guards against a record that keeps a range for each move that there ever was.
+TEST_CASE("a moved range becomes one range with its new owner's neighbours if that is asked for",
+          "[ownership][ranges]")
+{
+  const bool joins = GENERATE(true, false);
+  GranterFixture fixture;
+  fixture.granter.SetJoinsNeighbours(joins);
+  fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
+  fixture.Advance(seconds(1));
+  fixture.granter.Move({ { 32000, 32767 }, "b" }, fixture.now);
+  REQUIRE(fixture.AdvanceUntilOwned(32100, "b", seconds(1)));
+  CHECK(fixture.ServingOwnerOf(40000) == "b");
+  fixture.Advance(seconds(3));
+  CHECK(fixture.granter.Ranges().size() == (joins ? 2 : 3));
+  CHECK(ContainsLine(fixture.commands, "grant b 32000-65535 token 11") == joins);
+  CHECK(fixture.OwnerOf(40000) == "b");
+  CHECK(fixture.ServingOwnerOf(40000) == "b");
+  CHECK(ContainsLine(fixture.commands, "release a 32000-32767 token 1"));
+
+  // The joined range moves like any other.
+  fixture.granter.Move({ { 32500, 50000 }, "a" }, fixture.now);
+  CHECK(fixture.AdvanceUntilOwned(40000, "a", seconds(1)).has_value() == joins);
+}
+
+// Guards against an owner change while a grant with the earlier token may still be applied.
+TEST_CASE("a grant that is pending while its range gets a higher token counts until it has expired",
+          "[ownership][ranges]")
+{
+  GranterFixture fixture;
+  fixture.granter.SetJoinsNeighbours(true);
+  fixture.granter.TakeOver(std::nullopt, { "a", "b" }, fixture.now);
+  fixture.Advance(seconds(1));
+  fixture.pendingServers = { "b" };
+  while (fixture.pending.empty()) {
+    fixture.Advance(kStep);
+  }
+  fixture.granter.Move({ { 32000, 32767 }, "b" }, fixture.now);
+  REQUIRE(fixture.AdvanceUntilOwned(32100, "b", seconds(1)));
+  const Instant raisedAt = fixture.now;
+  fixture.granter.OnGranted(fixture.pending.front(), CommandResult::kNoAnswer, fixture.now);
+  fixture.pendingServers.clear();
+  fixture.results["b"] = CommandResult::kNoAnswer;
+  fixture.Advance(seconds(2));
+  fixture.granter.Move({ { 32768, kLastKey }, "a" }, fixture.now);
+  REQUIRE(fixture.AdvanceUntilOwned(40000, "a", seconds(30)));
+  CHECK(fixture.now - raisedAt >= fixture.timing.hold);
+}
+
 TEST_CASE("keys stay with an owner that serves them while a grant to it is unanswered",
           "[ownership][ranges]")
 {
--- a/tests/ownership/range_schedules.cpp
+++ b/tests/ownership/range_schedules.cpp
@@ -35,7 +35,10 @@
   std::uint64_t takeovers = 0;
   std::uint64_t heldBuckets = 0;
   for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
-    RangeSimulation simulation(seed, {});
+    RangeFaults faults;
+    // Each seed runs in one of the two modes of the granter.
+    faults.joinsNeighbours = seed % 2 == 1;
+    RangeSimulation simulation(seed, faults);
     const std::string violation = simulation.Run();
     moves += simulation.Moves();
     takeovers += simulation.Takeovers();
--- a/tests/placement/fleet_planner_test.cpp
+++ b/tests/placement/fleet_planner_test.cpp
@@ -135,3 +135,41 @@
   CHECK(time <= seconds(5));
   CHECK(fleet.peakInMotion <= 0.1);
 }
+
+// Guards against a record that grows with each hot stretch until no range can be split any more.
+TEST_CASE("the pieces of stretches that have cooled down are joined again", "[placement]")
+{
+  PlacementSimulation fleet = SettledFleet(226, 1);
+  std::size_t most = 0;
+  for (unsigned n = 0; n < 8; ++n) {
+    fleet.SetHot({ 3000 + 7000 * n, 200, 0.4 });
+    const Duration time = fleet.RunUntilBalanced(seconds(5));
+    CHECK(time <= seconds(2));
+    fleet.Run(seconds(5) - time);
+    INFO(n << ": " << Millis(time));
+    fleet.SetHot({});
+    fleet.Run(seconds(5));
+    most = std::max(most, fleet.RangeCount());
+  }
+  fleet.Run(seconds(30));
+  INFO("most " << most << ", in the end " << fleet.RangeCount() << ", moves " << fleet.moves
+               << ", joins " << fleet.joins << ", repeated " << fleet.repeatedMoves);
+  CHECK(most <= 6 * 226);
+  CHECK(fleet.RangeCount() <= 4 * 226);
+  CHECK(fleet.WorstRatio() <= 1.5);
+  CHECK(fleet.peakInMotion <= 0.1);
+}
+
+TEST_CASE("a record with the largest number of ranges stays below 256 KB", "[placement]")
+{
+  RangeRecord record;
+  record.leader = { "edge-bucharest-north-12", 1796552339128 };
+  const RangeKey ranges = FleetPlanLimits().maxRanges;
+  for (RangeKey n = 0; n < ranges; ++n) {
+    const RangeKey next = static_cast<RangeKey>(65536ULL * (n + 1) / ranges);
+    record.ranges.push_back({ { static_cast<RangeKey>(65536ULL * n / ranges), next - 1 },
+                              { "i-4d3706814f", 1796552339128 },
+                              1234567890 });
+  }
+  CHECK(EncodeRangeRecord(record).size() < 256 * 1024);
+}
--- a/tests/support/placement_simulation.cpp
+++ b/tests/support/placement_simulation.cpp
@@ -133,7 +133,25 @@
   }
 }
 
-void PlacementSimulation::Begin(const RangeMove& aMove)
+void PlacementSimulation::JoinRanges()
+{
+  for (auto it = mRanges.begin(); it != mRanges.end();) {
+    const auto next = std::next(it);
+    if (next == mRanges.end()) {
+      return;
+    }
+    if (it->second.moving || next->second.moving || it->second.owner != next->second.owner) {
+      it = next;
+      continue;
+    }
+    it->second.keys.to = next->second.keys.to;
+    mMoves[it->first].movedAt = std::max(mMoves[it->first].movedAt, mMoves[next->first].movedAt);
+    mMoves.erase(next->first);
+    mRanges.erase(next);
+  }
+}
+
+void PlacementSimulation::Begin(const RangeMove& aMove, FleetMoveReason aReason)
 {
   const auto it = std::prev(mRanges.upper_bound(aMove.keys.from));
   const PlannedRange whole = it->second;
@@ -161,7 +179,7 @@
   Move& move = mMoves[aMove.keys.from];
   move.doneAt = (silent ? mSilentUntil : mNow) + kMoveTime;
   move.begunAt = mNow;
-  ++moves;
+  ++(aReason == FleetMoveReason::kJoin ? joins : moves);
   repeatedMoves += mNow - history.movedAt < kSettleTime ? 1 : 0;
   for (RangeKey key = aMove.keys.from; key <= aMove.keys.to; ++key) {
     if (TrueWorkIn({ key, key }) > 4.0) {
@@ -182,6 +200,7 @@
 void PlacementSimulation::Plan()
 {
   mPlannedAt = mNow;
+  JoinRanges();
   mProfile.Decay(mNow);
   std::vector<PlannedRange> ranges;
   for (auto& [from, range] : mRanges) {
@@ -192,7 +211,7 @@
   }
   lastPlan = PlanFleet(ranges, mServers, mProfile.Table(), {});
   for (const FleetMove& it : lastPlan.moves) {
-    Begin(it.move);
+    Begin(it.move, it.reason);
   }
   if (!lastPlan.moves.empty()) {
     peakInMotion = std::max(peakInMotion, lastPlan.workInMotion / lastPlan.totalWork);
@@ -231,12 +250,12 @@
 
 double PlacementSimulation::WorstRatio() const
 {
-  std::map<std::string, ServerLoad> loads;
+  std::map<std::string, ServerWork> loads;
   for (const PlannedServer& it : mServers) {
     loads[it.id].capacity = it.capacity;
   }
   for (const auto& [from, range] : mRanges) {
-    ServerLoad& load = loads[range.owner];
+    ServerWork& load = loads[range.owner];
     load.work += TrueWorkIn(range.keys);
     for (RangeKey key = range.keys.from; key <= range.keys.to; ++key) {
       load.busiestWork = std::max(load.busiestWork, TrueWorkIn({ key, key }));
--- a/tests/support/placement_simulation.h
+++ b/tests/support/placement_simulation.h
@@ -58,6 +58,8 @@
 
   /// Number of moves begun since the start, or since it was set to 0.
   unsigned moves = 0;
+  /// Moves that join ranges are counted apart.
+  unsigned joins = 0;
   /// Moves of keys that had moved less than 5 s before.
   unsigned repeatedMoves = 0;
   /// Highest share of the measured work that was in motion when a plan had begun moves.
@@ -81,8 +83,10 @@
   unsigned ChooseObject();
   void SendReports();
   void FinishMoves();
+  /// Joins neighbouring ranges with the same owner, as the granter does.
+  void JoinRanges();
   void Plan();
-  void Begin(const RangeMove& aMove);
+  void Begin(const RangeMove& aMove, FleetMoveReason aReason);
   double TrueWorkIn(const KeyRange& aKeys) const;
   void UpdateTrueWork();
   double TrueInMotion() const;
--- a/tests/support/range_simulation.cpp
+++ b/tests/support/range_simulation.cpp
@@ -43,6 +43,7 @@
     Daemon daemon;
     daemon.ref = { "d" + std::to_string(n), 1 };
     daemon.granter = std::make_unique<RangeGranter>(daemon.ref, DefaultTiming());
+    daemon.granter->SetJoinsNeighbours(mFaults.joinsNeighbours);
     mDaemons.push_back(std::move(daemon));
   }
 }
@@ -482,6 +483,7 @@
   Daemon& daemon = mDaemons[aDaemon];
   ++daemon.ref.incarnation;
   daemon.granter = std::make_unique<RangeGranter>(daemon.ref, DefaultTiming());
+  daemon.granter->SetJoinsNeighbours(mFaults.joinsNeighbours);
   daemon.readingRecord = false;
   daemon.terms = TermHistory();
   AppendLine("restart " + daemon.ref.id);
--- a/tests/support/range_simulation.h
+++ b/tests/support/range_simulation.h
@@ -38,6 +38,8 @@
   Duration maxRegistryLag = milliseconds(2500);
   /// Longest time for which a daemon is frozen by a random disruption.
   Duration longestFreeze = seconds(25);
+  /// Ranges share their tokens with neighbours of the same owner.
+  bool joinsNeighbours = false;
   /// Simulated time of the whole run.
   Duration duration = seconds(90);
 };
