--- a/tests/runtime/range_runner_test.cpp
+++ b/tests/runtime/range_runner_test.cpp
@@ -306,3 +306,69 @@
   work.add_work_ms(4294967295U);
   runner.OnKeyWorkReport(work);
 }
+
+// Guards against a feature that is switched on and not used: the planner of the daemon, its moves
+// and its metrics are checked together.
+TEST_CASE("a key that is too hot stays at its server, and the others leave",
+          "[runtime][ranges][placement]")
+{
+  MeshSimulation simulation(1);
+  simulation.Run(seconds(2));
+  MemoryStore store;
+  WillingBackends backends;
+  Metrics metrics;
+  IgnoredNotices notices;
+  ServerSelector selector("north");
+  ServiceRule rule;
+  rule.name = "s";
+  rule.keyed = true;
+  selector.SetServiceRule(rule);
+  ServerEntry entry;
+  entry.service = "s";
+  entry.slots = 4;
+  entry.domain = "north";
+  for (unsigned n = 0; n < 20; ++n) {
+    entry.id = "server-" + std::to_string(n);
+    selector.Put(entry, simulation.timers.now);
+  }
+  LoadFeatures features;
+  features.Set(LoadFeature::kPlacement, true);
+  RangeRunner runner(
+    "s",
+    GrantTiming(),
+    { store,
+      backends,
+      simulation.nodes[0]->mesh,
+      selector,
+      notices,
+      simulation.timers,
+      simulation.log,
+      metrics },
+    [] {},
+    features);
+  const RangeKey hot = 30000;
+  const auto run = [&](Duration aTime, Duration aHotWork) {
+    for (const Instant end = simulation.timers.now + aTime; simulation.timers.now < end;) {
+      runner.AddWork(hot, aHotWork);
+      for (RangeKey key = 0; key < kLastKey; key += 1000) {
+        runner.AddWork(key, milliseconds(5));
+      }
+      runner.Tick(simulation.timers.now, { Duration::zero(), false, true });
+      backends.Deliver();
+      store.Deliver();
+      simulation.Run(kMeshTick);
+    }
+  };
+  run(seconds(15), Duration::zero());
+  REQUIRE(runner.IsLeader());
+  const std::string owner = runner.Find(hot)->server;
+  run(seconds(3), seconds(1));
+  for (const DirectoryRange& it : runner.Directory().AsSnapshot().ranges) {
+    INFO(it.keys.from << "-" << it.keys.to << " " << it.server);
+    CHECK((it.server == owner) == (it.keys == KeyRange{ hot, hot }));
+  }
+  const std::string text = metrics.Text();
+  CHECK(text.find("placement_moves_total{service=\"s\",reason=\"hot-key\"}") != std::string::npos);
+  CHECK(text.find("placement_work_in_motion{service=\"s\"}") != std::string::npos);
+  CHECK(text.find("placement_hottest_key_share{service=\"s\"} 0.") != std::string::npos);
+}
