--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -81,6 +81,8 @@
   { 830, 'i', "servers-contended" },
   { 840, 'w', "implausible-speeds" },
   { 841, 'i', "speeds-known" },
+  { 850, 'w', "hot-key" },
+  { 851, 'i', "hot-key-over" },
 });
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -87,6 +87,8 @@
   kServersContended,
   kServiceTimesImplausible,
   kServerSpeedsKnown,
+  kHotKey,
+  kHotKeyOver,
 };
 
 /// Number, level and name of an event.
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -8,6 +8,7 @@
 #include "ownership/grant_commands.h"
 #include "ownership/range_directory.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -141,6 +142,13 @@
 public:
   RangeGranter(DaemonRef aSelf, GrantTiming aTiming);
 
+  /// Whether a range that gets a new owner shares its token with the neighbouring ranges of that
+  /// owner, so that they become one range. The neighbours' owner does not change. Off by default.
+  void SetJoinsNeighbours(bool aJoins) { mJoinsNeighbours = aJoins; }
+  /// Limits the release commands that a server has been sent and has not answered. The other ranges
+  /// stay with it until it has answered. No limit by default.
+  void SetMaxReleases(std::size_t aPerServer) { mMaxReleases = aPerServer; }
+
   /// Starts a takeover: an attempt to become leader.
   /// @p aCurrent: the stored record, if there is one.
   /// @p aOwners: servers among which all keys are divided if there is no record.
@@ -230,6 +238,8 @@
     /// Handover data from the previous owner, for the next one.
     std::string handover;
     Instant phaseSince;
+    /// When the range last got another owner from this leader.
+    Instant movedAt;
     /// When the next command to give up the keys may be sent.
     Instant retryAt;
     /// The owner has been sent a command to give up the keys: it starts no more work on them.
@@ -248,6 +258,10 @@
   /// Whether grants to the owner have failed for longer than kUnresponsiveAfter, so that its keys
   /// should move to another server.
   bool IsOwnerUnresponsive(const Range& aRange, Instant aNow) const;
+  /// Whether a move of the range should wait: its owner serves it, but has left a grant unanswered.
+  /// That grant may be applied late, so that after a release no server could be given the keys
+  /// until it has expired, and nobody would serve them.
+  bool ShouldStay(const Range& aRange, Instant aNow) const;
 
 private:
   enum class State
@@ -282,20 +296,23 @@
   void ConfirmLeadership(Instant aAskedAt, Instant aNow);
   /// Whether the owner is taken to serve the keys for as long as it holds them.
   static bool IsServed(const Range& aRange);
-  /// Whether a move of the range should wait: its owner serves it, but has left a grant unanswered.
-  /// That grant may be applied late, so that after a release no server could be given the keys
-  /// until it has expired, and nobody would serve them.
-  bool ShouldStay(const Range& aRange, Instant aNow) const;
   /// Gives up a move whose release has not been sent.
   static void CancelMove(Range& aRange, Instant aNow);
   /// Notes that no server holds the range any more.
   void SetReleased(Range& aRange, OwnerEndProof aProof, Instant aNow);
   void TickRange(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void TickHeld(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
+  /// Counts the release commands that await their answer.
+  void CountReleases();
   void TickReleasing(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   void SendGrant(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions);
   /// Puts new owners of released ranges into a write, and sends or repeats the pending write.
   void PlanWrite(Instant aNow, std::vector<GranterAction>& aActions);
+  /// Gives the held neighbours of the ranges whose owner changes in @p aRecord the same token, if
+  /// they have the same owner.
+  void ShareTokens(RangeRecord& aRecord) const;
+  /// Continues a held range, whose owner stays the same, with a higher token from the store.
+  void RaiseToken(Range& aRange, FencingToken aToken, Instant aNow);
   /// Makes the pending write, which is in the store as @p aRevision, the current record.
   void Commit(Version aRevision, Instant aNow);
   void CommitTakeover(Instant aNow);
@@ -312,6 +329,10 @@
 
   DaemonRef mSelf;
   GrantTiming mTiming;
+  bool mJoinsNeighbours = false;
+  std::size_t mMaxReleases = std::numeric_limits<std::size_t>::max();
+  /// Release commands that each server has been sent and has not answered.
+  std::map<std::string, std::size_t> mSentReleases;
   State mState = State::kIdle;
   RangeRecord mRecord;
   Version mRevision = 0;
