Quotas: a pool starts with a part of the tolerated excess

Cause: pools begin empty, since they don't know what earlier ones have handed out. Change: a pool that begins to count shares adds a quarter of what the settings tolerate beyond a quota (QuotaWindowS, QuotaOvershoot, QuotaSlack), for each share once in a window. Without a tolerance it begins empty as before.

--- a/limits/quota_pool.cpp
+++ b/limits/quota_pool.cpp
@@ -12,6 +12,9 @@
 /// Shares add up to 1 with rounding errors.
 constexpr double kShareTolerance = 1e-9;
 constexpr Duration kMaxRetryAfter = seconds(60);
+/// Part of the tolerated excess with which a pool starts. In one window a pool may start twice, and
+/// so may the pool of the fleet and those of the domains after each other.
+constexpr double kStartPart = 0.25;
 
 /// Divides @p aTokens into equal parts of which none exceeds what is wanted. The parts that are
 /// larger by one go to the first from @p aFirst on.
@@ -76,6 +79,24 @@
   }
 }
 
+void QuotaPool::AddStartTokens(double aShare, Instant aNow)
+{
+  if (mLent || mTolerance.window <= Duration::zero()) {
+    return;
+  }
+  if (mStartSharesAt != Instant()) {
+    mStartShares += InSeconds(aNow - mStartSharesAt) / InSeconds(mTolerance.window);
+  }
+  mStartSharesAt = aNow;
+  mStartShares = std::min(1.0, mStartShares);
+  const double share = std::clamp(aShare, 0.0, mStartShares);
+  mStartShares -= share;
+  for (auto& [number, stock] : mStocks) {
+    stock.level += share * kStartPart * ToleratedExcess(stock.limit, mTolerance);
+    Settle(stock, aNow);
+  }
+}
+
 void QuotaPool::UpdateStocks(Instant aNow)
 {
   if (mMembers.empty()) {
@@ -140,9 +161,11 @@
   }
   if (std::abs(share - mShare) > kShareTolerance) {
     SettleAll(aNow);
+    const double added = share - mShare;
     mShare = share;
     mShareUntil = shareUntil;
     SettleAll(aNow);
+    AddStartTokens(added, aNow);
   }
   mShareUntil = shareUntil;
   UpdateStocks(aNow);
@@ -370,6 +393,7 @@
     stock.level = std::min(stock.level, 0.0);
     stock.updatedAt = aNow;
   }
+  AddStartTokens(mShare, aNow);
 }
 
 std::uint64_t QuotaPool::WaitingFor(OrganisationNumber aOrganisation, const Stock& aStock) const
--- a/limits/quota_pool.h
+++ b/limits/quota_pool.h
@@ -29,6 +29,10 @@
 /// sum of the shares, and what it has and what its members hold never exceeds the burst times that
 /// sum. A pool that has lent the sum itself (see SetLent()) has only the tokens that it is granted,
 /// and is a member of the other pool like any daemon.
+///
+/// What an earlier pool has handed out is not known to one that begins to count shares, which is
+/// therefore empty at first. So that requests need not wait until tokens have arisen, it begins
+/// with a part of the tolerated excess, which is the same part of it that the shares are of 1.
 class QuotaPool
 {
 public:
@@ -46,6 +50,7 @@
   /// Sets the limits by organisation. Returns whether one was lowered: tokens that another pool has
   /// granted are dropped, and its answers to earlier reports must not be accepted.
   bool SetLimits(const QuotaLimits& aLimits, Instant aNow);
+  void SetTolerance(const QuotaTolerance& aTolerance) { mTolerance = aTolerance; }
   /// Takes a member's report.
   void OnReport(const DaemonRef& aMember,
                 const QuotaReportHead& aHead,
@@ -128,6 +133,8 @@
   /// Adds the tokens that have arisen, and keeps the level within what the share permits.
   void Settle(Stock& aStock, Instant aNow) const;
   void SettleAll(Instant aNow);
+  /// Adds the tokens with which a pool begins, for shares that it begins to count.
+  void AddStartTokens(double aShare, Instant aNow);
   /// Ends loans and tokens whose time has passed, and adds up the shares.
   void Refresh(Instant aNow);
   /// Prepares the stocks when the pool gets its first member, and drops them with the last one.
@@ -170,6 +177,10 @@
   Instant mShareUntil;
   bool mLent = false;
   bool mUrgent = false;
+  QuotaTolerance mTolerance;
+  /// Shares for which tokens may be added at the start, and when that was last updated.
+  double mStartShares = 1.0;
+  Instant mStartSharesAt;
 };
 
 } // namespace hawthornlug
--- a/limits/quota_terms.h
+++ b/limits/quota_terms.h
@@ -27,6 +27,27 @@
 };
 using QuotaLimits = std::unordered_map<OrganisationNumber, QuotaLimit>;
 
+/// By how much the operators allow an organisation to exceed its quota: in any window, by a part of
+/// what the quota permits in it, plus some requests. Only pools that start use it.
+struct QuotaTolerance
+{
+  /// 0 for no tolerance.
+  Duration window = Duration::zero();
+  /// Part of what the quota permits.
+  double overshoot = 0.0;
+  /// Number of requests.
+  double slack = 0.0;
+
+  bool operator==(const QuotaTolerance&) const = default;
+};
+
+/// Requests by which an organisation may exceed its quota in any window.
+inline double ToleratedExcess(const QuotaLimit& aLimit, const QuotaTolerance& aTolerance)
+{
+  const double quota = aLimit.ratePerSecond * InSeconds(aTolerance.window) + aLimit.burst;
+  return aTolerance.overshoot * quota + aTolerance.slack;
+}
+
 /// What a pool's member reports about one organisation.
 struct QuotaDemand
 {
--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -106,6 +106,7 @@
   settings.retries = { aHost.retryShare, aHost.retryWindow, aHost.retrySlack };
   settings.warmUpOvershoot = aHost.warmUpOvershoot;
   settings.warmUpSlack = aHost.warmUpSlack;
+  settings.quotaTolerance = { aHost.quotaWindow, aHost.quotaOvershoot, aHost.quotaSlack };
   settings.power = PowerClassOf(aHost.cores, aHost.linkMbps);
   settings.linkBytesPerSecond = aHost.linkMbps * kBytesPerSecondPerMbps;
   settings.grants.hold = std::min(settings.grants.hold, aHost.longestHold);
--- a/runtime/quota_exchange.cpp
+++ b/runtime/quota_exchange.cpp
@@ -60,6 +60,12 @@
   SetCandidates({}, {});
 }
 
+void QuotaExchange::SetTolerance(const QuotaTolerance& aTolerance)
+{
+  mDomainPool.SetTolerance(aTolerance);
+  mFleetPool.SetTolerance(aTolerance);
+}
+
 void QuotaExchange::SetLimits(const std::map<std::string, QuotaLimit>& aLimits, Instant aNow)
 {
   mNumbers.clear();
--- a/runtime/quota_exchange.h
+++ b/runtime/quota_exchange.h
@@ -38,6 +38,7 @@
 
   /// Sets the limits by name of the organisation; to be called with each configuration.
   void SetLimits(const std::map<std::string, QuotaLimit>& aLimits, Instant aNow);
+  void SetTolerance(const QuotaTolerance& aTolerance);
   /// Sets the number of daemons that own a share: this one and all that have been heard recently.
   void SetDaemonCount(unsigned aDaemons) { mDaemons = aDaemons; }
   /// Sets the daemons that may keep pools, this one included. The first of each failure domain keep
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -108,6 +108,7 @@
   }
   mSelector.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
   mForwarder.SetTraceSample(aSettings.traceSample);
+  mQuotaExchange.SetTolerance(aSettings.quotaTolerance);
   if (mContendedQueue) {
     mSelector.SetContention(true);
     mLoadReporter.SetContention(mContendedQueue->Decisions());
@@ -120,6 +121,7 @@
     mMesh.AddEndpoint(it);
   }
   mForwarder.SetRetryAllowance(aSettings.retries);
+  mQuotaExchange.SetTolerance(aSettings.quotaTolerance);
   mSelector.SetWarmUpAllowance(aSettings.warmUpOvershoot, aSettings.warmUpSlack);
 }
 
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -45,6 +45,7 @@
   /// Share (0 to 1) of the requests without a trace header whose spans are recorded.
   double traceSample = 0.0;
   LoadFeatures features;
+  QuotaTolerance quotaTolerance;
 };
 
 /// The components that a routing daemon uses. Everything runs on one event loop.
--- a/tests/limits/quota_test.cpp
+++ b/tests/limits/quota_test.cpp
@@ -246,6 +246,28 @@
   CHECK(HandOut()["a"].granted == 10);
 }
 
+// Guards against callers that are all rejected after a restart of the fleet, and against a pool
+// that hands out more than is tolerated because its members come and go.
+TEST_CASE_METHOD(PoolFixture,
+                 "a pool starts with a part of the tolerated excess",
+                 "[limits][quota]")
+{
+  pool.SetTolerance({ seconds(5), 0.1, 20.0 });
+  pool.SetLimits({ { kCustomer, { 100.0, 200.0 } } }, now);
+  // A quarter of 0.1 x (100 x 5 + 200) + 20.
+  constexpr std::uint32_t kStart = 22;
+  Lend(milliseconds(200));
+  Report("a", { 0, 0, 100, 100 });
+  const std::uint32_t first = HandOut()["a"].granted;
+  CHECK(first >= kStart);
+  CHECK(first <= kStart + 100 * 0.3);
+  // The share is taken back and lent again.
+  now += seconds(1);
+  Lend(milliseconds(200));
+  Report("a", { first, 0, 100, 100 });
+  CHECK(HandOut()["a"].granted <= kStart * 0.3 + 100 * 0.3);
+}
+
 TEST_CASE_METHOD(PoolFixture, "granted tokens that were lost return", "[limits][quota]")
 {
   Lend(seconds(2));
