HTTP client: a call whose time ends while it awaits its connection is not sent

Found by review of: the wait for a new connection ended at the deadline at the latest and then wrote the request, which could run although its caller is told 504. Now it ends as not sent: 503, provably not run. Evidence: the new test failed before (timed-out for not-sent) and passes; [http] passes.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -195,6 +195,10 @@
       if (aError || self->mClosed) {
         return;
       }
+      if (std::chrono::steady_clock::now() >= self->mDeadline) {
+        self->Fail(CallResult::kNotSent);
+        return;
+      }
       self->ArmTimer(self->mDeadline);
       self->Write();
     });
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -676,6 +676,24 @@
   CHECK(outcome->result == row.result);
 }
 
+TEST_CASE("a call whose time ends while it awaits its connection is not sent", "[http]")
+{
+  // Sent at its deadline, it could run although its caller is told that it failed.
+  asio::io_context context;
+  Tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+  Client client(context);
+  CallOptions options;
+  options.awaitAcceptance = true;
+  options.timeout = std::chrono::microseconds(900);
+  std::optional<CallOutcome> outcome;
+  client.Send("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+              MakeGetRequest(),
+              options,
+              [&](CallOutcome aOutcome) { outcome = std::move(aOutcome); });
+  REQUIRE(RunUntil(context, [&] { return outcome.has_value(); }));
+  CHECK(outcome->result == CallResult::kNotSent);
+}
+
 TEST_CASE("a call on a new connection is sent once the server has had the time to end it", "[http]")
 {
   asio::io_context context;
