Keys: what a daemon of an earlier version passes on is kept without them

Found by review of: such a daemon sends configurations as they were written, with the keys of callers, and a daemon of this version kept them and passed them on in messages. Now the reader removes secrets from what other daemons send, as the store client does from what it reads. Evidence: the test with a whole daemon failed before (version 1 in force for 99) and passes; unit test of the reader.

--- a/ports/object_store.h
+++ b/ports/object_store.h
@@ -44,6 +44,9 @@
   virtual ~ObjectReader() = default;
   virtual std::optional<ServerEntry> ReadServer(const StoredObject& aObject) = 0;
   virtual std::optional<RouteConfig> ReadConfiguration(const StoredObject& aObject) = 0;
+  /// Returns the content of an object as it may be kept and passed to other daemons: without
+  /// secrets, but otherwise unchanged.
+  virtual std::string Redact(ObjectKind, std::string aValue) const { return aValue; }
 };
 
 } // namespace hawthornlug
--- a/runtime/object_exchange.cpp
+++ b/runtime/object_exchange.cpp
@@ -45,11 +45,13 @@
 
 ObjectExchange::ObjectExchange(ObjectMirror& aMirror,
                                Mesh& aMesh,
+                               const ObjectReader& aReader,
                                double aLinkBytesPerSecond,
                                ReadStore aReadStore,
                                Changed aChanged)
   : mMirror(aMirror)
   , mMesh(aMesh)
+  , mReader(aReader)
   , mLinkBytesPerSecond(aLinkBytesPerSecond)
   , mReadStore(std::move(aReadStore))
   , mOnChanged(std::move(aChanged))
@@ -163,7 +165,8 @@
   reading.result = StoreResult::kDone;
   reading.at = aObjects.at();
   for (const wire::StoredObjects::Item& it : aObjects.items()) {
-    reading.objects.push_back({ it.name(), it.revision(), it.removed(), it.value() });
+    reading.objects.push_back(
+      { it.name(), it.revision(), it.removed(), mReader.Redact(kind, it.value()) });
   }
   const std::vector<StoredObject> changes =
     aObjects.whole() ? mMirror.ApplyList(kind, reading)
--- a/runtime/object_exchange.h
+++ b/runtime/object_exchange.h
@@ -4,6 +4,7 @@
 
 #include "config/object_mirror.h"
 #include "core/instant.h"
+#include "ports/object_store.h"
 #include "runtime/mesh.h"
 
 #include <array>
@@ -29,9 +30,12 @@
   /// Reads a kind from the store, once.
   using ReadStore = std::function<void(ObjectKind)>;
 
-  /// @p aLinkBytesPerSecond: what the host's link carries; 0 if that is not known.
+  /// @p aReader removes secrets from what other daemons send: one of an earlier version passes
+  /// objects on as they were written. @p aLinkBytesPerSecond: what the host's link carries; 0 if
+  /// that is not known.
   ObjectExchange(ObjectMirror& aMirror,
                  Mesh& aMesh,
+                 const ObjectReader& aReader,
                  double aLinkBytesPerSecond,
                  ReadStore aReadStore,
                  Changed aChanged);
@@ -69,6 +73,7 @@
 
   ObjectMirror& mMirror;
   Mesh& mMesh;
+  const ObjectReader& mReader;
   double mLinkBytesPerSecond;
   ReadStore mReadStore;
   Changed mOnChanged;
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -66,6 +66,7 @@
   , mObjectExchange(
       mMirror,
       mMesh,
+      aServices.reader,
       aSettings.linkBytesPerSecond,
       [this](ObjectKind aKind) { mStoreFollower.ReadOnce(aKind); },
       [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
--- a/tests/platform/organisation_keys_test.cpp
+++ b/tests/platform/organisation_keys_test.cpp
@@ -240,6 +240,17 @@
   CHECK(described.find("123456789") == std::string::npos);
 }
 
+TEST_CASE("a configuration is kept and passed on without keys", "[platform]")
+{
+  DecisionLog log("test");
+  const PlatformObjectReader reader(log);
+  const std::string text = ConfigurationWith(R"({"acme":{"ApiKeys":["secret-key"]}})");
+  const std::string kept = reader.Redact(ObjectKind::kConfiguration, text);
+  CHECK(kept.find("secret-key") == std::string::npos);
+  CHECK(reader.Redact(ObjectKind::kConfiguration, kept) == kept);
+  CHECK(reader.Redact(ObjectKind::kServer, "x") == "x");
+}
+
 TEST_CASE("the store client gives configurations without keys", "[platform]")
 {
   struct Row
--- a/tests/runtime/router_daemon_test.cpp
+++ b/tests/runtime/router_daemon_test.cpp
@@ -222,6 +222,27 @@
   CHECK(AllKnowOwners(simulation, daemons));
 }
 
+// Guards against keys of callers that a daemon of an earlier version passes on and this one keeps
+// and passes on in turn.
+TEST_CASE("what another daemon sends is kept without secrets", "[runtime][router]")
+{
+  RouterSimulation simulation({ 3, 1, 2 });
+  simulation.Run(seconds(3));
+  wire::Envelope message;
+  message.mutable_from()->set_id("d1");
+  message.mutable_from()->set_incarnation(1);
+  wire::StoredObjects& objects = *message.mutable_stored_objects();
+  objects.set_kind(static_cast<std::uint32_t>(ObjectKind::kConfiguration));
+  objects.set_whole(true);
+  objects.set_at(1000000);
+  wire::StoredObjects::Item& item = *objects.add_items();
+  item.set_name("main");
+  item.set_revision(1000000);
+  item.set_value(R"({"version":99,"secret":"key"})");
+  simulation.Daemon(0)->Take(message);
+  CHECK(simulation.Daemon(0)->ConfigurationVersion() == 99);
+}
+
 // Guards the wiring: reports and answers must reach the exchanges, and keepers must be chosen.
 TEST_CASE("whole daemons share the quota of an organisation", "[runtime][router][quota]")
 {
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -49,8 +49,12 @@
   }
   std::optional<RouteConfig> ReadConfiguration(const StoredObject& aObject) override
   {
+    const Json value = Json::parse(aObject.value);
+    if (value.contains("secret")) {
+      return std::nullopt;
+    }
     RouteConfig config;
-    config.version = Json::parse(aObject.value).at("version");
+    config.version = value.at("version");
     config.services[kService].name = kService;
     config.services[kService].keyed = true;
     RouteRule rule;
@@ -67,6 +71,15 @@
     config.routes.push_back(rule);
     return config;
   }
+  std::string Redact(ObjectKind aKind, std::string aValue) const override
+  {
+    if (aKind != ObjectKind::kConfiguration) {
+      return aValue;
+    }
+    Json value = Json::parse(aValue);
+    value.erase("secret");
+    return value.dump();
+  }
 };
 
 /// Reads the key of a request from the header "Key".
