--- a/ports/caller_headers.h
+++ b/ports/caller_headers.h
@@ -23,7 +23,7 @@
 };
 inline constexpr EnumNames<3> kCredentialStateNames = { "missing", "presented", "malformed" };
 
-/// The key of an organisation as a request presents it. The key itself is not kept.
+/// The key of an organisation as a request presents it. It holds the key's digest only.
 struct CallerCredential
 {
   CredentialState state = CredentialState::kMissing;
--- a/routing/route_config.h
+++ b/routing/route_config.h
@@ -93,7 +93,7 @@
   /// Whether callers need a key. A configuration whose list of organisations is empty lets nobody
   /// in on routes that are not open.
   bool authenticates = false;
-  /// By name. No two have a key in common. Without any, callers are not authenticated.
+  /// By name. No two have a key in common.
   std::map<std::string, OrganisationRule> organisations;
   CallerBounds bounds;
 };
