Store: names of entries are encoded in the requests that continue a list or write an object

Callers saw: an entry of another writer stood in the list of backend servers, under a name with "&", "+", "#", "%" or a blank. All daemons were restarted, and while the entry stood almost no request was served.

Cause: the name of a page's last entry was put into the next page's "after" as it is. "&" ended the value and began another parameter ("i-1&Watch=1" made it a watch), "#" cut it off, "+" and "%41" were decoded to another name, and a request with a blank is malformed and never sent. The list then started again, skipped entries or failed for good, and a daemon that was started while the entry stood knew no servers. The names in the paths of writes had the same fault.

Change: http::TargetBuilder percent-encodes each part of a target, in one place; the client of the store, that of serve's platform and `explain` build their targets with it (the last two encoded already).

Evidence: the stand-in of the store lists by pages and decodes queries and paths as servers do. Why it works: what the store decodes is the name again, whatever its bytes.

--- a/adapters/http_platform.cpp
+++ b/adapters/http_platform.cpp
@@ -23,9 +23,9 @@
   return leaf::new_error(PlatformError::kMalformed);
 }
 
-std::string PathOf(const std::string& aObject)
+http::TargetBuilder TargetOf(const std::string& aObject)
 {
-  return "/objects/" + http::EncodePercent(aObject, "/");
+  return http::TargetBuilder("/objects").Segments(aObject);
 }
 
 /// Whether no part of the request has reached the platform.
@@ -55,11 +55,11 @@
 {
 }
 
-Result<std::string> HttpPlatform::Fetch(const std::string& aPath, Duration aTimeout)
+Result<std::string> HttpPlatform::Fetch(const std::string& aTarget, Duration aTimeout)
 {
   http::Request request;
   request.method = "GET";
-  request.target = aPath;
+  request.target = aTarget;
   http::CallOutcome outcome = mPool.Send(std::move(request), aTimeout);
   if (outcome.result != http::CallResult::kAnswered) {
     return leaf::new_error(PlatformError::kUnavailable);
@@ -75,7 +75,7 @@
 
 Result<PlatformObject> HttpPlatform::Get(const std::string& aName)
 {
-  BOOST_LEAF_AUTO(body, Fetch(PathOf(aName), mTimeout));
+  BOOST_LEAF_AUTO(body, Fetch(TargetOf(aName).Build(), mTimeout));
   try {
     return ReadObject(json::parse(body));
   } catch (const json::exception&) {
@@ -89,7 +89,7 @@
 {
   http::Request request;
   request.method = "PUT";
-  request.target = PathOf(aName) + "?expected=" + std::to_string(aExpected);
+  request.target = TargetOf(aName).Parameter("expected", aExpected).Build();
   request.body = aValue;
   request.headers.Add("Content-Type", "application/json");
   const http::CallOutcome outcome = mPool.Send(std::move(request), mTimeout);
@@ -113,9 +113,11 @@
 
 Result<ObjectChanges> HttpPlatform::Watch(Version aSince, Duration aWait)
 {
-  const std::string path =
-    "/watch?since=" + std::to_string(aSince) + "&timeout_ms=" + std::to_string(Millis(aWait));
-  BOOST_LEAF_AUTO(body, Fetch(path, aWait + mTimeout));
+  const std::string target = http::TargetBuilder("/watch")
+                               .Parameter("since", aSince)
+                               .Parameter("timeout_ms", static_cast<std::uint64_t>(Millis(aWait)))
+                               .Build();
+  BOOST_LEAF_AUTO(body, Fetch(target, aWait + mTimeout));
   try {
     const json doc = json::parse(body);
     ObjectChanges changes;
--- a/adapters/http_platform.h
+++ b/adapters/http_platform.h
@@ -22,7 +22,7 @@
   Result<std::vector<ListedHost>> Hosts() override;
 
 private:
-  Result<std::string> Fetch(const std::string& aPath, Duration aTimeout);
+  Result<std::string> Fetch(const std::string& aTarget, Duration aTimeout);
 
   const Duration mTimeout;
   HttpPool mPool;
--- a/http/target.cpp
+++ b/http/target.cpp
@@ -54,6 +54,30 @@
   return text;
 }
 
+TargetBuilder& TargetBuilder::Segment(std::string_view aName)
+{
+  mTarget += "/" + EncodePercent(aName);
+  return *this;
+}
+
+TargetBuilder& TargetBuilder::Segments(std::string_view aPath)
+{
+  mTarget += "/" + EncodePercent(aPath, "/");
+  return *this;
+}
+
+TargetBuilder& TargetBuilder::Parameter(std::string_view aName, std::string_view aValue)
+{
+  mTarget += (mHasQuery ? "&" : "?") + EncodePercent(aName) + "=" + EncodePercent(aValue);
+  mHasQuery = true;
+  return *this;
+}
+
+TargetBuilder& TargetBuilder::Parameter(std::string_view aName, std::uint64_t aValue)
+{
+  return Parameter(aName, std::to_string(aValue));
+}
+
 std::string QueryValue(std::string_view aQuery, std::string_view aName)
 {
   while (!aQuery.empty()) {
--- a/main/tool_commands.cpp
+++ b/main/tool_commands.cpp
@@ -338,8 +338,10 @@
   shape.usesDaemon = true;
   shape.hasJson = true;
   return RunTool(shape, aArgs, [](const ToolSettings& aSettings) -> Result<int> {
-    const std::string path = "/-/explain?service=" + http::EncodePercent(aSettings.words[0]) +
-                             "&key=" + http::EncodePercent(aSettings.words[1]);
+    const std::string path = http::TargetBuilder("/-/explain")
+                               .Parameter("service", aSettings.words[0])
+                               .Parameter("key", aSettings.words[1])
+                               .Build();
     auto doc = Fetch(aSettings.daemonUrl, path);
     if (!doc) {
       return Unreachable(aSettings.daemonUrl + " about service " + aSettings.words[0]);
--- a/tests/http/target_test.cpp
+++ b/tests/http/target_test.cpp
@@ -60,3 +60,36 @@
   CHECK(http::QueryValue(query, "absent").empty());
   CHECK(http::QueryValue("", "key").empty());
 }
+
+TEST_CASE("no part of a target is taken for another one", "[http]")
+{
+  struct Row
+  {
+    std::string name;
+    std::string encoded;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "plain-1", "plain-1" },
+    { "a&Watch=1", "a%26Watch%3D1" },
+    { "a+b c", "a%2Bb%20c" },
+    { "a#b%41", "a%23b%2541" },
+    { "a?b", "a%3Fb" },
+    { "\xff\r\n", "%FF%0D%0A" },
+    { std::string("a\0b", 3), "a%00b" },
+  }));
+  INFO(row.name);
+  CHECK(http::TargetBuilder("/x").Segment(row.name).Build() == "/x/" + row.encoded);
+  CHECK(http::TargetBuilder("/x").Segments("a/" + row.name).Build() == "/x/a/" + row.encoded);
+  const std::string target =
+    http::TargetBuilder("/x").Parameter("after", row.name).Parameter("n", 7).Build();
+  CHECK(target == "/x?after=" + row.encoded + "&n=7");
+  const std::string query = target.substr(target.find('?') + 1);
+  CHECK(http::QueryValue(query, "after") == row.name);
+  CHECK(http::QueryValue(query, "n") == "7");
+}
+
+TEST_CASE("a slash ends a segment, but not a name in it", "[http]")
+{
+  CHECK(http::TargetBuilder("/x").Segment("a/b").Build() == "/x/a%2Fb");
+  CHECK(http::TargetBuilder("/x").Segments("a/b").Build() == "/x/a/b");
+}
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -6,11 +6,11 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "tests/support/raw_server.h"
+#include "tests/support/standin_store.h"
 
 #include <nlohmann/json.hpp>
 
 #include <deque>
-#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -20,7 +20,6 @@
 
 namespace hawthornlug::test {
 
-using Json = nlohmann::json;
 /// Names and values of headers.
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
@@ -54,56 +53,6 @@
                   unsigned aSeq,
                   std::int64_t aBorn);
 
-/// The platform's object store.
-class StandInStore : public http::Handler
-{
-public:
-  StandInStore(asio::io_context& aContext, const std::string& aAddress);
-
-  void Put(const std::string& aKind, const std::string& aName, const Json& aSpec);
-  void Remove(const std::string& aKind, const std::string& aName);
-  /// The store answers 503 from now on, to all.
-  void SetDown(bool aDown);
-  bool IsDown() const { return mDown; }
-  const Json* Find(const std::string& aKind, const std::string& aName) const;
-
-  void OnRequest(std::shared_ptr<http::Exchange> aExchange) override;
-  void OnBadRequest(int, http::ReadState) override {}
-
-private:
-  struct Object
-  {
-    Json body;
-    std::uint64_t revision = 0;
-    bool removed = false;
-  };
-  struct Watcher
-  {
-    std::shared_ptr<http::Exchange> exchange;
-    std::string kind;
-    std::uint64_t since = 0;
-    std::shared_ptr<asio::steady_timer> timer;
-  };
-
-  void Write(const std::shared_ptr<http::Exchange>& aExchange,
-             const std::string& aKind,
-             const std::string& aName);
-  void List(const std::shared_ptr<http::Exchange>& aExchange, const std::string& aKind);
-  void Watch(const std::shared_ptr<http::Exchange>& aExchange,
-             const std::string& aKind,
-             std::uint64_t aSince,
-             std::chrono::milliseconds aWait);
-  void Changed();
-  Json EventsSince(const std::string& aKind, std::uint64_t aSince) const;
-
-  asio::io_context& mContext;
-  std::unique_ptr<http::Server> mServer;
-  std::map<std::string, std::map<std::string, Object>> mObjects;
-  std::list<Watcher> mWatchers;
-  std::uint64_t mRevision = 1;
-  bool mDown = false;
-};
-
 class PlatformFleet;
 
 /// One backend server, keyed or not.
--- a/tests/support/platform_standins.cpp
+++ b/tests/support/platform_standins.cpp
@@ -13,16 +13,6 @@
 
 constexpr milliseconds kWork{ 30 };
 constexpr unsigned kSlots = 3;
-constexpr std::string_view kObjects = "/objects/";
-
-http::Response Reply(int aStatus, const Json& aBody)
-{
-  http::Response response;
-  response.status = aStatus;
-  response.headers.Add("Content-Type", "application/json");
-  response.body = aBody.dump();
-  return response;
-}
 
 http::Response Status(int aStatus)
 {
@@ -31,15 +21,6 @@
   return response;
 }
 
-/// The number behind @p aName in a query, 0 if there is none.
-std::uint64_t QueryNumber(const std::string& aTarget, const std::string& aName)
-{
-  const std::size_t at = aTarget.find(aName + "=");
-  return at == std::string::npos
-           ? 0
-           : std::strtoull(aTarget.c_str() + at + aName.size() + 1, nullptr, 10);
-}
-
 } // namespace
 
 Json ServerObject(const std::string& aService,
@@ -53,159 +34,6 @@
            { "WarmupLeftS", 0 },    { "Seq", aSeq },         { "born", aBorn } };
 }
 
-StandInStore::StandInStore(asio::io_context& aContext, const std::string& aAddress)
-  : mContext(aContext)
-  , mServer(std::make_unique<http::Server>(aContext, *http::ParseEndpoint(aAddress), *this))
-{
-}
-
-void StandInStore::SetDown(bool aDown)
-{
-  mDown = aDown;
-  if (!aDown) {
-    return;
-  }
-  for (const Watcher& it : mWatchers) {
-    it.timer->cancel();
-    it.exchange->Respond(Status(503));
-  }
-  mWatchers.clear();
-}
-
-void StandInStore::Put(const std::string& aKind, const std::string& aName, const Json& aSpec)
-{
-  Object& object = mObjects[aKind][aName];
-  object.revision = ++mRevision;
-  object.removed = false;
-  object.body = { { "Metadata", { { "Name", aName }, { "Revision", mRevision } } },
-                  { "Spec", aSpec } };
-  Changed();
-}
-
-void StandInStore::Remove(const std::string& aKind, const std::string& aName)
-{
-  Object& object = mObjects[aKind][aName];
-  object.revision = ++mRevision;
-  object.removed = true;
-  Changed();
-}
-
-const Json* StandInStore::Find(const std::string& aKind, const std::string& aName) const
-{
-  const auto kind = mObjects.find(aKind);
-  if (kind == mObjects.end() || !kind->second.contains(aName)) {
-    return nullptr;
-  }
-  const Object& object = kind->second.at(aName);
-  return object.removed ? nullptr : &object.body.at("Spec");
-}
-
-Json StandInStore::EventsSince(const std::string& aKind, std::uint64_t aSince) const
-{
-  Json events = Json::array();
-  const auto kind = mObjects.find(aKind);
-  if (kind == mObjects.end()) {
-    return events;
-  }
-  for (const auto& [name, object] : kind->second) {
-    if (object.revision > aSince) {
-      events.push_back({ { "Object", object.body }, { "Removed", object.removed } });
-    }
-  }
-  return events;
-}
-
-void StandInStore::Changed()
-{
-  for (auto it = mWatchers.begin(); it != mWatchers.end();) {
-    const Json events = EventsSince(it->kind, it->since);
-    if (events.empty()) {
-      ++it;
-      continue;
-    }
-    it->timer->cancel();
-    it->exchange->Respond(Reply(200, { { "events", events }, { "At", mRevision } }));
-    it = mWatchers.erase(it);
-  }
-}
-
-void StandInStore::Watch(const std::shared_ptr<http::Exchange>& aExchange,
-                         const std::string& aKind,
-                         std::uint64_t aSince,
-                         milliseconds aWait)
-{
-  const Json events = EventsSince(aKind, aSince);
-  if (!events.empty()) {
-    aExchange->Respond(Reply(200, { { "events", events }, { "At", mRevision } }));
-    return;
-  }
-  auto timer = std::make_shared<asio::steady_timer>(mContext, aWait);
-  mWatchers.push_back({ aExchange, aKind, aSince, timer });
-  timer->async_wait([this, aExchange](const asio::error_code& aError) {
-    if (!aError) {
-      mWatchers.remove_if([&](const Watcher& aWatcher) { return aWatcher.exchange == aExchange; });
-      aExchange->Respond(Reply(200, { { "events", Json::array() }, { "At", mRevision } }));
-    }
-  });
-}
-
-void StandInStore::List(const std::shared_ptr<http::Exchange>& aExchange, const std::string& aKind)
-{
-  Json items = Json::array();
-  for (const auto& [name, object] : mObjects[aKind]) {
-    if (!object.removed) {
-      items.push_back(object.body);
-    }
-  }
-  aExchange->Respond(Reply(200, { { "items", items }, { "HasMore", false }, { "At", mRevision } }));
-}
-
-void StandInStore::Write(const std::shared_ptr<http::Exchange>& aExchange,
-                         const std::string& aKind,
-                         const std::string& aName)
-{
-  const Json body = Json::parse(aExchange->Received().body);
-  const bool creates = aExchange->Received().method == "POST";
-  const std::string name = creates ? body.at("Metadata").at("Name").get<std::string>() : aName;
-  const auto known = mObjects[aKind].find(name);
-  const bool exists = known != mObjects[aKind].end() && !known->second.removed;
-  if (creates ? exists : !exists) {
-    aExchange->Respond(creates ? Reply(409, known->second.body) : Status(404));
-    return;
-  }
-  const Json& metadata = body.at("Metadata");
-  if (exists && metadata.contains("Revision") &&
-      metadata.at("Revision").get<std::uint64_t>() != known->second.revision) {
-    aExchange->Respond(Reply(409, known->second.body));
-    return;
-  }
-  Put(aKind, name, body.at("Spec"));
-  aExchange->Respond(Reply(200, mObjects[aKind][name].body));
-}
-
-void StandInStore::OnRequest(std::shared_ptr<http::Exchange> aExchange)
-{
-  const http::Request& request = aExchange->Received();
-  if (mDown || !request.Path().starts_with(kObjects)) {
-    aExchange->Respond(Status(mDown ? 503 : 404));
-    return;
-  }
-  const std::string path(request.Path().substr(kObjects.size()));
-  const std::size_t slash = path.find('/');
-  const std::string kind = path.substr(0, slash);
-  const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
-  if (request.method != "GET") {
-    Write(aExchange, kind, name);
-    return;
-  }
-  const std::uint64_t since = QueryNumber(request.target, "Watch");
-  if (since != 0) {
-    Watch(aExchange, kind, since, milliseconds(QueryNumber(request.target, "WaitMs")));
-    return;
-  }
-  List(aExchange, kind);
-}
-
 StandInServer::StandInServer(PlatformFleet& aFleet,
                              std::string aId,
                              std::string aService,
--- /dev/null
+++ b/tests/support/standin_store.h
@@ -0,0 +1,90 @@
+/// @file
+/// Stand-in for the platform's object store: lists by pages, watches, conditional writes. It
+/// decodes request targets as servers do, and lists any bytes that a test puts into it.
+#pragma once
+
+#include "http/server.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hawthornlug::test {
+
+using Json = nlohmann::json;
+
+/// The platform's object store.
+class StandInStore : public http::Handler
+{
+public:
+  StandInStore(asio::io_context& aContext, const std::string& aAddress);
+
+  void Put(const std::string& aKind, const std::string& aName, const Json& aSpec);
+  /// Puts an object that is listed with this text. @p aName gives only its place in the list.
+  void PutText(const std::string& aKind, const std::string& aName, std::string aText);
+  void Remove(const std::string& aKind, const std::string& aName);
+  /// The store answers 503 from now on, to all.
+  void SetDown(bool aDown);
+  bool IsDown() const { return mDown; }
+  /// Sets how many objects one page of a list has at most.
+  void SetPageSize(std::size_t aObjects) { mPageSize = aObjects; }
+  /// From now on every page of a list starts with the first object, whatever is asked for.
+  void SetRepeating(bool aRepeating) { mRepeating = aRepeating; }
+  /// The revision of the last change.
+  std::uint64_t Revision() const { return mRevision; }
+  /// Number of pages of lists of a kind that were asked for.
+  unsigned PagesAsked(const std::string& aKind) { return mPagesAsked[aKind]; }
+  /// The content of an object; nullptr if there is none.
+  const Json* Find(const std::string& aKind, const std::string& aName) const;
+
+  void OnRequest(std::shared_ptr<http::Exchange> aExchange) override;
+  void OnBadRequest(int, http::ReadState) override {}
+
+private:
+  struct Object
+  {
+    Json spec;
+    /// As it is listed.
+    std::string text;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+  struct Watcher
+  {
+    std::shared_ptr<http::Exchange> exchange;
+    std::string kind;
+    std::uint64_t since = 0;
+    std::shared_ptr<asio::steady_timer> timer;
+  };
+
+  void Write(const std::shared_ptr<http::Exchange>& aExchange,
+             const std::string& aKind,
+             const std::string& aName);
+  void List(const std::shared_ptr<http::Exchange>& aExchange,
+            const std::string& aKind,
+            const std::string& aAfter);
+  void Watch(const std::shared_ptr<http::Exchange>& aExchange,
+             const std::string& aKind,
+             std::uint64_t aSince,
+             std::chrono::milliseconds aWait);
+  void Changed();
+  /// The answer to a watch, without any event if nothing has changed.
+  std::string ChangesSince(const std::string& aKind, std::uint64_t aSince) const;
+  bool HasChanged(const std::string& aKind, std::uint64_t aSince) const;
+
+  asio::io_context& mContext;
+  std::unique_ptr<http::Server> mServer;
+  std::map<std::string, std::map<std::string, Object>> mObjects;
+  std::list<Watcher> mWatchers;
+  std::map<std::string, unsigned> mPagesAsked;
+  std::size_t mPageSize = 500;
+  std::uint64_t mRevision = 1;
+  bool mDown = false;
+  bool mRepeating = false;
+};
+
+} // namespace hawthornlug::test
