Store: an entry that can't be read is passed over, and the others of its page and watch hold

Callers saw: nothing served after all daemons were restarted while an entry stood whose name, metadata or bytes can't be read; daemons that were running learned of no change any more while such an entry kept being written.

Cause: only the content of an entry was allowed to be unreadable. A missing or odd Metadata, Name, Revision or Deleting, an event of a watch without an object, or bytes that are no JSON there made the whole page or watch malformed.

Change: each entry and event is parsed on its own. One without a name that can be read is noted and left out; one with a name counts as changed, to a content that nobody uses, so that an earlier content of that name doesn't stay in force. Revisions have to be whole numbers that aren't negative: 5.5 and -5 were converted. An empty name is none. The page's own members are as strict as before.

Why it works: what one writer wrote is looked at in one entry's text only, and the split into entries doesn't parse them.

--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -132,6 +132,103 @@
 
 } // namespace
 
+namespace {
+
+/// The place of the entry that a row describes; also its name, where that can be read.
+constexpr const char* kOdd = "i-odd";
+
+/// What can be read of an entry.
+enum class Known
+{
+  kNothing,
+  kName,
+  kMetadata,
+};
+
+/// An entry that is not what the platform's page describes, as it is listed.
+struct OddEntry
+{
+  const char* what;
+  std::string text;
+  Known known;
+};
+
+const std::vector<OddEntry> kOddEntries = {
+  { "no object: a number", "7", Known::kNothing },
+  { "no object: a text", R"("text")", Known::kNothing },
+  { "no object: null", "null", Known::kNothing },
+  { "no object: a list", R"([{"Metadata":{"Name":"i-odd","Revision":5}}])", Known::kNothing },
+  { "no object: bytes", "\xFF\xFE", Known::kNothing },
+  { "empty", "{}", Known::kNothing },
+  { "Metadata: none", R"({"Spec":{}})", Known::kNothing },
+  { "Metadata: null", R"({"Metadata":null,"Spec":{}})", Known::kNothing },
+  { "Metadata: a list", R"({"Metadata":["i-odd",5],"Spec":{}})", Known::kNothing },
+  { "Metadata: bytes", "{\"Metadata\":\xFF,\"Spec\":{}}", Known::kNothing },
+  { "Name: none", R"({"Metadata":{"Revision":5},"Spec":{}})", Known::kNothing },
+  { "Name: empty", R"({"Metadata":{"Name":"","Revision":5},"Spec":{}})", Known::kNothing },
+  { "Name: a number", R"({"Metadata":{"Name":7,"Revision":5},"Spec":{}})", Known::kNothing },
+  { "Name: null", R"({"Metadata":{"Name":null,"Revision":5},"Spec":{}})", Known::kNothing },
+  { "Name: not UTF-8", "{\"Metadata\":{\"Name\":\"i-\xFF\",\"Revision\":5}}", Known::kNothing },
+  { "Name: half a surrogate pair",
+    R"({"Metadata":{"Name":"i-\ud800","Revision":5}})",
+    Known::kNothing },
+  { "Name: an unknown escape", R"({"Metadata":{"Name":"i-\x41","Revision":5}})", Known::kNothing },
+  { "Name: a line's end", "{\"Metadata\":{\"Name\":\"i-\n\",\"Revision\":5}}", Known::kNothing },
+  { "Revision: none", R"({"Metadata":{"Name":"i-odd"},"Spec":{}})", Known::kName },
+  { "Revision: a text", R"({"Metadata":{"Name":"i-odd","Revision":"5"},"Spec":{}})", Known::kName },
+  { "Revision: null", R"({"Metadata":{"Name":"i-odd","Revision":null},"Spec":{}})", Known::kName },
+  { "Revision: negative",
+    R"({"Metadata":{"Name":"i-odd","Revision":-5},"Spec":{}})",
+    Known::kName },
+  { "Revision: a fraction",
+    R"({"Metadata":{"Name":"i-odd","Revision":5.5},"Spec":{}})",
+    Known::kName },
+  { "Revision: too large",
+    R"({"Metadata":{"Name":"i-odd","Revision":1e300},"Spec":{}})",
+    Known::kName },
+  { "Deleting: a text",
+    R"({"Metadata":{"Name":"i-odd","Revision":5,"Deleting":"x"},"Spec":{}})",
+    Known::kName },
+  { "Deleting: a number",
+    R"({"Metadata":{"Name":"i-odd","Revision":5,"Deleting":7},"Spec":{}})",
+    Known::kName },
+  { "Spec: none", R"({"Metadata":{"Name":"i-odd","Revision":5}})", Known::kMetadata },
+  { "Spec: a text", R"({"Metadata":{"Name":"i-odd","Revision":5},"Spec":"x"})", Known::kMetadata },
+  { "Spec: no value",
+    R"({"Metadata":{"Name":"i-odd","Revision":5},"Spec":{"a":}})",
+    Known::kMetadata },
+  { "Spec: not UTF-8",
+    "{\"Metadata\":{\"Name\":\"i-odd\",\"Revision\":5},\"Spec\":{\"a\":\"\xFF\"}}",
+    Known::kMetadata },
+  { "Spec: deeply nested",
+    R"({"Metadata":{"Name":"i-odd","Revision":5},"Spec":)" + std::string(5000, '[') +
+      std::string(5000, ']') + "}",
+    Known::kMetadata },
+  { "Spec: brackets in texts",
+    R"({"Metadata":{"Name":"i-odd","Revision":5},"Spec":{"a":"}]}","b":"\"]}"}})",
+    Known::kMetadata },
+  { "another name in Spec",
+    R"({"Spec":{"Metadata":{"Name":"!first"}},"Metadata":{"Name":"i-odd","Revision":5}})",
+    Known::kMetadata },
+};
+
+std::vector<std::string> NamesBeside(const OddEntry& aEntry)
+{
+  return aEntry.known == Known::kNothing ? kSound : SoundAnd(kOdd);
+}
+
+/// Whether the sound entries were read as they were written.
+bool SoundAsWritten(const StoreReading& aReading)
+{
+  return std::all_of(
+    aReading.objects.begin(), aReading.objects.end(), [](const StoredObject& aObject) {
+      const bool isSound = std::find(kSound.begin(), kSound.end(), aObject.name) != kSound.end();
+      return !isSound || aObject.value == R"({"sound":true})";
+    });
+}
+
+} // namespace
+
 TEST_CASE("a list goes on behind an entry of any name", "[platform][store]")
 {
   const std::string name = GENERATE(from_range(kNames));
@@ -185,3 +282,77 @@
   REQUIRE(late.object);
   CHECK(late.object->revision == replaced.object->revision);
 }
+
+TEST_CASE("an entry that can't be read leaves the others of its list readable", "[platform][store]")
+{
+  const OddEntry row = GENERATE(from_range(kOddEntries));
+  const std::size_t pageSize = GENERATE(2, 500);
+  INFO(row.what);
+  ClientUnderTest client;
+  client.Store().SetPageSize(pageSize);
+  client.Store().PutText(kServers, kOdd, row.text);
+  const StoreReading reading = client.List();
+  CHECK(reading.result == StoreResult::kDone);
+  CHECK(NamesOf(reading) == NamesBeside(row));
+  CHECK(SoundAsWritten(reading));
+}
+
+TEST_CASE("an entry that can't be read leaves the others of a watch readable", "[platform][store]")
+{
+  const OddEntry row = GENERATE(from_range(kOddEntries));
+  INFO(row.what);
+  ClientUnderTest client;
+  client.Store().PutText(kServers, kOdd, row.text);
+  const StoreReading reading = client.Watch(1);
+  CHECK(reading.result == StoreResult::kDone);
+  CHECK(NamesOf(reading) == NamesBeside(row));
+  CHECK(SoundAsWritten(reading));
+  CHECK(reading.at == client.Store().Revision());
+}
+
+TEST_CASE("an event that can't be read leaves the others of a watch readable", "[platform][store]")
+{
+  struct Row
+  {
+    std::string event;
+    bool named;
+  };
+  const std::string object = R"({"Metadata":{"Name":"i-odd","Revision":5},"Spec":{}})";
+  const auto row = GENERATE_COPY(values<Row>({
+    { "7", false },
+    { "null", false },
+    { "{}", false },
+    { R"({"Removed":true})", false },
+    { R"({"Object":null,"Removed":true})", false },
+    { R"({"Object":)" + object + R"(,"Removed":"x"})", true },
+    { R"({"Object":)" + object + R"(,"Removed":7})", true },
+  }));
+  INFO(row.event);
+  const std::string sound =
+    R"({"Object":{"Metadata":{"Name":"a","Revision":4},"Spec":{"n":1}},"Removed":false})";
+  const StorePage page = leaf::try_handle_all(
+    [&] { return ReadWatchAnswer(R"({"events":[)" + sound + "," + row.event + R"(],"At":9})"); },
+    [] {
+      FAIL_CHECK("rejected");
+      return StorePage();
+    });
+  REQUIRE(page.objects.size() == (row.named ? 2 : 1));
+  CHECK(page.objects[0].value == R"({"n":1})");
+  if (row.named) {
+    CHECK(page.objects[1].name == "i-odd");
+    CHECK(page.objects[1].value == "null");
+    CHECK(page.objects[1].revision == 9);
+  }
+}
+
+TEST_CASE("a write's answer without a revision says nothing of the object", "[platform][store]")
+{
+  const OddEntry row = GENERATE(from_range(kOddEntries));
+  INFO(row.what);
+  ClientUnderTest client;
+  client.Store().PutText("hawthornlug-ranges", kOdd, row.text);
+  const StoreWrite write = client.Write(kOdd, client.Store().Revision() + 1, R"({"n":1})");
+  const bool usable = row.known == Known::kMetadata;
+  CHECK(write.result == (usable ? StoreResult::kConflict : StoreResult::kUnknown));
+  CHECK(write.object.has_value() == usable);
+}
