Store: a list ends though its pages don't advance, and one with a gap is not taken for whole

Callers saw: nothing served, and the store was called without end, while a page of the list gave no new name to continue after. Where such a page was empty, servers behind it counted as gone.

Cause: the client asked for the next page after the last name whatever that name was; an empty name or one that had been used before gave the same page again, at once. A page without objects that had more behind it, or a 404 behind the first page, ended the list as if it were whole, so that what it lacked was removed.

Otherwise, or if a page behind the first can't be read, it is incomplete: what it shows is used, nothing is removed, changes are not watched from it, and it is read again after one to four seconds (H204). The owners of key ranges are taken from such a list if it shows them, and never counted as unrecorded.

--- a/config/object_mirror.cpp
+++ b/config/object_mirror.cpp
@@ -19,20 +19,33 @@
   return true;
 }
 
+std::vector<StoredObject> ObjectMirror::UpdateAll(Kind& aKind, const StoreReading& aReading)
+{
+  std::vector<StoredObject> changes;
+  for (const StoredObject& it : aReading.objects) {
+    if (Update(aKind, it, aReading.at)) {
+      changes.push_back(it);
+    }
+  }
+  return changes;
+}
+
+std::vector<StoredObject> ObjectMirror::ApplyPart(ObjectKind aKind, const StoreReading& aReading)
+{
+  return UpdateAll(Of(aKind), aReading);
+}
+
 std::vector<StoredObject> ObjectMirror::ApplyList(ObjectKind aKind, const StoreReading& aReading)
 {
   Kind& kind = Of(aKind);
-  std::vector<StoredObject> changes;
   if (aReading.at < kind.at) {
-    return changes;
+    return {};
   }
   std::set<std::string> listed;
   for (const StoredObject& it : aReading.objects) {
     listed.insert(it.name);
-    if (Update(kind, it, aReading.at)) {
-      changes.push_back(it);
-    }
   }
+  std::vector<StoredObject> changes = UpdateAll(kind, aReading);
   for (auto& [name, entry] : kind.objects) {
     // An object that was written after the list was made isn't in the list, but exists.
     StoredObject& object = entry.object;
@@ -54,15 +67,10 @@
                                                      const StoreReading& aReading)
 {
   Kind& kind = Of(aKind);
-  std::vector<StoredObject> changes;
   if (aSince > kind.at || kind.at == 0) {
-    return changes;
-  }
-  for (const StoredObject& it : aReading.objects) {
-    if (Update(kind, it, aReading.at)) {
-      changes.push_back(it);
-    }
+    return {};
   }
+  std::vector<StoredObject> changes = UpdateAll(kind, aReading);
   kind.at = std::max(kind.at, aReading.at);
   return changes;
 }
--- a/config/object_mirror.h
+++ b/config/object_mirror.h
@@ -29,6 +29,9 @@
 public:
   /// Applies a full list; returns the objects that are new, changed or removed.
   std::vector<StoredObject> ApplyList(ObjectKind aKind, const StoreReading& aReading);
+  /// Applies a list that has a gap; returns the objects that are new or changed. Objects that it
+  /// lacks stay, and the mirror counts as no more complete than before.
+  std::vector<StoredObject> ApplyPart(ObjectKind aKind, const StoreReading& aReading);
   /// Applies the changes after revision @p aSince; returns the objects that are new, changed or
   /// removed. Nothing is applied if the mirror has not reached @p aSince.
   std::vector<StoredObject> ApplyChanges(ObjectKind aKind,
@@ -68,6 +71,8 @@
   /// Stores @p aObject if it is newer than the present copy or records the removal of that copy;
   /// returns whether it was stored. @p aAt is the revision of the reading.
   static bool Update(Kind& aKind, const StoredObject& aObject, Version aAt);
+  /// Stores all objects of a reading; returns those that were stored.
+  static std::vector<StoredObject> UpdateAll(Kind& aKind, const StoreReading& aReading);
 
   std::array<Kind, kObjectKinds> mKinds;
 };
--- a/config/stored_object.h
+++ b/config/stored_object.h
@@ -46,16 +46,18 @@
   kRefused,     ///< The store did not accept the call; nothing was written.
   kUnknown,     ///< No answer: a write may have taken effect, or may still do so.
   kMalformed,   ///< The answer can't be parsed.
+  kIncomplete,  ///< The list has a gap: its objects exist, but others may exist as well.
 };
-inline constexpr EnumNames<6> kStoreResultNames = { "done",    "conflict", "history-gone",
-                                                    "refused", "unknown",  "malformed" };
+inline constexpr EnumNames<7> kStoreResultNames = { "done",      "conflict", "history-gone",
+                                                    "refused",   "unknown",  "malformed",
+                                                    "incomplete" };
 
 /// The answer to a list or watch call: objects of one kind, or changes to them.
 struct StoreReading
 {
   StoreResult result = StoreResult::kUnknown;
   std::vector<StoredObject> objects;
-  /// The reading is complete up to this revision.
+  /// The reading is complete up to this revision, if the result is kDone.
   Version at = 0;
 };
 
--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -47,7 +47,7 @@
   { 820, 'i', "quota-limits" },      { 821, 'i', "quota-keeper" },
   { 830, 'i', "servers-contended" }, { 840, 'w', "implausible-speeds" },
   { 841, 'i', "speeds-known" },      { 850, 'w', "hot-key" },
-  { 851, 'i', "hot-key-over" },
+  { 851, 'i', "hot-key-over" },      { 204, 'w', "list-incomplete" },
 });
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -90,6 +90,7 @@
   kServerSpeedsKnown,
   kHotKey,
   kHotKeyOver,
+  kListIncomplete,
 };
 
 /// Number, level and name of an event.
--- a/ports/object_store.h
+++ b/ports/object_store.h
@@ -24,7 +24,7 @@
   virtual ~ObjectStore() = default;
 
   /// Lists all objects of a kind. With @p aMayBeStale the answer may be several seconds out of
-  /// date.
+  /// date. If the list can't be read to its end, the result is kIncomplete.
   virtual void List(ObjectKind aKind, bool aMayBeStale, ReadDone aDone) = 0;
   /// Returns the changes after revision @p aSince; if there are none, waits up to @p aWait for one.
   virtual void Watch(ObjectKind aKind, Version aSince, Duration aWait, ReadDone aDone) = 0;
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -216,7 +216,8 @@
 
 const StoredObject* RangeRunner::FindRecord(const StoreReading& aReading) const
 {
-  if (aReading.result != StoreResult::kDone) {
+  // What a list with a gap shows exists; what it lacks may exist as well.
+  if (aReading.result != StoreResult::kDone && aReading.result != StoreResult::kIncomplete) {
     return nullptr;
   }
   const auto it = std::find_if(
@@ -245,7 +246,7 @@
   mListing = false;
   const Instant now = mServices.timers.Now();
   mTakeoverRetryAt = now + kTakeoverRetryDelay;
-  if (aReading.result != StoreResult::kDone || !mGranter.IsIdle() || AnnouncedLeader()) {
+  if (!mGranter.IsIdle() || AnnouncedLeader()) {
     return;
   }
   if (const StoredObject* const it = FindRecord(aReading)) {
@@ -257,6 +258,9 @@
     TakeOver(*it);
     return;
   }
+  if (aReading.result != StoreResult::kDone) {
+    return;
+  }
   UpdateGrantableServers();
   const std::vector<std::string> servers = OpenServers();
   if (servers.empty() || now - mServersChangedAt < kRegistryQuietTime) {
@@ -287,13 +291,15 @@
 {
   mWatching = false;
   const Instant now = mServices.timers.Now();
-  mRecordHistoryGone = aReading.result == StoreResult::kHistoryGone;
-  if (aReading.result != StoreResult::kDone) {
+  const bool isWhole = aReading.result == StoreResult::kDone;
+  const bool hasGap = aReading.result == StoreResult::kIncomplete;
+  mRecordHistoryGone = hasGap || aReading.result == StoreResult::kHistoryGone;
+  if (isWhole) {
+    mWatchRevision = std::max(mWatchRevision, aReading.at);
+  } else {
     mWatchRetryAt = now + kWatchRetryDelay;
-    return;
   }
-  mWatchRevision = std::max(mWatchRevision, aReading.at);
-  if (!mGranter.IsLeader()) {
+  if ((!isWhole && !hasGap) || !mGranter.IsLeader()) {
     return;
   }
   bool seen = false;
@@ -303,7 +309,7 @@
       mGranter.OnRecordRead(it, mWatchSentAt, now);
     }
   }
-  if (!seen) {
+  if (!seen && isWhole) {
     mGranter.OnRecordUnchanged(mWatchSentAt, now);
   }
   LogGranterEvents();
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -26,6 +26,8 @@
 /// Smallest reported age of a daemon that watches the store; 0 means that it does not watch.
 constexpr Duration kMinReportedAge = milliseconds(1);
 constexpr Duration kRetryDelay = milliseconds(150);
+/// A list that has a gap may take many pages, and probably has it again.
+constexpr Duration kGapRetryDelay = seconds(1);
 constexpr unsigned kMaxRetryFactor = 4;
 
 } // namespace
@@ -137,9 +139,24 @@
     OnAnswered(mTimers.Now());
     return;
   }
-  ++mFailedInRow;
+  const bool hasGap = aResult == StoreResult::kIncomplete;
+  if (hasGap) {
+    // Changes can't be watched from a list that has a gap.
+    aFollowed.mustList = true;
+    OnAnswered(mTimers.Now());
+  } else {
+    ++mFailedInRow;
+  }
   aFollowed.failures = std::min(aFollowed.failures + 1, kMaxRetryFactor);
-  aFollowed.nextAt = mTimers.Now() + kRetryDelay * aFollowed.failures;
+  aFollowed.nextAt = mTimers.Now() + (hasGap ? kGapRetryDelay : kRetryDelay) * aFollowed.failures;
+}
+
+void StoreFollower::ApplyPart(ObjectKind aKind, const StoreReading& aReading)
+{
+  const std::vector<StoredObject> changes = mMirror.ApplyPart(aKind, aReading);
+  if (!changes.empty()) {
+    mOnChanged(aKind, changes);
+  }
 }
 
 void StoreFollower::OnReading(ObjectKind aKind,
@@ -150,6 +167,9 @@
   followed.busy = false;
   if (aReading.result != StoreResult::kDone) {
     OnFailure(followed, aReading.result);
+    if (aReading.result == StoreResult::kIncomplete) {
+      ApplyPart(aKind, aReading);
+    }
     return;
   }
   followed.failures = 0;
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -76,6 +76,8 @@
                  const StoreReading& aReading,
                  const std::function<std::vector<StoredObject>()>& aApply);
   void OnFailure(Followed& aFollowed, StoreResult aResult);
+  /// Uses what could be read of a list that has a gap.
+  void ApplyPart(ObjectKind aKind, const StoreReading& aReading);
 
   ObjectStore& mStore;
   ObjectMirror& mMirror;
--- a/tests/config/object_mirror_test.cpp
+++ b/tests/config/object_mirror_test.cpp
@@ -92,3 +92,20 @@
   late.ApplyList(kKind, Reading(all.at, all.objects));
   CHECK(Names(late) == Names(source));
 }
+
+TEST_CASE("a list with a gap adds and changes objects, and removes none", "[config]")
+{
+  ObjectMirror mirror;
+  CHECK(mirror.ApplyPart(kKind, Reading(5, { { "a", 3, false, "{}" } })).size() == 1);
+  CHECK(mirror.At(kKind) == 0);
+  // Changes since then can't be applied: what lies before them isn't known.
+  CHECK(mirror.ApplyChanges(kKind, 5, Reading(6, { { "b", 6, false, "{}" } })).empty());
+  mirror.ApplyList(kKind, Reading(10, { { "a", 3, false, "{}" }, { "b", 9, false, "{}" } }));
+  const auto changes = mirror.ApplyPart(
+    kKind,
+    Reading(20, { { "a", 3, false, "{}" }, { "b", 15, false, "x" }, { "c", 16, false, "" } }));
+  CHECK(changes.size() == 2);
+  CHECK(mirror.ApplyPart(kKind, Reading(30, {})).empty());
+  CHECK(Names(mirror) == "a3 b15 c16 ");
+  CHECK(mirror.At(kKind) == 10);
+}
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -3,6 +3,7 @@
 /// names and bytes, change neither what is asked for nor what is read of others.
 
 #include "platform/store_client.h"
+#include "tests/support/byte_server.h"
 #include "tests/support/loopback.h"
 #include "tests/support/standin_store.h"
 
@@ -356,3 +357,97 @@
   CHECK(write.result == (usable ? StoreResult::kConflict : StoreResult::kUnknown));
   CHECK(write.object.has_value() == usable);
 }
+
+TEST_CASE("a list whose pages come again ends, and is not taken for a whole one",
+          "[platform][store]")
+{
+  const std::size_t pageSize = GENERATE(1, 2);
+  ClientUnderTest client;
+  client.Store().Put(kServers, "i-1", { { "n", 1 } });
+  client.Store().SetPageSize(pageSize);
+  client.Store().SetRepeating(true);
+  const StoreReading reading = client.List();
+  CHECK(reading.result == StoreResult::kIncomplete);
+  CHECK(client.Store().PagesAsked(kServers) == 2);
+  REQUIRE_FALSE(reading.objects.empty());
+  CHECK(reading.objects[0].name == kSound.front());
+  client.Store().SetRepeating(false);
+  CHECK(client.List().result == StoreResult::kDone);
+}
+
+TEST_CASE("a page without a name to continue after ends a list that isn't whole",
+          "[platform][store]")
+{
+  const auto row = GENERATE(values<std::string>({
+    "null",
+    R"({"Metadata":{"Name":"","Revision":5},"Spec":{}})",
+    "{\"Metadata\":{\"Name\":\"i-\xFF\",\"Revision\":5},\"Spec\":{}}",
+  }));
+  INFO(row);
+  ClientUnderTest client;
+  client.Store().SetPageSize(1);
+  client.Store().PutText(kServers, kOdd, row);
+  const StoreReading reading = client.List();
+  CHECK(reading.result == StoreResult::kIncomplete);
+  CHECK(NamesOf(reading) == std::vector<std::string>{ kSound.front() });
+  CHECK(client.Store().PagesAsked(kServers) == 2);
+}
+
+TEST_CASE("a list of any number of pages ends", "[platform][store]")
+{
+  constexpr unsigned kMaxPages = 256;
+  ClientUnderTest client;
+  client.Store().SetPageSize(1);
+  for (unsigned n = 0; n < 2 * kMaxPages; ++n) {
+    client.Store().Put(kServers, "i-" + std::to_string(n), { { "n", n } });
+  }
+  const StoreReading reading = client.List();
+  CHECK(reading.result == StoreResult::kIncomplete);
+  CHECK(reading.objects.size() == kMaxPages);
+  CHECK(client.Store().PagesAsked(kServers) == kMaxPages);
+}
+
+TEST_CASE("a list that breaks behind its first page is not taken for a whole one",
+          "[platform][store]")
+{
+  const auto answer = [](const std::string& aStatus, const std::string& aBody) {
+    return "HTTP/1.1 " + aStatus + " X\r\nContent-Length: " + std::to_string(aBody.size()) +
+           "\r\n\r\n" + aBody;
+  };
+  struct Row
+  {
+    const char* status;
+    const char* body;
+    StoreResult result;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "404", "", StoreResult::kIncomplete },
+    { "200", "", StoreResult::kIncomplete },
+    { "200", R"({"items":3,"HasMore":false,"At":9})", StoreResult::kIncomplete },
+    { "200", R"({"items":[{"Metadata":]}],"HasMore":false,"At":9})", StoreResult::kIncomplete },
+    { "200", R"({"items":[],"HasMore":true,"At":9})", StoreResult::kIncomplete },
+    { "200", R"({"items":[],"HasMore":1,"At":9})", StoreResult::kIncomplete },
+    { "200", R"({"items":[],"HasMore":false})", StoreResult::kIncomplete },
+    { "410", "", StoreResult::kHistoryGone },
+    { "429", "", StoreResult::kRefused },
+    { "503", "", StoreResult::kRefused },
+    { "500", "", StoreResult::kUnknown },
+    { "302", "", StoreResult::kMalformed },
+  }));
+  INFO(row.status << " " << row.body);
+  asio::io_context context;
+  testing::ByteServer store(
+    context,
+    { answer(
+        "200",
+        R"({"items":[{"Metadata":{"Name":"a","Revision":4},"Spec":{}}],"HasMore":true,"At":8})"),
+      answer(row.status, row.body) });
+  DecisionLog log("test");
+  Metrics metrics;
+  StoreClient client(context, store.Address(), log, metrics);
+  std::optional<StoreReading> reading;
+  client.List(ObjectKind::kServer, false, [&](StoreReading aReading) { reading = aReading; });
+  REQUIRE(testing::RunUntil(context, [&] { return reading.has_value(); }));
+  CHECK(reading->result == row.result);
+  CHECK(reading->objects.size() == 1);
+}
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -122,3 +122,30 @@
   CheckServed(fleet, seconds(1));
   CHECK(fleet.Server(0).Runs() == runs);
 }
+
+TEST_CASE("a list that doesn't advance costs few calls, and what it shows is used",
+          "[process][platform]")
+{
+  constexpr seconds kTime{ 4 };
+  PlatformFleet fleet(kDaemons, 3);
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    fleet.Signal(n, SIGKILL);
+  }
+  // The first page shows all plain servers.
+  fleet.Store().SetPageSize(4);
+  fleet.Store().SetRepeating(true);
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    fleet.StartDaemon(n);
+  }
+  const unsigned before = fleet.Store().PagesAsked("servers");
+  fleet.RunFor(kTime);
+  // Each daemon reads two pages at most each second.
+  CHECK(fleet.Store().PagesAsked("servers") - before <= 2 * kDaemons * kTime.count());
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    CHECK(fleet.Ask(n, "/read/x", -1) == 200);
+  }
+  fleet.Store().SetRepeating(false);
+  CHECK(fleet.RunUntil([&] { return fleet.KeysHeld() == kAllKeys; }, seconds(8)));
+  fleet.RunFor(milliseconds(500));
+  CheckServed(fleet, seconds(1));
+}
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -15,7 +15,11 @@
 class ManualStore : public ObjectStore
 {
 public:
-  void List(ObjectKind, bool, ReadDone aDone) override { calls.push_back(std::move(aDone)); }
+  void List(ObjectKind, bool, ReadDone aDone) override
+  {
+    ++lists;
+    calls.push_back(std::move(aDone));
+  }
   void Watch(ObjectKind, Version, Duration, ReadDone aDone) override
   {
     calls.push_back(std::move(aDone));
@@ -31,12 +35,16 @@
       StoreReading reading;
       reading.result = aResult;
       reading.at = ++revision;
+      reading.objects = objects;
       it(reading);
     }
   }
 
   std::vector<ReadDone> calls;
+  /// What each answer holds.
+  std::vector<StoredObject> objects;
   Version revision = 0;
+  unsigned lists = 0;
 };
 
 struct Fixture
@@ -97,3 +105,52 @@
   calls[0](refused);
   CHECK_FALSE(fixture.follower.IsFailing());
 }
+
+TEST_CASE("a list with a gap is used for what it has, and is not taken for a whole one",
+          "[runtime][store]")
+{
+  Fixture fixture;
+  const Version before = fixture.mirror.At(ObjectKind::kServer);
+  // Both kinds have to be listed again.
+  fixture.store.Complete(StoreResult::kHistoryGone);
+  fixture.AdvanceTime(milliseconds(20));
+  REQUIRE(fixture.store.lists == 4);
+  fixture.store.objects = { { "a", 1, false, "{}" }, { "b", 2, false, "{}" } };
+  fixture.store.Complete(StoreResult::kDone);
+  fixture.AdvanceTime(milliseconds(300));
+  fixture.store.Complete(StoreResult::kHistoryGone);
+  fixture.AdvanceTime(milliseconds(20));
+  REQUIRE(fixture.store.lists == 6);
+  const Version whole = fixture.mirror.At(ObjectKind::kServer);
+  REQUIRE(whole > before);
+  fixture.store.objects = { { "c", 100, false, "{}" } };
+  fixture.store.Complete(StoreResult::kIncomplete);
+  CHECK(fixture.mirror.At(ObjectKind::kServer) == whole);
+  CHECK(fixture.mirror.All(ObjectKind::kServer).size() == 3);
+  // It is listed again, but not at once; the store is neither lost nor failing.
+  CHECK_FALSE(fixture.follower.IsFailing());
+  fixture.AdvanceTime(milliseconds(900));
+  CHECK(fixture.store.lists == 6);
+  fixture.AdvanceTime(milliseconds(200));
+  CHECK(fixture.store.lists == 8);
+  CHECK_FALSE(fixture.follower.IsLost());
+  fixture.store.Complete(StoreResult::kDone);
+  CHECK(fixture.mirror.At(ObjectKind::kServer) > whole);
+  CHECK(fixture.mirror.All(ObjectKind::kServer).size() == 1);
+}
+
+TEST_CASE("lists that keep having a gap are called for ever more rarely", "[runtime][store]")
+{
+  Fixture fixture;
+  fixture.store.Complete(StoreResult::kHistoryGone);
+  constexpr unsigned kTicksPerSecond = 50;
+  constexpr unsigned kSeconds = 60;
+  const unsigned before = fixture.store.lists;
+  for (unsigned n = 0; n < kSeconds * kTicksPerSecond; ++n) {
+    fixture.AdvanceTime(milliseconds(20));
+    fixture.store.Complete(StoreResult::kIncomplete);
+  }
+  // Two kinds, each every four seconds in the end.
+  CHECK(fixture.store.lists - before <= 2 * (kSeconds / 4 + 4));
+  CHECK(fixture.store.lists - before >= 2 * (kSeconds / 4 - 4));
+}
