Router: a daemon that could never read the list of servers is not ready

Callers saw: during the incident the balancer went on sending them to daemons that knew no server and answered 503, since all of them said that they were ready.

Cause: ready meant that a configuration is in force.

Change: it also takes a list of servers, whole or with a gap, read by the daemon itself or received from others. A list without servers, or the store's answer that it has none, counts.

New case of the follower.

--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -210,6 +210,8 @@
   bool IsKeyed(const std::string& aService) const;
   /// Null if the server is not registered.
   const ServerEntry* Find(const std::string& aId) const;
+  /// Whether any server is known.
+  bool HasServers() const { return !mServers.empty(); }
   /// Whether the server may get new requests: it is ready, has not announced that it leaves, and
   /// its failure domain is in service. Free slots and pauses are not considered.
   bool IsOpen(const std::string& aId) const;
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -422,6 +422,14 @@
   }
 }
 
+bool RouterDaemon::IsReady() const
+{
+  // A list that has a gap may show servers, too.
+  const bool knowsServers = mStoreFollower.HasListed(ObjectKind::kServer) ||
+                            mMirror.At(ObjectKind::kServer) != 0 || mSelector.HasServers();
+  return !mLeaving && !mRoutes.IsEmpty() && knowsServers;
+}
+
 Duration RouterDaemon::StoreAge(Instant aNow) const
 {
   std::optional<Duration> age;
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -89,8 +89,9 @@
   bool KnowsServer(const std::string& aId) const { return mSelector.Find(aId) != nullptr; }
   /// Number of other daemons that are live.
   std::size_t LivePeerCount() const { return mMesh.LivePeers().size(); }
-  /// Whether callers may be sent here.
-  bool IsReady() const { return !mLeaving && !mRoutes.IsEmpty(); }
+  /// Whether callers may be sent here: the daemon has a configuration and knows which servers there
+  /// are, and is not leaving.
+  bool IsReady() const;
   /// Begins to stop: other daemons take over this daemon's tasks. New requests are accepted for
   /// @p aAcceptTime more, as far as they can be answered before the process ends after
   /// @p aEndsAfter.
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -51,6 +51,11 @@
   mFollowed.at(static_cast<std::size_t>(aKind)).active = true;
 }
 
+bool StoreFollower::HasListed(ObjectKind aKind) const
+{
+  return mFollowed.at(static_cast<std::size_t>(aKind)).listed;
+}
+
 bool StoreFollower::IsFailing() const
 {
   return mFailedInRow >= kMinFailures;
@@ -173,6 +178,7 @@
     return;
   }
   followed.failures = 0;
+  followed.listed = true;
   // A list with revision 0 is of a kind that the store does not know yet: it is listed again.
   followed.mustList = aReading.at == 0;
   OnAnswered(mTimers.Now());
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -39,6 +39,9 @@
   /// Lists a kind with the next tick, unless a call for it is in progress.
   void ReadOnce(ObjectKind aKind);
 
+  /// Whether this daemon has read a whole list of a kind from the store, if only that there is no
+  /// object of it.
+  bool HasListed(ObjectKind aKind) const;
   /// Time since the store last answered, or since this daemon began to watch it.
   Duration Age(Instant aNow) const { return aNow - mAnsweredAt; }
   /// Age() as reported to the other daemons: higher while calls fail, so that they stop relying on
@@ -63,6 +66,7 @@
     bool active = false;
     bool busy = false;
     bool mustList = false;
+    bool listed = false;
     /// Set by ReadOnce().
     bool wanted = false;
     Instant nextAt;
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -38,7 +38,7 @@
   "{\"Metadata\":{\"Name\":\"i-odd\",\"Revision\":5},\"Spec\":{\"Address\":\"\xFF\"}}",
 };
 
-void RestartAll(PlatformFleet& aFleet)
+void KillAndStartAll(PlatformFleet& aFleet)
 {
   for (unsigned n = 0; n < kDaemons; ++n) {
     aFleet.Signal(n, SIGKILL);
@@ -46,6 +46,11 @@
   for (unsigned n = 0; n < kDaemons; ++n) {
     aFleet.StartDaemon(n);
   }
+}
+
+void RestartAll(PlatformFleet& aFleet)
+{
+  KillAndStartAll(aFleet);
   for (unsigned n = 0; n < kDaemons; ++n) {
     REQUIRE(aFleet.RunUntil([&] { return aFleet.IsReady(n); }, kStart));
   }
@@ -128,15 +133,10 @@
 {
   constexpr seconds kTime{ 4 };
   PlatformFleet fleet(kDaemons, 3);
-  for (unsigned n = 0; n < kDaemons; ++n) {
-    fleet.Signal(n, SIGKILL);
-  }
   // The first page shows all plain servers.
   fleet.Store().SetPageSize(4);
   fleet.Store().SetRepeating(true);
-  for (unsigned n = 0; n < kDaemons; ++n) {
-    fleet.StartDaemon(n);
-  }
+  KillAndStartAll(fleet);
   const unsigned before = fleet.Store().PagesAsked("servers");
   fleet.RunFor(kTime);
   // Each daemon reads two pages at most each second.
@@ -149,3 +149,27 @@
   fleet.RunFor(milliseconds(500));
   CheckServed(fleet, seconds(1));
 }
+
+TEST_CASE("a daemon that could never read the list of servers doesn't say that it is ready",
+          "[process][platform]")
+{
+  PlatformFleet fleet(kDaemons, 3);
+  // Its brackets don't match, so that no entry of its page can be told from the others.
+  fleet.Store().PutText("servers", "a", R"({"Metadata":{"Name":"a","Revision":5},"Spec":[})");
+  KillAndStartAll(fleet);
+  unsigned ready = 0;
+  REQUIRE(fleet.RunUntil([&] { return fleet.Ask(0, "/nowhere/x", -1) == 404; }, kStart));
+  for (unsigned n = 0; n < kDaemons * 10; ++n) {
+    fleet.RunFor(milliseconds(100));
+    ready += fleet.IsReady(n % kDaemons) ? 1 : 0;
+  }
+  CHECK(ready == 0);
+  CHECK(fleet.Ask(0, "/read/x", -1) == 503);
+  fleet.Store().Remove("servers", "a");
+  for (unsigned n = 0; n < kDaemons; ++n) {
+    CHECK(fleet.RunUntil([&] { return fleet.IsReady(n); }, seconds(3)));
+  }
+  CHECK(fleet.RunUntil([&] { return fleet.KeysHeld() == kAllKeys; }, seconds(8)));
+  fleet.RunFor(milliseconds(500));
+  CheckServed(fleet, seconds(1));
+}
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -49,12 +49,13 @@
 
 struct Fixture
 {
-  Fixture()
+  /// The first lists end with @p aFirst.
+  explicit Fixture(StoreResult aFirst = StoreResult::kDone)
   {
     follower.Follow(ObjectKind::kServer);
     follower.Follow(ObjectKind::kConfiguration);
     AdvanceTime(milliseconds(20));
-    store.Complete(StoreResult::kDone);
+    store.Complete(aFirst);
     AdvanceTime(milliseconds(20));
   }
 
@@ -154,3 +155,19 @@
   CHECK(fixture.store.lists - before <= 2 * (kSeconds / 4 + 4));
   CHECK(fixture.store.lists - before >= 2 * (kSeconds / 4 - 4));
 }
+
+TEST_CASE("a kind counts as listed once a whole list of it was read", "[runtime][store]")
+{
+  const auto result = GENERATE(StoreResult::kDone,
+                               StoreResult::kIncomplete,
+                               StoreResult::kMalformed,
+                               StoreResult::kRefused,
+                               StoreResult::kUnknown);
+  Fixture fixture(result);
+  CHECK(fixture.follower.HasListed(ObjectKind::kServer) == (result == StoreResult::kDone));
+  CHECK_FALSE(fixture.follower.HasListed(ObjectKind::kRanges));
+  fixture.AdvanceTime(seconds(1));
+  fixture.store.Complete(StoreResult::kDone);
+  fixture.store.Complete(StoreResult::kRefused);
+  CHECK(fixture.follower.HasListed(ObjectKind::kServer));
+}
