Store: after changes that can't be parsed the kind is listed

Callers saw: while the answer to a watch can't be parsed as a whole, changes of that kind were not in force for as long as the store kept them, up to its history of some 20 s, also when a list could be read.

Cause: the same watch was sent again, from the same revision, and got the same bytes.

Change: such an answer makes the next call a list, from which changes are watched again. The record of key ranges does likewise; nothing but its call differs, and its case has no test of its own.

Evidence: new case of the follower, red before (no list after the malformed changes).

--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -280,7 +280,7 @@
   mWatchSentAt = aNow;
   mWatchRevision = std::max(mWatchRevision, mGranter.Revision());
   const auto done = [this](const StoreReading& aReading) { OnRecordWatched(aReading); };
-  if (mRecordHistoryGone) {
+  if (mMustListRecord) {
     mServices.store.List(ObjectKind::kRanges, false, done);
   } else {
     mServices.store.Watch(ObjectKind::kRanges, mWatchRevision, kRecordWatchTimeout, done);
@@ -293,7 +293,8 @@
   const Instant now = mServices.timers.Now();
   const bool isWhole = aReading.result == StoreResult::kDone;
   const bool hasGap = aReading.result == StoreResult::kIncomplete;
-  mRecordHistoryGone = hasGap || aReading.result == StoreResult::kHistoryGone;
+  mMustListRecord = hasGap || aReading.result == StoreResult::kHistoryGone ||
+                    aReading.result == StoreResult::kMalformed;
   if (isWhole) {
     mWatchRevision = std::max(mWatchRevision, aReading.at);
   } else {
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -193,8 +193,8 @@
   bool mWatching = false;
   /// When the store was last asked for changes of the range record.
   Instant mWatchSentAt;
-  /// The store no longer has the changes since that revision: the record must be listed.
-  bool mRecordHistoryGone = false;
+  /// The changes since that revision are gone or can't be read: the record must be listed.
+  bool mMustListRecord = false;
   /// Whether a list call for the range record is in progress.
   bool mListing = false;
 };
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -146,12 +146,13 @@
   }
   const bool hasGap = aResult == StoreResult::kIncomplete;
   if (hasGap) {
-    // Changes can't be watched from a list that has a gap.
-    aFollowed.mustList = true;
     OnAnswered(mTimers.Now());
   } else {
     ++mFailedInRow;
   }
+  // Changes can't be watched from a list that has a gap, and those that can't be parsed would be
+  // received once more.
+  aFollowed.mustList = aFollowed.mustList || hasGap || aResult == StoreResult::kMalformed;
   aFollowed.failures = std::min(aFollowed.failures + 1, kMaxRetryFactor);
   aFollowed.nextAt = mTimers.Now() + (hasGap ? kGapRetryDelay : kRetryDelay) * aFollowed.failures;
 }
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -171,3 +171,17 @@
   fixture.store.Complete(StoreResult::kRefused);
   CHECK(fixture.follower.HasListed(ObjectKind::kServer));
 }
+
+TEST_CASE("after changes that can't be parsed the kind is listed", "[runtime][store]")
+{
+  Fixture fixture;
+  REQUIRE(fixture.store.lists == 2);
+  fixture.store.Complete(StoreResult::kMalformed);
+  fixture.AdvanceTime(milliseconds(200));
+  CHECK(fixture.store.lists == 4);
+  fixture.store.Complete(StoreResult::kDone);
+  fixture.AdvanceTime(milliseconds(20));
+  // From that list changes are watched again.
+  CHECK(fixture.store.lists == 4);
+  CHECK(fixture.store.calls.size() == 2);
+}
