Servers: one whose name no header can carry is not used

Callers saw: with an entry that is sound but for its name, a part of the requests met a "server" to which nothing could be sent (a line's end in the name), or which never took the name for its own (a blank at the end is stripped on the way).

Cause: an entry's name goes into a header of each request, order and permit, and nothing was asked of it.

Change: a name must be printable ASCII of up to 256 bytes without blanks at its ends, as those of organisations had to be already; http::IsPlainValue says so in one place.

Names with "&", "+", "#", "%" or a blank inside can be told to a server, so that a sound entry under one still counts.

--- a/http/syntax.cpp
+++ b/http/syntax.cpp
@@ -53,6 +53,13 @@
     aText.begin(), aText.end(), [](char aChar) { return IsControl(aChar) && aChar != '\t'; });
 }
 
+bool IsPlainValue(std::string_view aText)
+{
+  return !aText.empty() && aText.front() != ' ' && aText.back() != ' ' &&
+         std::all_of(
+           aText.begin(), aText.end(), [](char aChar) { return aChar >= ' ' && aChar <= '~'; });
+}
+
 bool IsFieldLine(std::string_view aLine)
 {
   const std::size_t colon = aLine.find(':');
--- a/http/syntax.h
+++ b/http/syntax.h
@@ -18,6 +18,9 @@
 /// Whether @p aText has none of the control characters that no line may contain: all but the tab
 /// (RFC 9110, section 5.5).
 bool IsText(std::string_view aText);
+/// Whether @p aText is received as it was sent if it is the value of a field: printable ASCII
+/// without blanks at its ends (RFC 9110, section 5.5), and not empty.
+bool IsPlainValue(std::string_view aText);
 /// Whether @p aLine, without its CRLF, is a field with its value. The obsolete folding of values is
 /// not accepted (RFC 9112, section 5).
 bool IsFieldLine(std::string_view aLine);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -268,6 +268,36 @@
     reader.ReadServer({ "i-1", 3, false, WithReplacement(kServer, edit.part, edit.with) }));
 }
 
+TEST_CASE("a server whose name no header can carry is not used", "[platform]")
+{
+  struct Row
+  {
+    std::string name;
+    bool usable;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "i-7f3a91c2", true },
+    { "i-1&a=b+c#d%41?/", true },
+    { "i 1", true },
+    { std::string(256, 'n'), true },
+    { std::string(257, 'n'), false },
+    { "", false },
+    { " i-1", false },
+    { "i-1 ", false },
+    { "i-1\t", false },
+    { "i-\t1", false },
+    { "i-1\r\nX-Hawthornlug-Tenant: a", false },
+    { "i-1\n", false },
+    { std::string("i-\0001", 4), false },
+    { "i-\x7F", false },
+    { "i-\xC3\xA4", false },
+  }));
+  INFO(row.name);
+  DecisionLog log("test");
+  PlatformObjectReader reader(log);
+  CHECK(reader.ReadServer({ row.name, 3, false, kServer }).has_value() == row.usable);
+}
+
 TEST_CASE("a caller's headers state request id, timeout and key", "[platform]")
 {
   PlatformCallerHeaders headers;
