Configuration: only the object of its own name is read as one

Callers saw: nothing so far. An entry of another writer in the same kind, under another name and with a higher version, would have put its routes in force for all requests.

Cause: every object of the kind was read as the configuration.

Evidence: eight names, all red before.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -298,6 +298,17 @@
   CHECK(reader.ReadServer({ row.name, 3, false, kServer }).has_value() == row.usable);
 }
 
+TEST_CASE("only the object of that name is the configuration", "[platform]")
+{
+  const auto name = GENERATE(
+    values<std::string>({ "", "Main", "main ", "main&x", "main/", "other", "main%", "xmain" }));
+  INFO(name);
+  DecisionLog log("test");
+  PlatformObjectReader reader(log);
+  CHECK(reader.ReadConfiguration({ "main", 12, false, kConfiguration }));
+  CHECK_FALSE(reader.ReadConfiguration({ name, 13, false, kConfiguration }));
+}
+
 TEST_CASE("a caller's headers state request id, timeout and key", "[platform]")
 {
   PlatformCallerHeaders headers;
