Services: a health path is sent as a target that servers can read

Callers saw: with a health path that holds a blank or has no slash in front, no health check was ever sent, and a server of key ranges that was gone could not be told from one that was silent.

Cause: the path of the configuration was the request's target as it was; a malformed request isn't sent, and "#" and what follows it reaches no server.

--- a/http/target.cpp
+++ b/http/target.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace hawthornlug::http {
 
@@ -11,6 +12,8 @@
 constexpr int kHexBase = 16;
 constexpr std::string_view kHexDigitTable = "0123456789ABCDEF";
 constexpr std::string_view kUnreservedMarks = "-._~";
+/// Other characters that a path and a query may hold (RFC 3986, sections 3.3 and 3.4).
+constexpr std::string_view kTargetMarks = "!$&'()*+,;=:@/?";
 
 bool IsUnreserved(char aByte)
 {
@@ -19,6 +22,20 @@
   return isLetter || isDigit || kUnreservedMarks.find(aByte) != std::string_view::npos;
 }
 
+/// Returns the byte that is percent-encoded at @p aAt; nothing if there is none.
+std::optional<unsigned char> EncodedByteAt(std::string_view aText, std::size_t aAt)
+{
+  if (aText[aAt] != '%') {
+    return std::nullopt;
+  }
+  unsigned char byte = 0;
+  const std::string_view digits = aText.substr(aAt + 1, kHexDigits);
+  const char* const end = digits.data() + digits.size();
+  const bool decodes =
+    digits.size() == kHexDigits && std::from_chars(digits.data(), end, byte, kHexBase).ptr == end;
+  return decodes ? std::optional(byte) : std::nullopt;
+}
+
 } // namespace
 
 std::string DecodePercent(std::string_view aText)
@@ -26,17 +43,22 @@
   std::string text;
   text.reserve(aText.size());
   for (std::size_t n = 0; n < aText.size(); ++n) {
-    unsigned char byte = 0;
-    const std::string_view digits = aText.substr(n + 1 < aText.size() ? n + 1 : n, kHexDigits);
-    const char* const end = digits.data() + digits.size();
-    const bool decodes = aText[n] == '%' && digits.size() == kHexDigits &&
-                         std::from_chars(digits.data(), end, byte, kHexBase).ptr == end;
-    text.push_back(decodes ? static_cast<char>(byte) : aText[n]);
-    n += decodes ? kHexDigits : 0;
+    const std::optional<unsigned char> byte = EncodedByteAt(aText, n);
+    text.push_back(byte ? static_cast<char>(*byte) : aText[n]);
+    n += byte ? kHexDigits : 0;
   }
   return text;
 }
 
+std::string EncodeTarget(std::string_view aText)
+{
+  std::string target = aText.starts_with('/') ? "" : "/";
+  for (std::size_t n = 0; n < aText.size(); ++n) {
+    target += EncodedByteAt(aText, n) ? "%" : EncodePercent(aText.substr(n, 1), kTargetMarks);
+  }
+  return target;
+}
+
 std::string EncodePercent(std::string_view aText, std::string_view aKept)
 {
   std::string text;
--- a/http/target.h
+++ b/http/target.h
@@ -14,6 +14,10 @@
 /// Percent-encodes all bytes but the unreserved ones (RFC 3986, section 2.3) and those in @p aKept.
 std::string EncodePercent(std::string_view aText, std::string_view aKept = "");
 
+/// Returns @p aText, a path that may have a query, as it can be sent in a request: it begins with a
+/// slash, and bytes that no target may hold are percent-encoded. What is encoded already stays.
+std::string EncodeTarget(std::string_view aText);
+
 /// Builds the target of a request from parts that may hold any bytes. Each part is percent-encoded,
 /// so that it can't end its place in the target: no name is taken for another part.
 class TargetBuilder
--- a/tests/http/target_test.cpp
+++ b/tests/http/target_test.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Percent-decoding and query parameters of request targets.
 
+#include "http/syntax.h"
 #include "http/target.h"
 
 #include <catch2/catch.hpp>
@@ -93,3 +94,20 @@
   CHECK(http::TargetBuilder("/x").Segment("a/b").Build() == "/x/a%2Fb");
   CHECK(http::TargetBuilder("/x").Segments("a/b").Build() == "/x/a/b");
 }
+
+TEST_CASE("any text becomes a target that can be sent", "[http]")
+{
+  std::string all;
+  for (int n = 0; n < 256; ++n) {
+    all.push_back(static_cast<char>(n));
+  }
+  const auto text =
+    GENERATE_COPY(values<std::string>({ "", "/", "%", "%%41", "a b", "//h/x", all }));
+  http::Request request;
+  request.method = "GET";
+  request.target = http::EncodeTarget(text);
+  CHECK(http::IsWellFormed(request));
+  CHECK(request.target.starts_with('/'));
+  CHECK(request.target.find('#') == std::string::npos);
+  CHECK(http::EncodeTarget(request.target) == request.target);
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -309,6 +309,35 @@
   CHECK_FALSE(reader.ReadConfiguration({ name, 13, false, kConfiguration }));
 }
 
+TEST_CASE("a health path can be sent as a request's target", "[platform]")
+{
+  struct Row
+  {
+    std::string path;
+    std::string target;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "/health", "/health" },
+    { "/health?full=1&a=b+c", "/health?full=1&a=b+c" },
+    { "/a%20b/", "/a%20b/" },
+    { "health", "/health" },
+    { "", "/" },
+    { "/is it well", "/is%20it%20well" },
+    { "/100%", "/100%25" },
+    { "/a%4", "/a%254" },
+    { "/a#b", "/a%23b" },
+    { "/a\\u000d\\u000aX: y", "/a%0D%0AX:%20y" },
+    { "/\xC3\xA4", "/%C3%A4" },
+  }));
+  INFO(row.path);
+  DecisionLog log("test");
+  PlatformObjectReader reader(log);
+  const std::string text = WithReplacement(kConfiguration, "\"/health\"", '"' + row.path + '"');
+  const auto config = reader.ReadConfiguration({ "main", 12, false, text });
+  REQUIRE(config);
+  CHECK(config->services.at("s").healthPath == row.target);
+}
+
 TEST_CASE("a caller's headers state request id, timeout and key", "[platform]")
 {
   PlatformCallerHeaders headers;
