Metrics: names in labels are escaped in one place

Operators saw: with a route or a service whose name holds a quote, a backslash or a line's end, lines of /metrics that can't be read, or say something else.

Cause: names were put between the quotes of a label as they are; only those of organisations were escaped, without line's ends.

Change: LabelledName builds the name of a metric with its labels and escapes their values; all labels whose values are names of others come from it.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -13,8 +13,35 @@
 constexpr std::array<double, 4> kQuantiles = { 0.5, 0.9, 0.99, 0.999 };
 constexpr double kMicrosPerSecond = 1e6;
 
+std::string EscapeLabelValue(std::string_view aValue)
+{
+  std::string text;
+  for (const char it : aValue) {
+    if (it == '\n') {
+      text += "\\n";
+      continue;
+    }
+    if (it == '\\' || it == '"') {
+      text += '\\';
+    }
+    text += it;
+  }
+  return text;
+}
+
 } // namespace
 
+std::string LabelledName(std::string_view aName, std::initializer_list<MetricLabel> aLabels)
+{
+  std::string name(aName);
+  char separator = '{';
+  for (const MetricLabel& it : aLabels) {
+    name += separator + std::string(it.name) + "=\"" + EscapeLabelValue(it.value) + '"';
+    separator = ',';
+  }
+  return name + '}';
+}
+
 void Metrics::Count(const std::string& aName, std::uint64_t aDelta)
 {
   const std::lock_guard lock(mMutex);
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -13,19 +13,32 @@
 
 #include <array>
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <mutex>
 #include <ostream>
 #include <string>
+#include <string_view>
 
 namespace hawthornlug {
 
+struct MetricLabel
+{
+  std::string_view name;
+  /// Any text.
+  std::string_view value;
+};
+
+/// Returns the name of a metric with its labels, as Metrics takes it. The values are escaped as
+/// Prometheus' text format demands: each metric stays on its line.
+std::string LabelledName(std::string_view aName, std::initializer_list<MetricLabel> aLabels);
+
 /// Collects the metrics that `/metrics` returns. Safe to use from any thread, also while holding
 /// other locks: no other lock is taken while its own is held.
 class Metrics
 {
 public:
-  /// Adds @p aDelta to a counter; @p aName may carry Prometheus labels.
+  /// Adds @p aDelta to a counter; @p aName may carry labels, see LabelledName().
   void Count(const std::string& aName, std::uint64_t aDelta = 1);
   /// Sets a gauge.
   void Set(const std::string& aName, double aValue);
--- a/runtime/entry.cpp
+++ b/runtime/entry.cpp
@@ -80,9 +80,9 @@
   const Instant now = mContext.services.timers.Now();
   RecordOrderSpan(
     mContext.services.spans, aOrder, aOrder.trace, aParent, "entry", aStart, now, aAnswer);
-  const std::string labels = "{service=\"" + aOrder.service + "\",outcome=\"" +
-                             std::string(NameOf(kOutcomeNames, aAnswer.outcome)) + "\"}";
-  mContext.services.metrics.Count("requests_total" + labels);
+  mContext.services.metrics.Count(LabelledName(
+    "requests_total",
+    { { "service", aOrder.service }, { "outcome", NameOf(kOutcomeNames, aAnswer.outcome) } }));
   mContext.services.metrics.Observe("request_seconds", now - aStart);
   --mInProgress;
 }
--- a/runtime/organisation_metrics.cpp
+++ b/runtime/organisation_metrics.cpp
@@ -19,19 +19,6 @@
   return aRule.ratePerSecond > 0.0 ? aRule.ratePerSecond : std::numeric_limits<double>::infinity();
 }
 
-/// Escapes a name for use as the value of a label.
-std::string LabelValue(const std::string& aName)
-{
-  std::string value;
-  for (const char it : aName) {
-    if (it == '\\' || it == '"') {
-      value += '\\';
-    }
-    value += it;
-  }
-  return value;
-}
-
 } // namespace
 
 void OrganisationMetrics::CountRequest(const std::string& aOrganisation)
@@ -55,8 +42,8 @@
 void OrganisationMetrics::Count(const char* aName, const std::string& aOrganisation)
 {
   Update();
-  const std::string label = mLargest.contains(aOrganisation) ? LabelValue(aOrganisation) : kOthers;
-  mMetrics.Count(std::string(aName) + "{organisation=\"" + label + "\"}");
+  const std::string label = mLargest.contains(aOrganisation) ? aOrganisation : kOthers;
+  mMetrics.Count(LabelledName(aName, { { "organisation", label } }));
 }
 
 void OrganisationMetrics::Update()
--- a/runtime/placement_report.cpp
+++ b/runtime/placement_report.cpp
@@ -19,16 +19,19 @@
 
 void PlacementReport::OnMoveBegun(FleetMoveReason aReason)
 {
-  mMetrics.Count("placement_moves_total{service=\"" + mService + "\",reason=\"" +
-                 std::string(NameOf(kFleetMoveReasonNames, aReason)) + "\"}");
+  mMetrics.Count(LabelledName(
+    "placement_moves_total",
+    { { "service", mService }, { "reason", NameOf(kFleetMoveReasonNames, aReason) } }));
 }
 
 void PlacementReport::OnPlanned(const FleetPlan& aPlan)
 {
-  const std::string labels = "{service=\"" + mService + "\"}";
   const double total = aPlan.totalWork > 0.0 ? aPlan.totalWork : 1.0;
-  mMetrics.Set("placement_work_in_motion" + labels, aPlan.workInMotion / total);
-  mMetrics.Set("placement_hottest_key_share" + labels, aPlan.busiestKeyWork / total);
+  const auto set = [this](const char* aName, double aValue) {
+    mMetrics.Set(LabelledName(aName, { { "service", mService } }), aValue);
+  };
+  set("placement_work_in_motion", aPlan.workInMotion / total);
+  set("placement_hottest_key_share", aPlan.busiestKeyWork / total);
   for (auto& [server, it] : mHotKeys) {
     ++it.coolPlans;
   }
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -209,7 +209,7 @@
   const std::size_t known = mSpeeds.KnownServers(aNow);
   mServices.metrics.Set("server_speeds_known", static_cast<double>(known));
   for (const auto& [route, error] : mForwarder.Estimates().Errors()) {
-    mServices.metrics.Set("request_cost_error{route=\"" + route + "\"}", error);
+    mServices.metrics.Set(LabelledName("request_cost_error", { { "route", route } }), error);
   }
   const bool mostKnown = known > 0 && 2 * known >= servers;
   if (mostKnown != mSpeedsKnown) {
