Logs: a name of another writer is one part of one line, of bounded length

Operators saw: a line of the log as long as the name of an entry, 100 KB in the test; with `serve`, lines that its daemon had not written (a host whose name holds a line's end), control characters that reach a terminal, and bytes that are no UTF-8.

Cause: the log of `route` writes JSON, which escapes but doesn't shorten; that of `serve` wrote details as they are.

Change: fields are shortened to 1,024 bytes, and what is left out is counted; the details of `serve` are printable ASCII, other bytes as \xNN.

Evidence: eight names through both logs, read back from the streams: 6 checks red before.

--- a/core/decision_log.cpp
+++ b/core/decision_log.cpp
@@ -1,6 +1,7 @@
 #include "core/decision_log.h"
 
 #include "core/json_text.h"
+#include "core/log_text.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -31,6 +32,17 @@
   }
 }
 
+template<typename T>
+T Loggable(T aValue)
+{
+  return aValue;
+}
+
+std::string Loggable(const std::string& aText)
+{
+  return ShortenForLog(aText);
+}
+
 } // namespace
 
 DecisionLog::DecisionLog(std::string aDaemon)
@@ -84,7 +96,7 @@
   line["name"] = info.name;
   line["daemon"] = mDaemon;
   for (const LogField& it : aFields) {
-    std::visit([&](const auto& aValue) { line[it.name] = aValue; }, it.value);
+    std::visit([&](const auto& aValue) { line[it.name] = Loggable(aValue); }, it.value);
   }
   if (budget.dropped > 0) {
     line["left-out"] = budget.dropped;
--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -1,5 +1,7 @@
 #include "core/event_log.h"
 
+#include "core/log_text.h"
+
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -83,7 +85,7 @@
   } else if (info.level == 'e') {
     level = spdlog::level::err;
   }
-  mLogger->log(level, "H{} {} {}", info.number, info.name, aDetails);
+  mLogger->log(level, "H{} {} {}", info.number, info.name, PrintableForLog(aDetails));
 }
 
 } // namespace hawthornlug
