Serve: objects and hosts of the platform that can't be read leave the others in force

Callers saw: with `serve`, daemons that were started while the platform listed one object or host that can't be read were never ready; running ones learned of no change any more. A version of -8 or 8.5 in the answer to a write was converted to another number, and one that is a text failed `apply`, which then didn't read back whether its write had been made.

Cause: a watch and the list of hosts were parsed as a whole, and the version of a write's answer was converted unchecked.

Change: each entry is read on its own, as the store's client of `route` does; the splitting of JSON is in core/ for both. Of a host whose id can be read it is known that it is there; one without may be any host, so that nobody counts as gone from that list. Versions are whole numbers that aren't negative.

--- a/adapters/http_platform.cpp
+++ b/adapters/http_platform.cpp
@@ -1,8 +1,11 @@
 #include "adapters/http_platform.h"
 
+#include "core/json_members.h"
 #include "http/target.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
 
 namespace hawthornlug {
 
@@ -40,13 +43,62 @@
   return aStatus == kServiceUnavailable || (aStatus >= kBadRequest && aStatus < kServerError);
 }
 
+/// Thrown for a version that is no whole number.
+struct VersionError : std::runtime_error
+{
+  using std::runtime_error::runtime_error;
+};
+
+Version ReadVersion(const json& aValue)
+{
+  if (!aValue.is_number_unsigned()) {
+    throw VersionError("not a whole number");
+  }
+  return aValue.get<Version>();
+}
+
 PlatformObject ReadObject(const json& aValue)
 {
   return { aValue.at("name").get<std::string>(),
-           aValue.at("version").get<Version>(),
+           ReadVersion(aValue.at("version")),
            aValue.at("value").get<std::string>() };
 }
 
+ListedHost ReadHost(const json& aValue)
+{
+  return { aValue.at("id").get<std::string>(),
+           aValue.at("domain").get<std::string>(),
+           aValue.at("http").get<std::string>(),
+           aValue.at("peer").get<std::string>(),
+           aValue.value("leaving", false) };
+}
+
+/// Parses one entry of an answer with @p aRead. Returns nothing if it can't be read: entries have
+/// many writers, and the others hold.
+template<typename Entry>
+std::optional<Entry> TryRead(std::string_view aText, Entry (*aRead)(const json&))
+{
+  try {
+    return aRead(json::parse(aText));
+  } catch (const json::exception&) {
+    return std::nullopt;
+  } catch (const VersionError&) {
+    return std::nullopt;
+  }
+}
+
+/// The text of one member of an entry that can't be read as a whole; empty if that can't be read
+/// either.
+std::string TextOf(std::string_view aEntry, std::string_view aMember)
+{
+  const std::optional<std::vector<JsonMember>> members = SplitObject(aEntry);
+  if (!members) {
+    return {};
+  }
+  const json value = json::parse(ValueOf(*members, aMember), nullptr, false);
+  return value.is_string() ? value.get<std::string>() : std::string();
+}
+
 } // namespace
 
 HttpPlatform::HttpPlatform(const std::string& aUrl, Duration aTimeout)
@@ -76,11 +128,11 @@
 Result<PlatformObject> HttpPlatform::Get(const std::string& aName)
 {
   BOOST_LEAF_AUTO(body, Fetch(TargetOf(aName).Build(), mTimeout));
-  try {
-    return ReadObject(json::parse(body));
-  } catch (const json::exception&) {
+  std::optional<PlatformObject> object = TryRead(body, ReadObject);
+  if (!object) {
     return Malformed();
   }
+  return std::move(*object);
 }
 
 Result<Version> HttpPlatform::Put(const std::string& aName,
@@ -104,11 +156,12 @@
     return leaf::new_error(IsRejection(outcome.response.status) ? PlatformError::kUnavailable
                                                                 : PlatformError::kUnknown);
   }
-  const json doc = json::parse(outcome.response.body, nullptr, false);
-  if (!doc.is_object() || !doc.contains("version")) {
+  const std::optional<Version> version = TryRead<Version>(
+    outcome.response.body, [](const json& aValue) { return ReadVersion(aValue.at("version")); });
+  if (!version) {
     return leaf::new_error(PlatformError::kUnknown);
   }
-  return doc["version"].get<Version>();
+  return *version;
 }
 
 Result<ObjectChanges> HttpPlatform::Watch(Version aSince, Duration aWait)
@@ -118,35 +171,44 @@
                                .Parameter("timeout_ms", static_cast<std::uint64_t>(Millis(aWait)))
                                .Build();
   BOOST_LEAF_AUTO(body, Fetch(target, aWait + mTimeout));
-  try {
-    const json doc = json::parse(body);
-    ObjectChanges changes;
-    changes.revision = doc.at("revision").get<Version>();
-    for (const json& it : doc.at("objects")) {
-      changes.items.push_back(ReadObject(it));
-    }
-    return changes;
-  } catch (const json::exception&) {
+  const std::vector<JsonMember> members = SplitObject(body).value_or(std::vector<JsonMember>());
+  const auto revision = TryRead<Version>(ValueOf(members, "revision"), ReadVersion);
+  const auto objects = SplitArray(ValueOf(members, "objects"));
+  if (!revision || !objects) {
     return Malformed();
   }
+  ObjectChanges changes;
+  changes.revision = *revision;
+  for (const std::string_view it : *objects) {
+    if (std::optional<PlatformObject> object = TryRead(it, ReadObject)) {
+      changes.items.push_back(std::move(*object));
+    } else {
+      changes.unreadable.push_back(TextOf(it, "name"));
+    }
+  }
+  return changes;
 }
 
-Result<std::vector<ListedHost>> HttpPlatform::Hosts()
+Result<HostList> HttpPlatform::Hosts()
 {
   BOOST_LEAF_AUTO(body, Fetch("/hosts", mTimeout));
-  try {
-    std::vector<ListedHost> hosts;
-    for (const json& it : json::parse(body)) {
-      hosts.push_back({ it.at("id").get<std::string>(),
-                        it.at("domain").get<std::string>(),
-                        it.at("http").get<std::string>(),
-                        it.at("peer").get<std::string>(),
-                        it.value("leaving", false) });
-    }
-    return hosts;
-  } catch (const json::exception&) {
+  const auto entries = SplitArray(body);
+  if (!entries) {
     return Malformed();
   }
+  HostList list;
+  for (const std::string_view it : *entries) {
+    std::optional<ListedHost> host = TryRead(it, ReadHost);
+    std::string id = host ? host->id : TextOf(it, "id");
+    if (id.empty()) {
+      list.isWhole = false;
+    } else if (host) {
+      list.hosts.push_back(std::move(*host));
+    } else {
+      list.unreadable.push_back(std::move(id));
+    }
+  }
+  return list;
 }
 
 } // namespace hawthornlug
--- a/adapters/http_platform.h
+++ b/adapters/http_platform.h
@@ -19,7 +19,7 @@
                       Version aExpected,
                       const std::string& aValue) override;
   Result<ObjectChanges> Watch(Version aSince, Duration aWait) override;
-  Result<std::vector<ListedHost>> Hosts() override;
+  Result<HostList> Hosts() override;
 
 private:
   Result<std::string> Fetch(const std::string& aTarget, Duration aTimeout);
--- a/config/object_cache.h
+++ b/config/object_cache.h
@@ -26,6 +26,8 @@
 {
   Version revision = 0;
   std::vector<PlatformObject> items;
+  /// Names of changed objects that can't be read; empty where the name can't be read either.
+  std::vector<std::string> unreadable = {};
 };
 
 /// Cache of all platform objects. An object is never replaced by an older version of itself.
--- a/platform/json_members.cpp
+++ b/core/json_members.cpp
@@ -1,8 +1,8 @@
-#include "platform/json_members.h"
+#include "core/json_members.h"
 
 #include <algorithm>
 
-namespace hawthornlug::platform {
+namespace hawthornlug {
 
 namespace {
 
@@ -148,4 +148,4 @@
   return it == aMembers.end() ? std::string_view() : it->value;
 }
 
-} // namespace hawthornlug::platform
+} // namespace hawthornlug
--- a/platform/json_members.h
+++ b/core/json_members.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace hawthornlug::platform {
+namespace hawthornlug {
 
 /// A member of a JSON object. Both texts are parts of the object's text.
 struct JsonMember
@@ -25,4 +25,4 @@
 /// Returns the value of the first member with this name; an empty text if there is none.
 std::string_view ValueOf(const std::vector<JsonMember>& aMembers, std::string_view aName);
 
-} // namespace hawthornlug::platform
+} // namespace hawthornlug
--- a/main/tool_commands.cpp
+++ b/main/tool_commands.cpp
@@ -137,9 +137,9 @@
 std::vector<std::string> Lagging(PlatformPort& aPlatform, Version aVersion)
 {
   std::vector<std::string> lagging;
-  const auto hosts = leaf::try_handle_all([&] { return aPlatform.Hosts(); },
-                                          [] { return std::vector<ListedHost>(); });
-  for (const ListedHost& it : hosts) {
+  const auto hosts =
+    leaf::try_handle_all([&] { return aPlatform.Hosts(); }, [] { return HostList(); });
+  for (const ListedHost& it : hosts.hosts) {
     const auto status = Fetch(it.httpUrl, "/-/status");
     // A daemon that does not answer is not live; it takes the newest when it starts.
     if (status && status->value("config_version", Version{ 0 }) < aVersion) {
@@ -376,8 +376,9 @@
     BOOST_LEAF_AUTO(current, ReadCurrent(platform));
     BOOST_LEAF_AUTO(hosts, platform.Hosts());
     const std::string& name = aSettings.words[0];
-    const bool isHost = std::any_of(
-      hosts.begin(), hosts.end(), [&](const ListedHost& aHost) { return aHost.id == name; });
+    const bool isHost = std::any_of(hosts.hosts.begin(),
+                                    hosts.hosts.end(),
+                                    [&](const ListedHost& aHost) { return aHost.id == name; });
     Configuration next = current.stored.config;
     if (!MarkDraining(next, name, isHost)) {
       std::cerr << "hawthornlug: there is no server or host called " << name << '\n';
--- a/ports/platform_port.h
+++ b/ports/platform_port.h
@@ -21,6 +21,17 @@
   bool leaving = false;
 };
 
+/// The platform's list of entry hosts.
+struct HostList
+{
+  std::vector<ListedHost> hosts;
+  /// Ids of further hosts whose entries can't be read.
+  std::vector<std::string> unreadable;
+  /// Whether every host of the platform's list is among these. A host that is missing from a list
+  /// that isn't whole may still be there.
+  bool isWhole = true;
+};
+
 /// Blocking calls; safe to use from any thread. Errors are of type PlatformError.
 class PlatformPort
 {
@@ -34,8 +45,9 @@
                               Version aExpected,
                               const std::string& aValue) = 0;
   /// Returns the objects that changed after revision @p aSince; waits up to @p aWait for a change.
+  /// Those that can't be read are left out and named.
   virtual Result<ObjectChanges> Watch(Version aSince, Duration aWait) = 0;
-  virtual Result<std::vector<ListedHost>> Hosts() = 0;
+  virtual Result<HostList> Hosts() = 0;
 };
 
 } // namespace hawthornlug
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -380,6 +380,9 @@
       const bool up = leaf::try_handle_all(
         [&]() -> Result<bool> {
           BOOST_LEAF_AUTO(changes, mServices.platform.Watch(since, wait));
+          for (const std::string& it : changes.unreadable) {
+            mServices.log.Write(EventId::kObjectUnreadable, "object=" + it);
+          }
           mServices.cache.Merge(changes, since);
           return true;
         },
@@ -730,10 +733,10 @@
 
 void Daemon::RefreshHosts()
 {
-  std::vector<ListedHost> hosts;
+  HostList list;
   const bool read = leaf::try_handle_all(
     [&]() -> Result<bool> {
-      BOOST_LEAF_ASSIGN(hosts, mServices.platform.Hosts());
+      BOOST_LEAF_ASSIGN(list, mServices.platform.Hosts());
       return true;
     },
     [] { return false; });
@@ -743,8 +746,8 @@
   }
   const Instant now = mServices.timers.Now();
   const std::lock_guard lock(mMutex);
-  std::set<std::string> listed;
-  for (const ListedHost& it : hosts) {
+  std::set<std::string> listed(list.unreadable.begin(), list.unreadable.end());
+  for (const ListedHost& it : list.hosts) {
     listed.insert(it.id);
     Member member;
     member.id = it.id;
@@ -753,7 +756,9 @@
     member.peerEndpoint = it.peerEndpoint;
     mMembership.Learn(now, member);
   }
-  mStopVerifier.OnHostList(now, std::move(listed));
+  if (list.isWhole) {
+    mStopVerifier.OnHostList(now, std::move(listed));
+  }
 }
 
 // --- DaemonView -----------------------------------------------------------------------------
--- a/tests/adapters/broken_answers_test.cpp
+++ b/tests/adapters/broken_answers_test.cpp
@@ -5,12 +5,11 @@
 #include "adapters/http_server.h"
 #include "tests/support/answer_forms.h"
 #include "tests/support/loopback.h"
-#include "tests/support/raw_server.h"
+#include "tests/support/server_on_thread.h"
 
 #include <catch2/catch.hpp>
 
 #include <future>
-#include <thread>
 
 using namespace hawthornlug;
 using namespace hawthornlug::testing;
@@ -19,33 +18,6 @@
 
 constexpr Duration kTimeout = milliseconds(400);
 
-/// A server on a thread of its own that answers all requests with one form.
-class ServerOnThread
-{
-public:
-  explicit ServerOnThread(const AnswerForm& aForm)
-    : mHandler(aForm.bytes, aForm.ends)
-    , mServer(mContext, FreeEndpoint(mContext), mHandler)
-    , mThread([this] { mContext.run(); })
-  {
-  }
-  ~ServerOnThread()
-  {
-    mContext.stop();
-    mThread.join();
-  }
-  ServerOnThread(const ServerOnThread&) = delete;
-  ServerOnThread& operator=(const ServerOnThread&) = delete;
-
-  std::string Url() const { return "http://" + mServer.Address(); }
-
-private:
-  asio::io_context mContext;
-  FixedAnswer mHandler;
-  RawServer mServer;
-  std::thread mThread;
-};
-
 /// Calls the port with @p aCall and waits for what it completes with.
 template<typename Outcome, typename Call>
 Outcome Await(const std::string& aUrl, Call aCall)
--- a/tests/runtime/entry_test.cpp
+++ b/tests/runtime/entry_test.cpp
@@ -38,7 +38,7 @@
   MAKE_MOCK1(Get, Result<PlatformObject>(const std::string&), override);
   MAKE_MOCK3(Put, Result<Version>(const std::string&, Version, const std::string&), override);
   MAKE_MOCK2(Watch, Result<ObjectChanges>(Version, Duration), override);
-  MAKE_MOCK0(Hosts, Result<std::vector<ListedHost>>(), override);
+  MAKE_MOCK0(Hosts, Result<HostList>(), override);
 };
 
 class NoServers : public ServerPortFactory
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -5,7 +5,9 @@
 ///
 /// Flags: --port N, --extra-ports N,N,..., --host-lag-ms N.
 /// POST /control {"port":N,"down":bool,"slow_ms":N,"lose_answers":N}; without a port: all ports.
-/// POST /hosts [{"id","domain","http","peer","leaving"}] sets the list; it shows after the lag.
+/// POST /odd {"objects":[TEXT...],"hosts":[TEXT...]} adds entries to all watches and lists of
+/// hosts. POST /hosts [{"id","domain","http","peer","leaving"}] sets the list; it shows after the
+/// lag.
 
 #include "tests/standins/flags.h"
 #include "tests/standins/http_listener.h"
@@ -53,6 +55,8 @@
   void Watch(int aPort, const httplib::Request& aRequest, httplib::Response& aResponse);
   void Control(const json& aBody);
   std::string Hosts();
+  /// The text of a list with the odd entries behind the others.
+  std::string WithOdd(const json& aList, const std::string& aName) const;
 
   static json Show(const std::string& aName, const Object& aObject)
   {
@@ -67,6 +71,8 @@
   std::map<int, Faults> mFaults;
   std::map<std::string, std::uint64_t> mCounters;
   json mShownHosts = json::array();
+  /// Texts of entries that other writers have put beside ours, by the list that they are in.
+  std::map<std::string, std::vector<std::string>> mOddEntries;
   std::vector<std::pair<Clock::time_point, json>> mComingHosts;
 };
 
@@ -141,10 +147,25 @@
       objects.push_back(Show(name, object));
     }
   }
-  aResponse.set_content(json{ { "revision", mRevision }, { "objects", objects } }.dump(),
+  aResponse.set_content(R"({"revision":)" + std::to_string(mRevision) + R"(,"objects":)" +
+                          WithOdd(objects, "objects") + "}",
                         "application/json");
 }
 
+std::string Platform::WithOdd(const json& aList, const std::string& aName) const
+{
+  std::string text = aList.dump();
+  const auto odd = mOddEntries.find(aName);
+  if (odd == mOddEntries.end()) {
+    return text;
+  }
+  for (const std::string& it : odd->second) {
+    text.pop_back();
+    text += (text.size() > 1 ? "," : "") + it + "]";
+  }
+  return text;
+}
+
 void Platform::Control(const json& aBody)
 {
   const std::lock_guard lock(mMutex);
@@ -166,7 +187,7 @@
     mShownHosts = mComingHosts.front().second;
     mComingHosts.erase(mComingHosts.begin());
   }
-  return mShownHosts.dump();
+  return WithOdd(mShownHosts, "hosts");
 }
 
 void Platform::Attach(httplib::Server& aServer, int aPort)
@@ -201,6 +222,10 @@
   aServer.Post("/control", [this](const httplib::Request& aRequest, httplib::Response&) {
     Control(json::parse(aRequest.body));
   });
+  aServer.Post("/odd", [this](const httplib::Request& aRequest, httplib::Response&) {
+    const std::lock_guard lock(mMutex);
+    mOddEntries = json::parse(aRequest.body);
+  });
   aServer.Get("/counters", [this](const httplib::Request&, httplib::Response& aRes) {
     const std::lock_guard lock(mMutex);
     aRes.set_content(json(mCounters).dump(), "application/json");
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -348,6 +348,11 @@
   Post(mPlatform.url, "/control", body);
 }
 
+void Fleet::PutOdd(const std::vector<std::string>& aObjects, const std::vector<std::string>& aHosts)
+{
+  Post(mPlatform.url, "/odd", { { "objects", aObjects }, { "hosts", aHosts } });
+}
+
 void Fleet::Cut(const std::vector<std::pair<std::string, std::string>>& aCuts)
 {
   Post(mRelay.url, "/cuts", aCuts);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -89,6 +89,8 @@
   void Restart(Process& aProcess);
   /// Sets faults at the platform stand-in, for all ports or one failure domain's.
   void Platform(const nlohmann::json& aFaults, const std::string& aDomain = {});
+  /// Adds entries to what the platform stand-in lists, given as their texts.
+  void PutOdd(const std::vector<std::string>& aObjects, const std::vector<std::string>& aHosts);
   /// Cuts what each first daemon sends to the second; nothing else stays cut.
   void Cut(const std::vector<std::pair<std::string, std::string>>& aCuts);
   /// All pairs of daemons of two failure domains, both ways.
