Apply: a version is not called in force while the hosts can't be listed

Cause: a list that failed counted as a list without hosts.

Change: it is asked for again as long as the command waits; hosts that are listed unreadably are named as not in force.

Evidence: new process test, exit code 0 before, refused after; and 0 once the list can be read.

--- a/main/tool_commands.cpp
+++ b/main/tool_commands.cpp
@@ -133,34 +133,42 @@
   return doc.is_discarded() ? std::nullopt : std::optional<json>(std::move(doc));
 }
 
-/// Names the daemons that don't have @p aVersion in force yet.
-std::vector<std::string> Lagging(PlatformPort& aPlatform, Version aVersion)
+/// Names the daemons that don't have @p aVersion in force yet, or can't be asked.
+Result<std::vector<std::string>> Lagging(PlatformPort& aPlatform, Version aVersion)
 {
-  std::vector<std::string> lagging;
-  const auto hosts =
-    leaf::try_handle_all([&] { return aPlatform.Hosts(); }, [] { return HostList(); });
-  for (const ListedHost& it : hosts.hosts) {
+  BOOST_LEAF_AUTO(list, aPlatform.Hosts());
+  std::vector<std::string> lagging = list.unreadable;
+  for (const ListedHost& it : list.hosts) {
     const auto status = Fetch(it.httpUrl, "/-/status");
     // A daemon that does not answer is not live; it takes the newest when it starts.
     if (status && status->value("config_version", Version{ 0 }) < aVersion) {
       lagging.push_back(it.id);
     }
   }
+  if (!list.isWhole) {
+    lagging.emplace_back("a host that the platform lists unreadably");
+  }
   return lagging;
 }
 
 Result<int> WaitInForce(PlatformPort& aPlatform, Version aVersion)
 {
   const auto end = std::chrono::steady_clock::now() + kApplyPatience;
-  std::vector<std::string> lagging = Lagging(aPlatform, aVersion);
-  while (!lagging.empty() && std::chrono::steady_clock::now() < end) {
+  // As long as the hosts can't be listed it is not known where the version is in force.
+  const auto unknown = std::vector<std::string>{ "any host: the platform's list can't be read" };
+  const auto lagging = [&] {
+    return leaf::try_handle_all([&] { return Lagging(aPlatform, aVersion); },
+                                [&] { return unknown; });
+  };
+  std::vector<std::string> names = lagging();
+  while (!names.empty() && std::chrono::steady_clock::now() < end) {
     std::this_thread::sleep_for(kApplyPoll);
-    lagging = Lagging(aPlatform, aVersion);
+    names = lagging();
   }
-  for (const std::string& it : lagging) {
+  for (const std::string& it : names) {
     std::cerr << "hawthornlug: not in force yet at " << it << '\n';
   }
-  return lagging.empty() ? kExitDone : kExitRefused;
+  return names.empty() ? kExitDone : kExitRefused;
 }
 
 /// Parses a tool's command line and runs @p aBody with the settings.
@@ -374,11 +382,13 @@
   return RunTool(shape, aArgs, [](const ToolSettings& aSettings) -> Result<int> {
     HttpPlatform platform(aSettings.platformUrl, kPlatformTimeout);
     BOOST_LEAF_AUTO(current, ReadCurrent(platform));
-    BOOST_LEAF_AUTO(hosts, platform.Hosts());
+    BOOST_LEAF_AUTO(list, platform.Hosts());
     const std::string& name = aSettings.words[0];
-    const bool isHost = std::any_of(hosts.hosts.begin(),
-                                    hosts.hosts.end(),
-                                    [&](const ListedHost& aHost) { return aHost.id == name; });
+    const bool isHost =
+      std::find(list.unreadable.begin(), list.unreadable.end(), name) != list.unreadable.end() ||
+      std::any_of(list.hosts.begin(), list.hosts.end(), [&](const ListedHost& aHost) {
+        return aHost.id == name;
+      });
     Configuration next = current.stored.config;
     if (!MarkDraining(next, name, isHost)) {
       std::cerr << "hawthornlug: there is no server or host called " << name << '\n';
--- a/tests/process/odd_objects_test.cpp
+++ b/tests/process/odd_objects_test.cpp
@@ -57,3 +57,12 @@
     return fleet.Get(fleet.Server(server).url, "/counters").value("grants", 1) == 0;
   }));
 }
+
+TEST_CASE("apply doesn't call a version in force while the hosts can't be listed", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  fleet.PutOdd({}, { "{" });
+  CHECK(fleet.Apply(fleet.Config({ { "south", "out" } })) != 0);
+  fleet.PutOdd({}, {});
+  CHECK(fleet.Apply(fleet.Config()) == 0);
+}
