Operators' commands: an answer of a daemon that they can't read was refused already; its test

Eight answers to `status` and `explain` that are no objects or hold members of other types: refused with exit code 1 by the last handler, without a crash. Held before; nothing else changes. The key of `explain` here holds "&", which was encoded already.

--- a/tests/process/odd_objects_test.cpp
+++ b/tests/process/odd_objects_test.cpp
@@ -2,6 +2,7 @@
 /// Daemons of `serve` are started while the platform lists objects and hosts that can't be read.
 
 #include "tests/support/fleet.h"
+#include "tests/support/server_on_thread.h"
 
 #include <catch2/catch.hpp>
 
@@ -66,3 +67,36 @@
   fleet.PutOdd({}, {});
   CHECK(fleet.Apply(fleet.Config()) == 0);
 }
+
+TEST_CASE("operators' commands refuse a daemon's answer that they can't read", "[process]")
+{
+  constexpr int kExitRefused = 1;
+  struct Row
+  {
+    std::vector<std::string> words;
+    std::string body;
+  };
+  const std::vector<std::string> status = { "status" };
+  const std::vector<std::string> explain = { "explain", "bookings", "k&1" };
+  const std::vector<Row> rows = {
+    { status, "[1]" },
+    { status, "7" },
+    { status, R"({"id":7})" },
+    { status, R"({"members":3})" },
+    { status, R"({"cells":[7]})" },
+    { explain, R"("text")" },
+    { explain, R"({"moves":[{"event":7}]})" },
+    { explain, R"({"attached":7})" },
+  };
+  Fleet fleet({ .domains = { "north" } });
+  for (const Row& row : rows) {
+    INFO(row.words[0] << " " << row.body);
+    const ServerOnThread daemon({ "",
+                                  "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                    std::to_string(row.body.size()) + "\r\n\r\n" + row.body,
+                                  false });
+    std::vector<std::string> words = row.words;
+    words.insert(words.begin() + 1, { "--daemon", daemon.Url() });
+    CHECK(fleet.Tool(words) == kExitRefused);
+  }
+}
