Router: daemons call no address of the directory that is none of a daemon

Callers saw: nothing so far. An entry of another writer in the directory of daemons, with a name in place of an IP address, made each registrar look that name up in the thread that carries all messages between daemons.

Cause: any text under "endpoint" was connected to.

Change: only tcp:// with an IP address and a port is.

The simulation's own endpoints are IP addresses now, and it notes endpoints that are nobody's. Not shown with a real look-up: no names are looked up here.

--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -1,6 +1,7 @@
 #include "runtime/router_daemon.h"
 
 #include "core/json_text.h"
+#include "http/client.h"
 #include "limits/request_cost.h"
 
 #include <algorithm>
@@ -36,9 +37,28 @@
 constexpr Duration kDirectoryInterval = seconds(30);
 /// Interval at which the number of servers with a known speed is recorded.
 constexpr Duration kSpeedsInterval = seconds(1);
+constexpr std::string_view kMeshScheme = "tcp://";
 /// Longest time until a daemon knows what another one has reported, also through relays.
 constexpr Duration kMaxHeartbeatGap = milliseconds(1200);
 
+/// Reads the mesh endpoint from a daemon's entry; nothing if it is not an IP address with a port.
+/// The library for messages would look up names, and all messages would wait for that.
+std::optional<std::string> ReadMeshEndpoint(const std::string& aValue)
+{
+  const auto entry = nlohmann::json::parse(aValue, nullptr, false);
+  if (!entry.is_object()) {
+    return std::nullopt;
+  }
+  const auto endpoint = entry.value("endpoint", nlohmann::json());
+  if (!endpoint.is_string()) {
+    return std::nullopt;
+  }
+  const auto text = endpoint.get<std::string>();
+  const bool valid =
+    text.starts_with(kMeshScheme) && http::ParseEndpoint(text.substr(kMeshScheme.size()));
+  return valid ? std::optional(text) : std::nullopt;
+}
+
 } // namespace
 
 RouterDaemon::RouterDaemon(const RouterSettings& aSettings, RouterServices aServices)
@@ -335,9 +355,8 @@
 {
   mServices.store.List(ObjectKind::kDaemon, true, [this](const StoreReading& aReading) {
     for (const StoredObject& it : aReading.objects) {
-      const auto entry = nlohmann::json::parse(it.value, nullptr, false);
-      if (entry.is_object() && entry.value("endpoint", nlohmann::json()).is_string()) {
-        mMesh.AddEndpoint(entry["endpoint"].get<std::string>());
+      if (const std::optional<std::string> endpoint = ReadMeshEndpoint(it.value)) {
+        mMesh.AddEndpoint(*endpoint);
       }
     }
   });
--- a/tests/runtime/router_daemon_test.cpp
+++ b/tests/runtime/router_daemon_test.cpp
@@ -305,3 +305,34 @@
   INFO(metrics);
   CHECK(isKnown == isOn);
 }
+
+TEST_CASE("daemons call no address of the directory that is none of a daemon", "[runtime][router]")
+{
+  struct Row
+  {
+    std::string entry;
+    bool called;
+  };
+  const auto row = GENERATE(values<Row>({
+    { R"({"endpoint":"tcp://10.9.9.9:7000"})", true },
+    { R"({"endpoint":"tcp://some-name:7000"})", false },
+    { R"({"endpoint":"tcp://*:7000"})", false },
+    { R"({"endpoint":"tcp://10.9.9.9"})", false },
+    { R"({"endpoint":"tcp://10.9.9.9:70000"})", false },
+    { R"({"endpoint":"tcp://10.9.9.9:7000;tcp://10.9.9.8:7000"})", false },
+    { R"({"endpoint":"10.9.9.9:7000"})", false },
+    { R"({"endpoint":"ipc:///x"})", false },
+    { R"({"endpoint":"inproc://x"})", false },
+    { R"({"endpoint":""})", false },
+    { R"({"endpoint":7})", false },
+    { R"(["tcp://10.9.9.9:7000"])", false },
+    { "null", false },
+    { "tcp://10.9.9.9:7000", false },
+  }));
+  INFO(row.entry);
+  RouterSimulation simulation({ 3, 3, 3 });
+  simulation.store.Put(ObjectKind::kDaemon, "odd&x=1 2", row.entry);
+  simulation.Run(seconds(40));
+  CHECK(simulation.strangers.empty() != row.called);
+  CHECK(simulation.InForce(1) == 3);
+}
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -138,7 +138,9 @@
 
 std::string EndpointOf(unsigned aDaemon)
 {
-  return "tcp://d" + std::to_string(aDaemon);
+  constexpr unsigned kPerNetwork = 250;
+  return "tcp://10.0." + std::to_string(aDaemon / kPerNetwork) + "." +
+         std::to_string(1 + aDaemon % kPerNetwork) + ":7000";
 }
 
 } // namespace
@@ -466,6 +468,9 @@
   mBytesSent += bytes;
   ++mMessagesSent;
   const auto to = mNodesByEndpoint.find(aEndpoint);
+  if (to == mNodesByEndpoint.end()) {
+    strangers.insert(aEndpoint);
+  }
   if (to == mNodesByEndpoint.end() || !aFrom.daemon) {
     return;
   }
--- a/tests/support/router_simulation.h
+++ b/tests/support/router_simulation.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -206,6 +207,9 @@
   DecisionLog log{ "simulation" };
   Metrics metrics;
 
+  /// Endpoints of none of the daemons that messages were sent to.
+  std::set<std::string> strangers;
+
 private:
   /// One host: its link and its daemon, if that runs.
   struct Node;
