Fuzzer of stored objects: an entry changes nothing of the entries beside it

The rule: any text that is one value stands between two sound entries, in a list and in a watch; both are read as they were written, and the text is noted or has a name. A name comes back as it was from a target that holds it twice; a server that is used has an id that a header can carry.

--- a/tests/fuzz/stored_objects.cpp
+++ b/tests/fuzz/stored_objects.cpp
@@ -3,6 +3,9 @@
 /// Each reader gives a value or a typed error. The first byte chooses the reader.
 
 #include "config/stored_config.h"
+#include "core/json_members.h"
+#include "http/syntax.h"
+#include "http/target.h"
 #include "ownership/cell_object.h"
 #include "ownership/key_range.h"
 #include "platform/host_settings.h"
@@ -64,18 +67,77 @@
   }
 }
 
+/// A name of an entry is what a server decodes from a request's target, and nothing else is.
+void CheckName(const std::string& aName)
+{
+  http::Request request;
+  request.method = "GET";
+  request.target = http::TargetBuilder("/x").Segment(aName).Parameter("after", aName).Build();
+  CHECK_ALWAYS(http::IsWellFormed(request));
+  CHECK_ALWAYS(http::DecodePercent(request.Path()) == "/x/" + aName);
+  CHECK_ALWAYS(request.Query().find_first_of("&#") == std::string_view::npos);
+  CHECK_ALWAYS(http::QueryValue(request.Query(), "after") == aName);
+}
+
+/// A server that is used can be told its id in a header.
+void CheckServer(const StoredObject& aObject)
+{
+  PlatformObjectReader reader(Log());
+  if (const auto server = reader.ReadServer(aObject)) {
+    http::Headers headers;
+    headers.Add("X", server->id);
+    CHECK_ALWAYS(http::IsWellFormed(headers) && !server->id.empty());
+    CHECK_ALWAYS(server->id.front() != ' ' && server->id.back() != ' ');
+  }
+}
+
 /// Reads a page as @p aRead does, and each object in it.
 Result<void> ReadPage(Result<StorePage> (*aRead)(const std::string&), const std::string& aText)
 {
   BOOST_LEAF_AUTO(page, aRead(aText));
-  PlatformObjectReader reader(Log());
   for (const StoredObject& it : page.objects) {
-    reader.ReadServer(it);
+    CheckName(it.name);
+    CheckServer(it);
     CheckRedaction(it);
   }
   return {};
 }
 
+/// Reads @p aEntry between two sound entries, which must be read whatever it is. A text that ends
+/// its place in the list is no entry.
+void CheckEntry(Result<StorePage> (*aRead)(const std::string&),
+                const std::string& aStart,
+                const std::string& aEntry,
+                const std::string& aEnd)
+{
+  const auto values = SplitArray("[" + aEntry + "]");
+  if (!values || values->size() != 1) {
+    return;
+  }
+  const std::string first = R"({"Metadata":{"Name":"a","Revision":3},"Spec":{"n":1}})";
+  const std::string last = R"({"Metadata":{"Name":"z","Revision":4},"Spec":{"n":2}})";
+  const auto wrap = [&](const std::string& aText) { return aStart + aText + aEnd; };
+  const std::string list = wrap(first) + "," + wrap(aEntry) + "," + wrap(last);
+  const auto page = leaf::try_handle_all(
+    [&]() -> Result<std::optional<StorePage>> {
+      BOOST_LEAF_AUTO(read,
+                      aRead(R"({"items":[)" + list + R"(],"events":[)" + list + R"(],"At":9})"));
+      return std::optional(std::move(read));
+    },
+    []() -> std::optional<StorePage> { return std::nullopt; });
+  CHECK_ALWAYS(page && page->at == 9);
+  const std::vector<StoredObject>& objects = page->objects;
+  CHECK_ALWAYS(objects.size() == 2 || objects.size() == 3);
+  CHECK_ALWAYS(objects.front().name == "a" && objects.front().value == R"({"n":1})");
+  CHECK_ALWAYS(objects.back().name == "z" && objects.back().value == R"({"n":2})");
+  CHECK_ALWAYS(objects.size() == 3 || page->unreadable.size() == 1);
+  if (objects.size() == 3) {
+    CHECK_ALWAYS(!objects[1].name.empty());
+    CheckName(objects[1].name);
+    CheckServer(objects[1]);
+  }
+}
+
 /// A cell that was read, written and read again is the same.
 Result<void> ReadCell(const std::string& aText)
 {
@@ -122,6 +184,8 @@
       break;
     case 2:
       ReadTyped<AnswerError>([&] { return ReadObjectAnswer(text); });
+      CheckEntry(ReadListAnswer, "", text, "");
+      CheckEntry(ReadWatchAnswer, R"({"Object":)", text, "}");
       break;
     case 3:
       reader.ReadServer({ "name", 1, false, text });
