--- a/tests/soak/route_soak.cpp
+++ b/tests/soak/route_soak.cpp
@@ -77,6 +77,9 @@
       [](StandInServer&) {} } }
 };
 
+/// Objects on a page of the store's lists: each list has several.
+constexpr std::size_t kPageSize = 3;
+
 class Soak
 {
 public:
@@ -92,7 +95,9 @@
   int Run(seconds aTime)
   {
     if (!Start()) {
-      std::cout << "seed " << mSeed << ": not all daemons were ready and all keys held in time\n";
+      std::cout << "seed " << mSeed << ": not all daemons were ready and all keys held in time ("
+                << mFleet.KeysHeld() << "/" << kSampledKeys << ")\nlogs: " << mFleet.KeepFolder()
+                << "\n";
       return 2;
     }
     mBegan = steady_clock::now();
@@ -115,6 +120,7 @@
 private:
   bool Start()
   {
+    mFleet.Store().SetPageSize(kPageSize);
     for (unsigned n = 0; n < mFleet.Servers(); n += 3) {
       mFleet.Server(n).SlowClock();
     }
@@ -298,7 +304,11 @@
     } else if (aKind == 10) {
       Outage();
     } else if (aKind == 11) {
-      WriteOdd();
+      if (Draw(0, 2) == 0) {
+        WriteUnreadable();
+      } else {
+        WriteOdd();
+      }
     } else if (Disturb(kServerTroubles[0], true)) {
       // The granter of the server that has just restarted stops.
       After(DrawTime(0, 300), [this, signal = Draw(0, 1) == 0 ? SIGKILL : SIGSTOP] {
@@ -413,17 +423,38 @@
       Json{ { "Service", Json::array({ 1 }) }, { "born", -1.5 }, { "Seq", nullptr } },
       Json(nullptr)
     };
+    const std::array<std::string, 6> names = { "i-odd-1",   "i-1&Watch=1", "i-2+3 4",
+                                               "i-3#%41?/", "i-4\r\nX: y", "i-5\xC3\xA4" };
     const unsigned kind = Draw(0, specs.size() - 1);
     const bool own = Draw(0, 1) == 0;
     const std::string name =
-      own ? "i-odd-" + std::to_string(kind) : mFleet.Server(Draw(0, mFleet.Servers() - 1)).Id();
+      own ? names.at(Draw(0, names.size() - 1)) : mFleet.Server(Draw(0, mFleet.Servers() - 1)).Id();
     Say("odd", "entry " + std::to_string(kind) + " at " + name);
     mFleet.Store().Put("servers", name, specs.at(kind));
     if (own) {
-      After(DrawTime(1000, 5000), [this, name] { mFleet.Store().Remove("servers", name); });
+      RemoveLater(name);
     }
   }
 
+  /// An entry that can't be read, not even its name.
+  void WriteUnreadable()
+  {
+    const std::array<const char*, 4> texts = { "null",
+                                               "\xFF",
+                                               R"({"Metadata":{"Revision":5},"Spec":{}})",
+                                               "{\"Metadata\":{\"Name\":\"\xFF\"}}" };
+    const unsigned kind = Draw(0, texts.size() - 1);
+    const std::string place = "i-3-unreadable";
+    Say("unreadable", "entry " + std::to_string(kind));
+    mFleet.Store().PutText("servers", place, texts.at(kind));
+    RemoveLater(place);
+  }
+
+  void RemoveLater(const std::string& aName)
+  {
+    After(DrawTime(1000, 5000), [this, aName] { mFleet.Store().Remove("servers", aName); });
+  }
+
   int Report()
   {
     const FleetLedger& ledger = mFleet.Ledger();
