Range records: a test that a list with a gap shows records, but not that there is none

A daemon that reads a list with a gap makes no record (held before), and a leader that has to list its record, since the changes are gone or can't be read, goes on renewing.

--- a/tests/runtime/range_runner_test.cpp
+++ b/tests/runtime/range_runner_test.cpp
@@ -23,7 +23,7 @@
   {
     mPending.push_back([this, aDone] {
       StoreReading unchanged;
-      unchanged.result = StoreResult::kDone;
+      unchanged.result = watchResult;
       unchanged.at = mRevision;
       aDone(unchanged);
     });
@@ -34,6 +34,7 @@
              const std::string& aValue,
              WriteDone aDone) override
   {
+    ++writes;
     mPending.push_back([this, aKind, aName, aExpected, aValue, aDone] {
       StoredObject& object = mObjects[{ aKind, aName }];
       StoreWrite write;
@@ -56,11 +57,16 @@
     }
   }
 
+  /// How lists and watches end.
+  StoreResult listResult = StoreResult::kDone;
+  StoreResult watchResult = StoreResult::kDone;
+  unsigned writes = 0;
+
 private:
   StoreReading Reading(ObjectKind aKind) const
   {
     StoreReading reading;
-    reading.result = StoreResult::kDone;
+    reading.result = listResult;
     reading.at = mRevision;
     for (const auto& [name, object] : mObjects) {
       if (name.first == aKind) {
@@ -85,7 +91,11 @@
   {
     return nullptr;
   }
-  void Grant(const GrantCommand&, Duration, CommandDone aDone) override { Answer(aDone); }
+  void Grant(const GrantCommand&, Duration, CommandDone aDone) override
+  {
+    ++grants;
+    Answer(aDone);
+  }
   void Release(const ReleaseCommand&, Duration, CommandDone aDone) override { Answer(aDone); }
   void CheckHealth(const std::string& aAddress,
                    const std::string&,
@@ -99,6 +109,7 @@
 
   /// Addresses of servers that answer no health check.
   std::set<std::string> silent;
+  unsigned grants = 0;
 
   void Deliver()
   {
@@ -372,3 +383,58 @@
   CHECK(text.find("placement_work_in_motion{service=\"s\"}") != std::string::npos);
   CHECK(text.find("placement_hottest_key_share{service=\"s\"} 0.") != std::string::npos);
 }
+
+TEST_CASE("a list of range records that has a gap shows records, but not that there is none",
+          "[runtime][ranges][store]")
+{
+  MeshSimulation simulation(1);
+  simulation.Run(seconds(2));
+  MemoryStore store;
+  WillingBackends backends;
+  Metrics metrics;
+  IgnoredNotices notices;
+  ServerSelector selector("north");
+  ServerEntry entry;
+  entry.service = "s";
+  entry.slots = 4;
+  entry.id = "a";
+  entry.domain = "north";
+  selector.Put(entry, simulation.timers.now);
+  RangeRunner runner("s",
+                     GrantTiming(),
+                     { store,
+                       backends,
+                       simulation.nodes[0]->mesh,
+                       selector,
+                       notices,
+                       simulation.timers,
+                       simulation.log,
+                       metrics },
+                     [] {});
+  const auto run = [&](Duration aTime) {
+    for (const Instant end = simulation.timers.now + aTime; simulation.timers.now < end;) {
+      runner.Tick(simulation.timers.now, { Duration::zero(), false, true });
+      backends.Deliver();
+      store.Deliver();
+      simulation.Run(kMeshTick);
+    }
+  };
+  // There is no record yet, but the list doesn't say so.
+  store.listResult = StoreResult::kIncomplete;
+  run(seconds(15));
+  CHECK_FALSE(runner.IsLeader());
+  CHECK(store.writes == 0);
+  store.listResult = StoreResult::kDone;
+  run(seconds(10));
+  REQUIRE(runner.IsLeader());
+  // The leader has to list its record, and finds it.
+  const auto watchResult = GENERATE(StoreResult::kHistoryGone, StoreResult::kMalformed);
+  store.listResult = StoreResult::kIncomplete;
+  store.watchResult = watchResult;
+  run(seconds(30));
+  CHECK(runner.IsLeader());
+  // It goes on renewing what it has granted.
+  const unsigned before = backends.grants;
+  run(seconds(5));
+  CHECK(backends.grants > before);
+}
