HTTP client: nothing is sent on a new connection that has ended already

Callers saw: an answer that says nobody knows whether the request ran, for a request that no server ever got.

Cause: a client that waits before it sends on a new connection was told that the wait is over before it was told that the server has ended the connection, when its process was held up past both: the timer's handler runs first, and sent on a dead connection. The result was 'sent, then broken' in place of 'not accepted', so a request that isn't idempotent wasn't tried elsewhere.

Change: once the wait is over, the client looks at the socket before it sends; an end that the kernel knows of counts. What ends after that is still 'broken': the request may have been run.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -203,11 +203,26 @@
         self->Fail(CallResult::kNotSent);
         return;
       }
+      if (self->HasEnded()) {
+        self->Fail(CallResult::kNotAccepted);
+        return;
+      }
       self->ArmTimer(self->mDeadline);
       self->Write();
     });
   }
 
+  /// Whether the server has ended the connection, even if that has not been read yet: a process
+  /// that was held up finds the end of the wait and the end of the connection at the same moment.
+  bool HasEnded()
+  {
+    char next = 0;
+    asio::error_code ec;
+    mSocket.non_blocking(true, ec);
+    mSocket.receive(asio::buffer(&next, sizeof(next)), Tcp::socket::message_peek, ec);
+    return ec && ec != asio::error::would_block;
+  }
+
   void Write()
   {
     mSending = true;
--- a/tests/http/engine_test.cpp
+++ b/tests/http/engine_test.cpp
@@ -10,6 +10,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace hawthornlug;
 using namespace hawthornlug::http;
 using namespace hawthornlug::testing;
@@ -678,6 +680,36 @@
   CHECK(outcome->result == row.result);
 }
 
+TEST_CASE("a call is not sent on a new connection that ended while this process was held up",
+          "[http]")
+{
+  // By the time the process runs again, the wait for the connection is over and the server has
+  // ended it; whether the end has been read is a matter of order.
+  const bool withReset = GENERATE(true, false);
+  INFO("with reset: " << withReset);
+  asio::io_context context;
+  Tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+  Client client(context);
+  CallOptions options;
+  options.awaitAcceptance = true;
+  std::optional<CallOutcome> outcome;
+  client.Send("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+              MakeGetRequest(),
+              options,
+              [&](CallOutcome aOutcome) { outcome = std::move(aOutcome); });
+  Tcp::socket peer = acceptor.accept();
+  context.run_one(); // The client notices that the connection is established.
+  REQUIRE_FALSE(outcome.has_value());
+  asio::steady_timer untilEnd(context, std::chrono::steady_clock::time_point::min());
+  untilEnd.async_wait([&](const asio::error_code&) {
+    peer.set_option(asio::socket_base::linger(withReset, 0));
+    peer.close();
+  });
+  std::this_thread::sleep_for(milliseconds(25)); // Longer than the client waits.
+  REQUIRE(RunUntil(context, [&] { return outcome.has_value(); }));
+  CHECK(outcome->result == CallResult::kNotAccepted);
+}
+
 TEST_CASE("a call whose time ends while it awaits its connection is not sent", "[http]")
 {
   // Sent at its deadline, it could run although its caller is told that it failed.
