Test fleets: ranges of ports that are locked, below those of outgoing connections

A daemon that is started again could also find its port taken by an outgoing connection.

Cause: a range (Fleet) or a port (PlatformFleet) was looked at and let go before its process listened; ports of PlatformFleet came from those that Linux gives to outgoing connections.

Change: PortRange holds a lock on a file of its range as long as it lives; both fleets take their ports from it.

--- /dev/null
+++ b/tests/process/port_range_test.cpp
@@ -0,0 +1,45 @@
+/// @file
+/// Fleets that run at the same time don't take each other's ports.
+
+#include "tests/support/port_range.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <memory>
+#include <set>
+#include <vector>
+
+using namespace hawthornlug::testing;
+
+TEST_CASE("ranges of ports that are held at the same time have no port in common", "[process]")
+{
+  std::vector<std::unique_ptr<PortRange>> ranges;
+  std::set<int> first;
+  for (int n = 0; n < 4; ++n) {
+    ranges.push_back(std::make_unique<PortRange>());
+    first.insert(ranges.back()->First());
+  }
+  REQUIRE(first.size() == ranges.size());
+  for (auto it = first.begin(); std::next(it) != first.end(); ++it) {
+    CHECK(*std::next(it) - *it >= PortRange::kPorts);
+  }
+  int outgoing = 0;
+  std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> outgoing;
+  CHECK(*first.rbegin() + PortRange::kPorts <= outgoing);
+}
+
+TEST_CASE("a range of ports can be taken again, and gives each of its ports once", "[process]")
+{
+  std::set<std::string> given;
+  PortRange range;
+  for (int n = 0; n < PortRange::kPorts; ++n) {
+    given.insert(range.NextAddress());
+  }
+  CHECK(given.size() == PortRange::kPorts);
+  CHECK_THROWS_AS(range.NextAddress(), std::out_of_range);
+  auto other = std::make_unique<PortRange>();
+  const int first = other->First();
+  other.reset();
+  CHECK(PortRange().First() <= first);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -3,7 +3,6 @@
 #include "tests/support/paths.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
@@ -15,7 +14,6 @@
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -33,47 +31,12 @@
 constexpr milliseconds kPoll{ 10 };
 constexpr milliseconds kReadyLimit{ 30000 };
 constexpr milliseconds kEndLimit{ 20000 };
-constexpr int kPortsPerFleet = 100;
-constexpr int kFirstPort = 21000;
-constexpr int kPortRanges = 100;
+/// Offsets in the range of ports.
 constexpr int kDaemonPort = 10;
 constexpr int kPeerPort = 30;
 constexpr int kServerPort = 50;
 constexpr int kRelayPort = 80;
 
-/// Whether nobody listens on any port of a range.
-bool IsFree(int aBasePort)
-{
-  for (int port = aBasePort; port < aBasePort + kPortsPerFleet; ++port) {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    const int failed = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
-    ::close(fd);
-    if (failed != 0) {
-      return false;
-    }
-  }
-  return true;
-}
-
-/// The first free range; runs side by side begin to look at different ones.
-int NextBasePort()
-{
-  static int fleets = 0;
-  for (int tries = 0; tries < kPortRanges; ++tries) {
-    const int range = (static_cast<int>(::getpid()) * 4 + fleets++) % kPortRanges;
-    if (IsFree(kFirstPort + range * kPortsPerFleet)) {
-      return kFirstPort + range * kPortsPerFleet;
-    }
-  }
-  throw std::runtime_error("no free ports for the fleet");
-}
-
 std::string Binary(const std::string& aName)
 {
   return testing::BuildFolder() / aName;
@@ -146,7 +109,7 @@
 Fleet::Fleet(FleetShape aShape)
   : mShape(std::move(aShape))
   , mFolder(MakeFolder())
-  , mBasePort(NextBasePort())
+  , mBasePort(mPorts.First())
 {
   std::string extra;
   for (std::size_t n = 1; n <= mShape.domains.size(); ++n) {
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -2,6 +2,8 @@
 /// A small deployment as real processes on this machine, with stand-ins for what is outside.
 #pragma once
 
+#include "tests/support/port_range.h"
+
 #include <chrono>
 #include <functional>
 #include <future>
@@ -131,6 +133,7 @@
 
   const FleetShape mShape;
   const std::string mFolder;
+  const PortRange mPorts;
   const int mBasePort;
   Process mPlatform;
   Process mRelay;
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -30,19 +30,6 @@
 constexpr unsigned kKeyStep = 4096;
 constexpr unsigned kKeys = 65536;
 
-std::string FreeAddress()
-{
-  static std::set<unsigned> used;
-  asio::io_context context;
-  while (true) {
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
-    const unsigned port = acceptor.local_endpoint().port();
-    if (used.insert(port).second) {
-      return "127.0.0.1:" + std::to_string(port);
-    }
-  }
-}
-
 } // namespace
 
 PlatformFleet::PlatformFleet(unsigned aDaemons,
@@ -50,7 +37,7 @@
                              unsigned aKeyedServers,
                              unsigned aMemoryMb)
   : mClient(mContext)
-  , mStoreAddress(FreeAddress())
+  , mStoreAddress(mPorts.NextAddress())
   , mStore(std::make_unique<StandInStore>(mContext, mStoreAddress))
   , mMemoryMb(aMemoryMb)
   , mLastGrants(kKeys)
@@ -62,14 +49,14 @@
   for (unsigned n = 0; n < aPlainServers + aKeyedServers; ++n) {
     const bool keyed = n >= aPlainServers;
     mServers.push_back(std::make_unique<StandInServer>(
-      *this, "i-" + std::to_string(n), keyed ? "keyed" : "plain", FreeAddress(), keyed));
+      *this, "i-" + std::to_string(n), keyed ? "keyed" : "plain", mPorts.NextAddress(), keyed));
     mServers.back()->Register("ready");
   }
   for (unsigned n = 0; n < aDaemons; ++n) {
     Daemon daemon;
-    daemon.callers = FreeAddress();
-    daemon.readiness = FreeAddress();
-    daemon.mesh = FreeAddress();
+    daemon.callers = mPorts.NextAddress();
+    daemon.readiness = mPorts.NextAddress();
+    daemon.mesh = mPorts.NextAddress();
     daemon.settings = mFolder + "/daemon-" + std::to_string(n) + ".toml";
     mDaemons.push_back(std::move(daemon));
   }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -5,6 +5,7 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/support/port_range.h"
 #include "tests/support/raw_server.h"
 #include "tests/support/standin_store.h"
 
@@ -244,6 +245,7 @@
 
   asio::io_context mContext{ 1 };
   http::Client mClient;
+  testing::PortRange mPorts;
   std::string mStoreAddress;
   std::unique_ptr<StandInStore> mStore;
   std::vector<std::unique_ptr<StandInServer>> mServers;
