Port ranges: the test of taking them again doesn't depend on other processes

A range that another process takes between two lines would have failed it. It takes more ranges in turn than there are now: one that isn't let go fails it as well.

--- a/tests/process/port_range_test.cpp
+++ b/tests/process/port_range_test.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <vector>
 
 using namespace hawthornlug::testing;
@@ -29,7 +30,7 @@
   CHECK(*first.rbegin() + PortRange::kPorts <= outgoing);
 }
 
-TEST_CASE("a range of ports can be taken again, and gives each of its ports once", "[process]")
+TEST_CASE("a range of ports gives each of its ports once", "[process]")
 {
   std::set<std::string> given;
   PortRange range;
@@ -38,8 +39,12 @@
   }
   CHECK(given.size() == PortRange::kPorts);
   CHECK_THROWS_AS(range.NextAddress(), std::out_of_range);
-  auto other = std::make_unique<PortRange>();
-  const int first = other->First();
-  other.reset();
-  CHECK(PortRange().First() <= first);
+}
+
+TEST_CASE("ranges of ports that are no longer held can be taken again", "[process]")
+{
+  // More than there are.
+  for (int n = 0; n < 200; ++n) {
+    CHECK(PortRange().First() > 0);
+  }
 }
