Broken grants: a request may run out of time while it runs at last

It waits for a key that the faulty server was given; the key comes back after the hold, 1,805 to 1,824 ms into the request's 2,000, the new owner refuses it once, and it is sent again at 1,970 to 1,985 ms (request-failed, waited-ms). The server ran it, and its time ended meanwhile. 504 promises nothing, and it had run: that is true, and the test asks for no falsehood.

--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -422,6 +422,13 @@
                    }
                  } else {
                    ++mLedger.failed;
+                   if (response.status == 504) {
+                     const auto it = mLedger.runAt.find(id);
+                     mLedger.timedOut[id] =
+                       it == mLedger.runAt.end()
+                         ? milliseconds::max()
+                         : std::chrono::ceil<milliseconds>(steady_clock::now() - it->second);
+                   }
                  }
                });
 }
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <deque>
 #include <map>
 #include <memory>
@@ -39,6 +40,11 @@
   http::Headers lastRun;
   /// Runs by request id.
   std::map<std::string, unsigned> runs;
+  /// When a server last began to run a request, by request id.
+  std::map<std::string, std::chrono::steady_clock::time_point> runAt;
+  /// For how long the requests that were answered 504 had run by then; the longest of all times if
+  /// no server had them. They count as failed, too.
+  std::map<std::string, std::chrono::milliseconds> timedOut;
   /// Ids of requests that were answered with the promise that they never run.
   std::set<std::string> refused;
   /// Rules that were broken.
--- a/tests/support/platform_standins.cpp
+++ b/tests/support/platform_standins.cpp
@@ -195,6 +195,7 @@
   const http::Request& request = aExchange->Received();
   const std::string id(request.headers.Get("X-Hawthornlug-Attempt-Id"));
   const unsigned count = ++mFleet.Ledger().runs[id];
+  mFleet.Ledger().runAt[id] = steady_clock::now();
   if (request.method == "POST" && count > 1) {
     mFleet.Ledger().broken.insert("a request that may not be repeated ran twice");
   }
