Range events: what a takeover rests on, and readings of the record that go back

H530 to H532 now state term, revision, the revision read and its age; H533 the heartbeat's number, age and time after the takeover; H535 (new) a record whose revision is lower than a known one.

Decisions are unchanged.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -50,6 +50,7 @@
   { 830, 'i', "servers-contended" }, { 840, 'w', "implausible-speeds" },
   { 841, 'i', "speeds-known" },      { 850, 'w', "hot-key" },
   { 851, 'i', "hot-key-over" },      { 204, 'w', "list-incomplete" },
+  { 535, 'w', "record-went-back" },
 });
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -91,6 +91,7 @@
   kHotKey,
   kHotKeyOver,
   kListIncomplete,
+  kRecordWentBack,
 };
 
 /// Number, level and name of an event.
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -190,9 +190,12 @@
   }
   mListing = true;
   mReadRetryAt = aNow + kReadRetryDelay;
-  mServices.store.List(ObjectKind::kRanges, false, [this](const StoreReading& aReading) {
+  mServices.store.List(ObjectKind::kRanges, false, [this, aNow](const StoreReading& aReading) {
     mListing = false;
     const StoredObject* const object = FindRecord(aReading);
+    if (object != nullptr) {
+      NoteRecord(*object, aNow);
+    }
     RangeRecord record;
     if (object == nullptr || !DecodeRangeRecord(object->value, record)) {
       return;
@@ -227,6 +230,22 @@
   return it == aReading.objects.end() ? nullptr : &*it;
 }
 
+void RangeRunner::NoteRecord(const StoredObject& aRecord, Instant aAskedAt)
+{
+  if (aRecord.revision < mRecordRevision) {
+    RangeRecord record;
+    DecodeRangeRecord(aRecord.value, record);
+    mServices.log.Write(EventId::kRecordWentBack,
+                        { { "service", mService },
+                          { "revision", aRecord.revision },
+                          { "known", mRecordRevision },
+                          { "term", record.term },
+                          { "leader", record.leader.id } });
+  }
+  mRecordRevision = std::max(mRecordRevision, aRecord.revision);
+  mRecordAskedAt = aAskedAt;
+}
+
 void RangeRunner::TakeOver(const StoredObject& aRecord)
 {
   UpdateGrantableServers();
@@ -237,8 +256,14 @@
 void RangeRunner::BeginTakeover()
 {
   mListing = true;
-  mServices.store.List(
-    ObjectKind::kRanges, false, [this](const StoreReading& aReading) { OnRecordListed(aReading); });
+  mServices.store.List(ObjectKind::kRanges,
+                       false,
+                       [this, asked = mServices.timers.Now()](const StoreReading& aReading) {
+                         if (const StoredObject* const it = FindRecord(aReading)) {
+                           NoteRecord(*it, asked);
+                         }
+                         OnRecordListed(aReading);
+                       });
 }
 
 void RangeRunner::OnRecordListed(const StoreReading& aReading)
@@ -307,6 +332,7 @@
   for (const StoredObject& it : aReading.objects) {
     if (it.name == mService) {
       seen = true;
+      NoteRecord(it, mWatchSentAt);
       mGranter.OnRecordRead(it, mWatchSentAt, now);
     }
   }
@@ -366,19 +392,19 @@
   }
 }
 
-std::optional<EarlierLeaderEnd> RangeRunner::EndOf(const DaemonRef& aLeader) const
+std::optional<RangeRunner::ProvenEnd> RangeRunner::EndOf(const DaemonRef& aLeader) const
 {
   for (const MeshPeer* it : mServices.mesh.LivePeers()) {
     if (it->ref.id != aLeader.id) {
       continue;
     }
     if (it->ref.incarnation > aLeader.incarnation) {
-      return EarlierLeaderEnd::kRestarted;
+      return ProvenEnd{ EarlierLeaderEnd::kRestarted, it };
     }
     // A heartbeat that has arrived well after the takeover and no longer claims the ranges.
     const bool gaveUp =
       !it->claims.contains(mService) && it->heartbeatAt > mBecameLeaderAt + kHeartbeatSettleTime;
-    return gaveUp ? std::optional(EarlierLeaderEnd::kNoClaim) : std::nullopt;
+    return gaveUp ? std::optional(ProvenEnd{ EarlierLeaderEnd::kNoClaim, it }) : std::nullopt;
   }
   return std::nullopt;
 }
@@ -390,16 +416,21 @@
   }
   const std::vector<EarlierLeader> leaders = mGranter.EarlierLeaders();
   for (const auto& [daemon, term] : leaders) {
-    const std::optional<EarlierLeaderEnd> end = EndOf(daemon);
-    if (!end) {
+    const std::optional<ProvenEnd> proof = EndOf(daemon);
+    if (!proof) {
       continue;
     }
-    mServices.log.Write(EventId::kEarlierLeaderStopped,
-                        { { "service", mService },
-                          { "leader", daemon.id },
-                          { "incarnation", daemon.incarnation },
-                          { "proof", NameOf(kEarlierLeaderEndNames, *end) } });
-    mGranter.OnEarlierLeaderStopped(daemon, mServices.timers.Now());
+    const Instant now = mServices.timers.Now();
+    mServices.log.Write(
+      EventId::kEarlierLeaderStopped,
+      { { "service", mService },
+        { "leader", daemon.id },
+        { "incarnation", daemon.incarnation },
+        { "proof", NameOf(kEarlierLeaderEndNames, proof->end) },
+        { "heartbeat", proof->peer->sequence },
+        { "heartbeat-age-ms", Millis(now - proof->peer->heartbeatAt) },
+        { "after-takeover-ms", Millis(proof->peer->heartbeatAt - mBecameLeaderAt) } });
+    mGranter.OnEarlierLeaderStopped(daemon, now);
   }
 }
 
@@ -629,6 +660,10 @@
                           { "old", it.from },
                           { "new", it.to },
                           { "token", it.token },
+                          { "term", mGranter.Term() },
+                          { "revision", mGranter.Revision() },
+                          { "read-revision", mRecordRevision },
+                          { "record-age-ms", Millis(now - mRecordAskedAt) },
                           { "reason", it.reason },
                           { "confirmed-ms", Millis(now - mGranter.ConfirmedAt()) } });
   }
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -106,6 +106,8 @@
   /// Reads the owners from the store while no range table has been received.
   void ReadRecord(Instant aNow);
   const StoredObject* FindRecord(const StoreReading& aReading) const;
+  /// Notes a reading of the record, and logs it if its revision is lower than that of one before.
+  void NoteRecord(const StoredObject& aRecord, Instant aAskedAt);
   void TakeOver(const StoredObject& aRecord);
   void BeginTakeover();
   /// Whether this daemon, as the leader, has lost the store while others reach it: it could finish
@@ -135,8 +137,14 @@
   /// Sends health checks to the servers that have not answered anything yet.
   void VetServers(Instant aNow);
   void OnVettingAnswered(const ServerRef& aServer, const HealthReport& aReport);
-  /// How @p aLeader is known to grant no more; nothing if it may still do so.
-  std::optional<EarlierLeaderEnd> EndOf(const DaemonRef& aLeader) const;
+  /// How @p aLeader is known to grant no more, and by which daemon's heartbeat.
+  struct ProvenEnd
+  {
+    EarlierLeaderEnd end = EarlierLeaderEnd::kRestarted;
+    const MeshPeer* peer = nullptr;
+  };
+  /// Nothing if the daemon may still grant.
+  std::optional<ProvenEnd> EndOf(const DaemonRef& aLeader) const;
   /// Reports earlier leaders as stopped once their heartbeats confirm that.
   void CheckEarlierLeaders();
   void Execute(const std::vector<GranterAction>& aActions);
@@ -188,6 +196,9 @@
   /// When this daemon last became leader.
   Instant mBecameLeaderAt;
   Instant mWatchRetryAt;
+  /// The highest revision of the record that was read, and when the store was asked for it.
+  Version mRecordRevision = 0;
+  Instant mRecordAskedAt;
   /// Revision from which the range record is watched.
   Version mWatchRevision = 0;
   bool mWatching = false;
