--- a/tests/ownership/range_schedules.cpp
+++ b/tests/ownership/range_schedules.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Runs the range simulation with many seeds. Exits with 1 if an invariant was violated.
-/// usage: range_schedules [--first N] [--seeds N] [--log N]
+/// usage: range_schedules [--first N] [--seeds N] [--restores N] [--log N]
+/// --restores N lets the store come back N times from an older copy in each run; 0 by default.
 /// --log N runs only seed N and prints its transcript.
 
 #include "tests/support/range_simulation.h"
@@ -14,6 +15,7 @@
 {
   std::uint64_t first = 0;
   std::uint64_t seeds = 500;
+  unsigned restores = 0;
   bool printLog = false;
   for (int n = 1; n + 1 < aArgCount; n += 2) {
     const std::string option = aArgs[n];
@@ -22,6 +24,8 @@
       first = value;
     } else if (option == "--seeds") {
       seeds = value;
+    } else if (option == "--restores") {
+      restores = static_cast<unsigned>(value);
     } else if (option == "--log") {
       first = value;
       seeds = 1;
@@ -38,6 +42,7 @@
     RangeFaults faults;
     // Each seed runs in one of the two modes of the granter.
     faults.joinsNeighbours = seed % 2 == 1;
+    faults.restores = restores;
     RangeSimulation simulation(seed, faults);
     const std::string violation = simulation.Run();
     moves += simulation.Moves();
--- a/tests/support/range_simulation.cpp
+++ b/tests/support/range_simulation.cpp
@@ -101,6 +101,12 @@
   for (unsigned n = 0; n < mFaults.disruptions; ++n) {
     Schedule(RandomDuration(seconds(3), mFaults.duration / 2), [this] { InjectDisruption(); });
   }
+  for (unsigned n = 0; n < mFaults.restores; ++n) {
+    Schedule(RandomDuration(seconds(3), mFaults.duration / 2), [this] {
+      RestoreStore(RandomDuration(milliseconds(0), mFaults.longestCopyAge),
+                   RandomDuration(milliseconds(0), mFaults.longestStoreOutage));
+    });
+  }
   while (!mScheduledCalls.empty() && mNow < mEnd && mViolation.empty()) {
     const ScheduledCall call = mScheduledCalls.top();
     mScheduledCalls.pop();
@@ -389,6 +395,7 @@
   // Revisions are shared with other objects, so the next one may be skipped.
   mRevision += 1 + static_cast<Version>(RandomChance(0.3) ? 3 : 0);
   mRecord = StoredObject{ "service", mRevision, false, aAction.value };
+  mRecordHistory.push_back({ mNow, mRecord, mRevision });
   return true;
 }
 
@@ -508,6 +515,7 @@
 {
   Server& server = mServers[aServer];
   ++server.incarnation;
+  server.restartedAt = mNow;
   std::fill(server.highestTokens.begin(), server.highestTokens.end(), 0);
   std::fill(server.leases.begin(), server.leases.end(), Lease());
   AppendLine("restart " + server.id);
@@ -530,6 +538,48 @@
   AppendLine("stop " + mServers[aServer].id);
 }
 
+void RangeSimulation::RestoreStore(Duration aCopyAge, Duration aOutage)
+{
+  AppendLine("the store is away");
+  for (Daemon& it : mDaemons) {
+    it.storeUnreachableUntil = std::max(it.storeUnreachableUntil, mNow + aOutage);
+  }
+  Schedule(aOutage, [this, copiedAt = mNow - aCopyAge] {
+    const auto later =
+      std::upper_bound(mRecordHistory.begin(),
+                       mRecordHistory.end(),
+                       copiedAt,
+                       [](Instant aAt, const RecordState& aState) { return aAt < aState.at; });
+    if (later == mRecordHistory.begin()) {
+      return;
+    }
+    // What was written since is no part of the history any more.
+    mRecordHistory.erase(later, mRecordHistory.end());
+    mRecord = mRecordHistory.back().record;
+    mRevision = mRecordHistory.back().revision;
+    RestoreRegistry(copiedAt);
+    AppendLine("the store is back with revision " + std::to_string(mRevision));
+  });
+}
+
+void RangeSimulation::RestoreRegistry(Instant aCopiedAt)
+{
+  for (unsigned n = 0; n < kServers; ++n) {
+    if (mServers[n].restartedAt <= aCopiedAt) {
+      continue;
+    }
+    for (Daemon& it : mDaemons) {
+      it.registeredIncarnations[n] =
+        std::min(it.registeredIncarnations[n], mServers[n].incarnation - 1);
+    }
+    Schedule(RandomDuration(milliseconds(1), mFaults.longestReregistration), [this, n] {
+      for (Daemon& it : mDaemons) {
+        it.registeredIncarnations[n] = mServers[n].incarnation;
+      }
+    });
+  }
+}
+
 void RangeSimulation::MoveBucket(unsigned aBucket, unsigned aServer)
 {
   AppendLine("request move of bucket " + std::to_string(aBucket) + " to " + mServers[aServer].id);
--- a/tests/support/range_simulation.h
+++ b/tests/support/range_simulation.h
@@ -41,6 +41,13 @@
   /// Ranges share their tokens with neighbours of the same owner, and a server is sent one release
   /// at a time.
   bool joinsNeighbours = false;
+  /// Number of times, at random, that the store is away and comes back from an older copy.
+  unsigned restores = 0;
+  /// Largest age of that copy when the store goes away, and longest time for which it is away.
+  Duration longestCopyAge = seconds(10);
+  Duration longestStoreOutage = seconds(2);
+  /// Longest time until a server writes its entry to the restored store.
+  Duration longestReregistration = seconds(3);
   /// Simulated time of the whole run.
   Duration duration = seconds(90);
 };
@@ -74,6 +81,8 @@
   void RestartServer(unsigned aServer);
   /// Stops a server for the rest of the run. The registry still lists it.
   void StopServer(unsigned aServer);
+  /// The store is away for @p aOutage, and comes back as it was @p aCopyAge before that.
+  void RestoreStore(Duration aCopyAge, Duration aOutage);
   /// Makes the leader move a bucket to a server.
   void MoveBucket(unsigned aBucket, unsigned aServer);
   /// Returns the daemon with the highest term among those that act as leader; the first daemon if
@@ -99,6 +108,8 @@
   {
     std::string id;
     Incarnation incarnation = 1;
+    /// When it last restarted.
+    Instant restartedAt;
     bool up = true;
     /// Highest token accepted, by bucket.
     std::vector<FencingToken> highestTokens = std::vector<FencingToken>(kBuckets, 0);
@@ -165,6 +176,8 @@
                   Instant aArrivedAt);
   /// Records a violation if two servers hold the same bucket.
   void CheckExclusiveOwnership();
+  /// The registry is that of the copy, until the servers write their entries again.
+  void RestoreRegistry(Instant aCopiedAt);
   /// Injects a random disruption.
   void InjectDisruption();
   /// Isolates the leader from the store and all other daemons from @p aServer, so that only the
@@ -184,6 +197,14 @@
   std::vector<Daemon> mDaemons;
   std::optional<StoredObject> mRecord;
   Version mRevision = 40;
+  /// The record after each of its changes, and the store's revision, by time.
+  struct RecordState
+  {
+    Instant at;
+    std::optional<StoredObject> record;
+    Version revision = 0;
+  };
+  std::vector<RecordState> mRecordHistory;
   /// By bucket: the highest token of any applied grant, and the server incarnation that got it.
   std::vector<std::pair<FencingToken, std::string>> mHighestGrants =
     std::vector<std::pair<FencingToken, std::string>>(kBuckets);
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -75,11 +75,30 @@
   }
   for (const Watcher& it : mWatchers) {
     it.timer->cancel();
-    it.exchange->Respond(Reply(503, ""));
+    Answer(*it.exchange, 503, "");
   }
   mWatchers.clear();
 }
 
+std::shared_ptr<const StandInStore::Copy> StandInStore::MakeCopy() const
+{
+  return std::make_shared<const Copy>(Copy{ mObjects, mRevision });
+}
+
+void StandInStore::RestoreFrom(const Copy& aCopy)
+{
+  mObjects = aCopy.objects;
+  mRevision = aCopy.revision;
+  ++mEra;
+}
+
+void StandInStore::Answer(http::Exchange& aExchange, int aStatus, std::string aBody) const
+{
+  http::Response response = Reply(aStatus, std::move(aBody));
+  response.headers.Add("Store-Era", std::to_string(mEra));
+  aExchange.Respond(std::move(response));
+}
+
 void StandInStore::Put(const std::string& aKind, const std::string& aName, const Json& aSpec)
 {
   const Json body = { { "Metadata", { { "Name", aName }, { "Revision", mRevision + 1 } } },
@@ -149,7 +168,7 @@
       continue;
     }
     it->timer->cancel();
-    it->exchange->Respond(Reply(200, ChangesSince(it->kind, it->since)));
+    Answer(*it->exchange, 200, ChangesSince(it->kind, it->since));
     it = mWatchers.erase(it);
   }
 }
@@ -159,8 +178,12 @@
                          std::uint64_t aSince,
                          milliseconds aWait)
 {
+  if (aSince > mRevision) {
+    Answer(*aExchange, 410, "");
+    return;
+  }
   if (HasChanged(aKind, aSince)) {
-    aExchange->Respond(Reply(200, ChangesSince(aKind, aSince)));
+    Answer(*aExchange, 200, ChangesSince(aKind, aSince));
     return;
   }
   auto timer = std::make_shared<asio::steady_timer>(mContext, aWait);
@@ -168,7 +191,7 @@
   timer->async_wait([this, aExchange, aKind, aSince](const asio::error_code& aError) {
     if (!aError) {
       mWatchers.remove_if([&](const Watcher& aWatcher) { return aWatcher.exchange == aExchange; });
-      aExchange->Respond(Reply(200, ChangesSince(aKind, aSince)));
+      Answer(*aExchange, 200, ChangesSince(aKind, aSince));
     }
   });
 }
@@ -190,9 +213,10 @@
   }
   const bool more =
     std::any_of(it, objects.end(), [](const auto& aEntry) { return !aEntry.second.removed; });
-  aExchange->Respond(Reply(200,
-                           R"({"items":[)" + items + R"(],"HasMore":)" + (more ? "true" : "false") +
-                             R"(,"At":)" + std::to_string(mRevision) + "}"));
+  Answer(*aExchange,
+         200,
+         R"({"items":[)" + items + R"(],"HasMore":)" + (more ? "true" : "false") + R"(,"At":)" +
+           std::to_string(mRevision) + "}");
 }
 
 void StandInStore::Write(const std::shared_ptr<http::Exchange>& aExchange,
@@ -205,24 +229,24 @@
   const auto known = mObjects[aKind].find(name);
   const bool exists = known != mObjects[aKind].end() && !known->second.removed;
   if (creates ? exists : !exists) {
-    aExchange->Respond(creates ? Reply(409, known->second.text) : Reply(404, ""));
+    Answer(*aExchange, creates ? 409 : 404, creates ? known->second.text : "");
     return;
   }
   const Json& metadata = body.at("Metadata");
   if (exists && metadata.contains("Revision") &&
       metadata.at("Revision").get<std::uint64_t>() != known->second.revision) {
-    aExchange->Respond(Reply(409, known->second.text));
+    Answer(*aExchange, 409, known->second.text);
     return;
   }
   Put(aKind, name, body.at("Spec"));
-  aExchange->Respond(Reply(200, mObjects[aKind][name].text));
+  Answer(*aExchange, 200, mObjects[aKind][name].text);
 }
 
 void StandInStore::OnRequest(std::shared_ptr<http::Exchange> aExchange)
 {
   const http::Request& request = aExchange->Received();
   if (mDown || !request.Path().starts_with(kObjects)) {
-    aExchange->Respond(Reply(mDown ? 503 : 404, ""));
+    Answer(*aExchange, mDown ? 503 : 404, "");
     return;
   }
   const Target target = ReadTarget(request.target);
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -17,7 +17,7 @@
 
 using Json = nlohmann::json;
 
-/// The platform's object store.
+/// The platform's object store. All its answers state its era, which rises when it is restored.
 class StandInStore : public http::Handler
 {
 public:
@@ -30,6 +30,12 @@
   /// The store answers 503 from now on, to all.
   void SetDown(bool aDown);
   bool IsDown() const { return mDown; }
+  /// What the store has at some moment.
+  struct Copy;
+  std::shared_ptr<const Copy> MakeCopy() const;
+  /// The store is as it was when the copy was made, in a new era: what was written since is gone,
+  /// and its revisions are given out again.
+  void RestoreFrom(const Copy& aCopy);
   /// Sets how many objects one page of a list has at most.
   void SetPageSize(std::size_t aObjects) { mPageSize = aObjects; }
   /// From now on every page of a list starts with the first object, whatever is asked for.
@@ -61,6 +67,8 @@
     std::shared_ptr<asio::steady_timer> timer;
   };
 
+  /// Answers a call, with the era.
+  void Answer(http::Exchange& aExchange, int aStatus, std::string aBody) const;
   void Write(const std::shared_ptr<http::Exchange>& aExchange,
              const std::string& aKind,
              const std::string& aName);
@@ -83,8 +91,15 @@
   std::map<std::string, unsigned> mPagesAsked;
   std::size_t mPageSize = 500;
   std::uint64_t mRevision = 1;
+  std::uint64_t mEra = 1;
   bool mDown = false;
   bool mRepeating = false;
 };
 
+struct StandInStore::Copy
+{
+  std::map<std::string, std::map<std::string, Object>> objects;
+  std::uint64_t revision = 0;
+};
+
 } // namespace hawthornlug::test
