--- a/config/object_mirror.cpp
+++ b/config/object_mirror.cpp
@@ -5,7 +5,7 @@
 
 namespace hawthornlug {
 
-bool ObjectMirror::Update(Kind& aKind, const StoredObject& aObject, Version aAt)
+bool ObjectMirror::Update(Kind& aKind, const StoredObject& aObject, StoreRevision aAt)
 {
   Entry& entry = aKind.objects[aObject.name];
   const StoredObject& current = entry.object;
@@ -55,7 +55,7 @@
       changes.push_back(object);
     }
   }
-  if (kind.at == 0) {
+  if (kind.at.IsNone() || kind.at.Era() != aReading.at.Era()) {
     kind.completeFrom = aReading.at;
   }
   kind.at = aReading.at;
@@ -63,11 +63,11 @@
 }
 
 std::vector<StoredObject> ObjectMirror::ApplyChanges(ObjectKind aKind,
-                                                     Version aSince,
+                                                     StoreRevision aSince,
                                                      const StoreReading& aReading)
 {
   Kind& kind = Of(aKind);
-  if (aSince > kind.at || kind.at == 0) {
+  if (aSince > kind.at || kind.at.IsNone() || aReading.at.Era() != kind.at.Era()) {
     return {};
   }
   std::vector<StoredObject> changes = UpdateAll(kind, aReading);
@@ -95,7 +95,7 @@
   return all;
 }
 
-MirrorChanges ObjectMirror::ChangesSince(ObjectKind aKind, Version aSince) const
+MirrorChanges ObjectMirror::ChangesSince(ObjectKind aKind, StoreRevision aSince) const
 {
   const Kind& kind = Of(aKind);
   MirrorChanges changes;
--- a/config/stored_object.h
+++ b/config/stored_object.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "core/enum_names.h"
-#include "core/ids.h"
+#include "core/store_revision.h"
 
 #include <optional>
 #include <string>
@@ -31,7 +31,7 @@
 struct StoredObject
 {
   std::string name;
-  Version revision = 0;
+  StoreRevision revision;
   bool removed = false;
   /// The content, as JSON text.
   std::string value;
@@ -58,7 +58,7 @@
   StoreResult result = StoreResult::kUnknown;
   std::vector<StoredObject> objects;
   /// The reading is complete up to this revision, if the result is kDone.
-  Version at = 0;
+  StoreRevision at;
 };
 
 /// The outcome of a write.
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -92,6 +92,9 @@
   kHotKeyOver,
   kListIncomplete,
   kRecordWentBack,
+  kStoreRestored,
+  kStoreEraUnusable,
+  kRangesRestored,
 };
 
 /// Number, level and name of an event.
--- a/ownership/key_range.cpp
+++ b/ownership/key_range.cpp
@@ -30,16 +30,20 @@
   Json ranges = Json::array();
   for (const OwnedRange& it : aRecord.ranges) {
     ranges.push_back({ it.keys.from, it.keys.to, it.owner.id, it.owner.incarnation, it.token });
+    if (it.uncertain) {
+      ranges.back().push_back(true);
+    }
   }
   Json earlier = Json::array();
   for (const EarlierLeader& it : aRecord.earlierLeaders) {
     earlier.push_back({ it.daemon.id, it.daemon.incarnation, it.term });
   }
-  const Json record = {
-    { "holder", aRecord.leader.id },   { "incarnation", aRecord.leader.incarnation },
-    { "earlier", std::move(earlier) }, { "term", aRecord.term },
-    { "write", aRecord.writeNumber },  { "ranges", std::move(ranges) }
-  };
+  Json record = { { "holder", aRecord.leader.id },   { "incarnation", aRecord.leader.incarnation },
+                  { "earlier", std::move(earlier) }, { "term", aRecord.term },
+                  { "write", aRecord.writeNumber },  { "ranges", std::move(ranges) } };
+  if (aRecord.era) {
+    record["era"] = *aRecord.era;
+  }
   return JsonText(record);
 }
 
@@ -58,12 +62,17 @@
         { { it.at(0).get<std::string>(), it.at(1).get<Incarnation>() },
           it.at(2).get<std::uint64_t>() });
     }
+    aRecord.era.reset();
+    if (record.contains("era")) {
+      aRecord.era = record.at("era").get<StoreEra>();
+    }
     aRecord.ranges.clear();
     for (const Json& it : record.at("ranges")) {
       OwnedRange range;
       range.keys = { it.at(0).get<RangeKey>(), it.at(1).get<RangeKey>() };
       range.owner = { it.at(2).get<std::string>(), it.at(3).get<Incarnation>() };
       range.token = it.at(4).get<FencingToken>();
+      range.uncertain = it.size() > 5 && it.at(5).get<bool>();
       aRecord.ranges.push_back(std::move(range));
     }
   } catch (const Json::exception&) {
--- a/ownership/key_range.h
+++ b/ownership/key_range.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/store_revision.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,9 @@
   KeyRange keys;
   ServerRef owner;
   FencingToken token = 0;
+  /// Any server may hold the keys: the store has lost who owned them. The owner is only the last
+  /// one that it knows of.
+  bool uncertain = false;
 };
 
 /// A daemon that led before the present leader.
@@ -43,6 +48,10 @@
   bool operator==(const EarlierLeader&) const = default;
 };
 
+/// Stands for all daemons that may have led in earlier eras of the store and of which it has lost
+/// the record.
+inline const DaemonRef kUnknownLeader{};
+
 /// The stored record of a service's ranges: their owners, and the daemon that may change them.
 struct RangeRecord
 {
@@ -56,6 +65,9 @@
   /// Number of the leader's write. A leader whose write got no answer compares it with the stored
   /// one to find out whether that write was applied.
   std::uint64_t writeNumber = 0;
+  /// Era of the store for which it was written; nothing if its writer knew no eras. In another era
+  /// it is an older copy: later owners may have been lost.
+  std::optional<StoreEra> era;
   /// Sorted by key, without gaps, covering all keys.
   std::vector<OwnedRange> ranges;
 };
--- a/ownership/range_granter.cpp
+++ b/ownership/range_granter.cpp
@@ -13,6 +13,9 @@
 /// How long an owner that must lose its keys is sent grants with the new leader's token, before its
 /// earlier grants are left to expire.
 constexpr Duration kFencingPeriod = milliseconds(1500);
+/// How long a leader waits for the owners' confirmations before it writes its record to a restored
+/// store; longer than the timeout of a grant.
+constexpr Duration kConfirmationPeriod = milliseconds(800);
 constexpr Instant kNever{};
 
 /// Record for a service that has none yet: all keys, divided evenly among @p aOwners.
@@ -35,6 +38,15 @@
   return record;
 }
 
+FencingToken HighestToken(const RangeRecord& aRecord)
+{
+  FencingToken highest = 0;
+  for (const OwnedRange& it : aRecord.ranges) {
+    highest = std::max(highest, it.token);
+  }
+  return highest;
+}
+
 /// The leaders that may still grant keys once @p aSelf succeeds the leader of @p aRecord; those of
 /// terms below @p aEndedBefore have ended.
 std::vector<EarlierLeader> EarlierLeadersOf(const RangeRecord& aRecord,
@@ -65,6 +77,31 @@
   return Scaled(mTiming.hold, 1.0 + mTiming.maxClockDrift) + mTiming.expiryMargin;
 }
 
+Duration RangeGranter::MaxEarlierGrantTime() const
+{
+  // A grant of the earlier leader's may be on its way.
+  return RenewalLimit() + mTiming.grantTimeout + MaxGrantLifetime();
+}
+
+FencingToken RangeGranter::NextToken(const RangeRecord& aRecord) const
+{
+  const FencingToken next = FirstNumberOf(mRevision.Era()) + mRevision.Number() + 1;
+  return std::max(next, HighestToken(aRecord) + 1);
+}
+
+RangeRecord RangeGranter::RecordToTakeOver(RangeRecord aRecord, std::uint64_t aEndedBefore)
+{
+  mEarlierLeaders = EarlierLeadersOf(aRecord, mSelf, aEndedBefore);
+  if (aRecord.era && *aRecord.era != mRevision.Era()) {
+    for (OwnedRange& it : aRecord.ranges) {
+      it.uncertain = true;
+    }
+    mEarlierLeaders.push_back({ kUnknownLeader, FirstNumberOf(mRevision.Era()) });
+  }
+  aRecord.earlierLeaders = mEarlierLeaders;
+  return aRecord;
+}
+
 void RangeGranter::TakeOver(const std::optional<StoredObject>& aCurrent,
                             const std::vector<std::string>& aOwners,
                             Instant aNow,
@@ -74,25 +111,35 @@
     return;
   }
   RangeRecord record;
-  mRevision = 0;
+  mEra = mEra.value_or(aCurrent ? aCurrent->revision.Era() : 0);
+  mRevision = StoreRevision(0, *mEra);
   mEarlierLeaders.clear();
+  const bool mayBeLost = mHadEarlierEra || *mEra > kFirstStoreEra;
+  mInherited = aCurrent || mayBeLost;
   if (aCurrent) {
-    if (!DecodeRangeRecord(aCurrent->value, record)) {
+    OnStoreEra(aCurrent->revision.Era(), aNow);
+    const bool late = aCurrent->revision.Era() != mEra;
+    if (late || !DecodeRangeRecord(aCurrent->value, record)) {
       return;
     }
     mRevision = aCurrent->revision;
-    mEarlierLeaders = EarlierLeadersOf(record, mSelf, aEndedBefore);
-    record.earlierLeaders = mEarlierLeaders;
+    record = RecordToTakeOver(std::move(record), aEndedBefore);
   } else {
     record = InitialRecord(aOwners, mServers);
+    if (mayBeLost) {
+      record.era = mRevision.Era() - 1;
+      record = RecordToTakeOver(std::move(record), 0);
+    }
   }
   // Every range gets a higher token: a server that has accepted it refuses the earlier leader's
   // grants.
+  const FencingToken token = NextToken(record);
   for (OwnedRange& it : record.ranges) {
-    it.token = mRevision + 1;
+    it.token = token;
   }
   record.leader = mSelf;
-  ++record.term;
+  record.term = std::max(record.term, FirstNumberOf(mRevision.Era())) + 1;
+  record.era = mRevision.Era();
   record.writeNumber = ++mWriteNumber;
   mPendingWrite = std::move(record);
   mWriteSent = false;
@@ -270,12 +317,13 @@
   action.grant.range = aRange.owned.keys;
   action.grant.token = aRange.owned.token;
   action.grant.hold = mTiming.hold;
-  action.grant.provesToken = !aRange.tokenAccepted || aRange.needsFencing;
+  action.grant.provesToken =
+    !aRange.tokenAccepted || aRange.needsFencing || mState == State::kRestoring;
   if (!aRange.tokenAccepted) {
     action.grant.handover = aRange.handover;
   }
   mPendingCommands[action.order] = {
-    aRange.owned.keys, action.server, aRange.owned.token, action.grant.provesToken
+    aRange.owned.keys, action.server, aRange.owned.token, action.grant.provesToken, mEra.value_or(0)
   };
   aActions.emplace_back(std::move(action));
 }
@@ -301,7 +349,7 @@
     SetReleased(aRange, OwnerEndProof::kNone, aNow);
     return;
   }
-  if (HasRestarted(aRange.owned.owner)) {
+  if (mState == State::kLeading && HasRestarted(aRange.owned.owner)) {
     Rebind(aRange, aNow);
     return;
   }
@@ -320,8 +368,28 @@
   }
 }
 
+void RangeGranter::SetUncertain(Range& aRange, Instant aNow)
+{
+  aRange.phase = RangePhase::kReleasing;
+  aRange.phaseSince = aNow;
+  aRange.owned.uncertain = true;
+  aRange.target = aRange.owned.owner.id;
+  aRange.handover.clear();
+}
+
 void RangeGranter::TickReleasing(Range& aRange, Instant aNow, std::vector<GranterAction>& aActions)
 {
+  if (aRange.owned.uncertain) {
+    if (aNow - aRange.phaseSince > mTiming.hold) {
+      aRange.presumedServing = false;
+      aRange.tokenAccepted = false;
+    }
+    const bool expired = aNow >= std::max(mEarlierGrantsExpireAt, aRange.grantsExpireAt);
+    if (expired && aRange.pendingGrants == 0) {
+      SetReleased(aRange, OwnerEndProof::kLapsed, aNow);
+    }
+    return;
+  }
   if (HasRestarted(aRange.owned.owner)) {
     Rebind(aRange, aNow);
     return;
@@ -385,9 +453,12 @@
 
 void RangeGranter::PlanWrite(Instant aNow, std::vector<GranterAction>& aActions)
 {
-  if (!mPendingWrite) {
+  if (mState == State::kRestoring) {
+    PlanRestoringWrite(aNow);
+  } else if (!mPendingWrite) {
     bool changes = false;
     RangeRecord record = mRecord;
+    const FencingToken token = NextToken(mRecord);
     record.earlierLeaders =
       aNow < mEarlierGrantsExpireAt ? mEarlierLeaders : std::vector<EarlierLeader>();
     record.ranges.clear();
@@ -397,7 +468,8 @@
       const bool isGrantable = target != mServers.end() && (target->second.open || range.rebinds);
       if (range.phase == RangePhase::kReleased && isGrantable) {
         owned.owner = { range.target, target->second.incarnation };
-        owned.token = mRevision + 1;
+        owned.token = token;
+        owned.uncertain = false;
         range.phase = RangePhase::kWriting;
         changes = true;
       }
@@ -414,7 +486,7 @@
     mWriteSent = false;
     mWriteRetryAt = aNow;
   }
-  if (mWriteSent || aNow < mWriteRetryAt) {
+  if (!mPendingWrite || mWriteSent || aNow < mWriteRetryAt) {
     return;
   }
   mWriteSent = true;
@@ -424,7 +496,7 @@
 
 void RangeGranter::ShareTokens(RangeRecord& aRecord) const
 {
-  const FencingToken token = mRevision + 1;
+  const FencingToken token = NextToken(mRecord);
   const auto share = [&](const OwnedRange& aMoved, OwnedRange& aNeighbour) {
     const auto range = mRanges.find(aNeighbour.keys.from);
     if (aMoved.token == token && aMoved.owner == aNeighbour.owner &&
@@ -474,6 +546,8 @@
   if (mState == State::kLeading) {
     MergeRanges();
     CountReleases();
+  }
+  if (IsLeader()) {
     for (auto& [from, range] : mRanges) {
       TickRange(range, aNow, actions);
     }
@@ -503,9 +577,9 @@
     return;
   }
   RangeRecord stored;
-  const bool isOwnWrite = DecodeRangeRecord(aWrite.object->value, stored) &&
-                          stored.leader == mSelf &&
-                          stored.writeNumber == mPendingWrite->writeNumber;
+  const bool isOwnWrite =
+    DecodeRangeRecord(aWrite.object->value, stored) && stored.leader == mSelf &&
+    stored.writeNumber == mPendingWrite->writeNumber && stored.era == mPendingWrite->era;
   if (isOwnWrite) {
     Commit(aWrite.object->revision, aNow);
     return;
@@ -524,17 +598,33 @@
 
 void RangeGranter::OnRecordUnchanged(Instant aAskedAt, Instant aNow)
 {
-  ConfirmLeadership(aAskedAt, aNow);
+  if (mState == State::kLeading) {
+    ConfirmLeadership(aAskedAt, aNow);
+  }
 }
 
 void RangeGranter::OnRecordRead(const StoredObject& aRecord, Instant aAskedAt, Instant aNow)
 {
-  if (mState != State::kLeading || aRecord.revision < mRevision) {
+  OnStoreEra(aRecord.revision.Era(), aNow);
+  if (!IsLeader() || aRecord.revision < mRevision) {
     return;
   }
   RangeRecord stored;
   const bool readable = DecodeRangeRecord(aRecord.value, stored) && !aRecord.removed;
-  if (readable && stored.leader == mSelf && stored.term == mRecord.term) {
+  if (mState == State::kRestoring && readable && stored.era != aRecord.revision.Era()) {
+    // The older copy, which is to be replaced.
+    mRestoredRecordKnown = true;
+    mRestoredRevision = aRecord.revision;
+    mRestoredTerm = stored.term;
+    mRestoredToken = HighestToken(stored);
+    return;
+  }
+  const bool isOwn = readable && stored.leader == mSelf;
+  if (isOwn && mState == State::kRestoring) {
+    // This daemon's own write, whose outcome is still to be reported.
+    return;
+  }
+  if (isOwn && stored.term == mRecord.term && stored.era == mRecord.era) {
     ConfirmLeadership(aAskedAt, aNow);
     return;
   }
@@ -545,25 +635,137 @@
 void RangeGranter::CommitTakeover(Instant aNow)
 {
   mState = State::kLeading;
-  const bool inherited = mRecord.term > 1;
-  const Duration earlierRenewals = mEarlierLeaders.empty() ? Duration::zero() : RenewalLimit();
-  // A grant of the earlier leader's may be on its way.
-  const Duration longest = earlierRenewals + mTiming.grantTimeout + MaxGrantLifetime();
-  mEarlierGrantsExpireAt = inherited ? aNow + longest : aNow;
+  const Duration longest =
+    MaxEarlierGrantTime() - (mEarlierLeaders.empty() ? RenewalLimit() : Duration::zero());
+  mEarlierGrantsExpireAt = mInherited ? aNow + longest : aNow;
   mRanges.clear();
   for (const OwnedRange& it : mRecord.ranges) {
     Range range;
     range.owned = it;
-    range.presumedServing = inherited;
+    range.presumedServing = mInherited;
     range.renewAt = aNow;
     range.phaseSince = aNow;
     range.grantsExpireAt = aNow;
+    if (it.uncertain) {
+      SetUncertain(range, aNow);
+    }
     mRanges.emplace(it.keys.from, std::move(range));
   }
   AddEvent({ GranterEvent::Type::kTaken, {}, "", mSelf.id, mRecord.ranges.front().token, "" });
 }
 
-void RangeGranter::Commit(Version aRevision, Instant aNow)
+void RangeGranter::OnStoreEra(StoreEra aEra, Instant aNow)
+{
+  if (mEra && aEra <= *mEra) {
+    return;
+  }
+  mHadEarlierEra = mEra.has_value();
+  mEra = aEra;
+  mEraKnownAt = aNow;
+  mRestoredRecordKnown = false;
+  if (!mHadEarlierEra) {
+    return;
+  }
+  if (mState == State::kTakingOver) {
+    Resign();
+  } else if (IsLeader()) {
+    BeginRestoring(aNow);
+  }
+}
+
+void RangeGranter::BeginRestoring(Instant aNow)
+{
+  mState = State::kRestoring;
+  mPendingWrite.reset();
+  for (auto& [from, range] : mRanges) {
+    range.confirmedInEra = false;
+    if (range.owned.uncertain) {
+      continue;
+    }
+    if (range.phase == RangePhase::kWriting) {
+      // A later leader may have read the new owner and granted it the keys, and need not have told
+      // the earlier owner.
+      SetUncertain(range, aNow);
+      continue;
+    }
+    // A release or a lapse counts only together with the write of the next owner, which can't show
+    // any more that no later leader has given the keys to another.
+    CancelMove(range, aNow);
+    range.releaseSent = false;
+    range.releaseAnswered = false;
+    range.rebinds = false;
+    range.renewAt = aNow;
+  }
+}
+
+void RangeGranter::OnRecordMissing(StoreEra aEra, Instant)
+{
+  if (mState == State::kRestoring && aEra == mEra) {
+    mRestoredRecordKnown = true;
+    mRestoredRevision = StoreRevision(0, aEra);
+    mRestoredTerm = 0;
+    mRestoredToken = 0;
+  }
+}
+
+void RangeGranter::PlanRestoringWrite(Instant aNow)
+{
+  const bool allConfirmed = std::all_of(mRanges.begin(), mRanges.end(), [](const auto& aEntry) {
+    return aEntry.second.confirmedInEra || aEntry.second.owned.uncertain;
+  });
+  const bool waited = aNow - mEraKnownAt >= kConfirmationPeriod;
+  if (mPendingWrite || !mRestoredRecordKnown || !(allConfirmed || waited)) {
+    return;
+  }
+  RangeRecord record = mRecord;
+  record.ranges.clear();
+  for (const auto& [from, range] : mRanges) {
+    record.ranges.push_back(range.owned);
+    record.ranges.back().uncertain = !range.confirmedInEra;
+  }
+  const StoreEra era = mRestoredRevision.Era();
+  mRevision = mRestoredRevision;
+  const FencingToken token = std::max(NextToken(record), mRestoredToken + 1);
+  for (OwnedRange& it : record.ranges) {
+    it.token = token;
+  }
+  record.term = std::max({ record.term, mRestoredTerm, FirstNumberOf(era) }) + 1;
+  record.era = era;
+  record.earlierLeaders = mEarlierLeaders;
+  record.earlierLeaders.push_back({ kUnknownLeader, FirstNumberOf(era) });
+  record.writeNumber = ++mWriteNumber;
+  mPendingWrite = std::move(record);
+  mWriteSent = false;
+  mWriteRetryAt = aNow;
+}
+
+void RangeGranter::CommitRestored(Instant aNow)
+{
+  mState = State::kLeading;
+  mEarlierLeaders = mRecord.earlierLeaders;
+  mEarlierGrantsExpireAt = aNow + MaxEarlierGrantTime();
+  // The term has changed: the other daemons are told all ranges again.
+  mPublished.clear();
+  mSnapshotPublished = false;
+  GranterEvent event;
+  event.type = GranterEvent::Type::kRestored;
+  event.to = mSelf.id;
+  event.elapsed = aNow - mEraKnownAt;
+  for (const OwnedRange& it : mRecord.ranges) {
+    event.token = it.token;
+    ++(it.uncertain ? event.uncertain : event.confirmed);
+    Range& range = mRanges.at(it.keys.from);
+    if (it.uncertain) {
+      range.owned.token = it.token;
+      SetUncertain(range, aNow);
+    } else {
+      RaiseToken(range, it.token, aNow);
+    }
+  }
+  AddEvent(std::move(event));
+}
+
+void RangeGranter::Commit(StoreRevision aRevision, Instant aNow)
 {
   mRevision = aRevision;
   mRecord = std::move(*mPendingWrite);
@@ -573,6 +775,10 @@
     CommitTakeover(aNow);
     return;
   }
+  if (mState == State::kRestoring) {
+    CommitRestored(aNow);
+    return;
+  }
   for (const OwnedRange& it : mRecord.ranges) {
     const auto found = mRanges.find(it.keys.from);
     if (found == mRanges.end()) {
@@ -632,6 +838,7 @@
       case CommandResult::kDone:
         range.tokenAccepted = range.tokenAccepted || pending.provesToken;
         range.needsFencing = range.needsFencing && !pending.provesToken;
+        range.confirmedInEra = range.confirmedInEra || (pending.provesToken && pending.era == mEra);
         range.grantsFailingSince = kNever;
         range.acceptedAt = aNow;
         range.grantsExpireAt = std::max(range.grantsExpireAt, aNow + MaxGrantLifetime());
--- a/ownership/range_granter.h
+++ b/ownership/range_granter.h
@@ -73,7 +73,7 @@
 /// Action: write the record to the store if it still has the expected version.
 struct WriteRecord
 {
-  Version expected = 0;
+  StoreRevision expected;
   std::string value;
 };
 
@@ -105,6 +105,7 @@
     kSuperseded, ///< Another daemon is leader, or a server has seen a higher token.
     kPaused,     ///< This daemon did not run for a while, so another one may be leader.
     kMoved,      ///< A range has a new owner.
+    kRestored,   ///< This daemon, the leader, has written its record to a restored store.
   };
   Type type = Type::kTaken;
   KeyRange keys;
@@ -112,6 +113,11 @@
   std::string to;
   FencingToken token = 0;
   std::string reason;
+  /// For kRestored: ranges whose owners have confirmed that they hold them, ranges whose owners may
+  /// be others, and the time since this daemon learned of the restore.
+  std::size_t confirmed = 0;
+  std::size_t uncertain = 0;
+  Duration elapsed = Duration::zero();
 };
 
 /// Phase of a range: held, or on its way to a new owner.
@@ -137,6 +143,16 @@
 /// If the registry has another incarnation of S, the earlier one has ended, but the new one may
 /// have accepted a renewal that was meant for it. So the keys are granted to the new one, with a
 /// higher token, before they may move.
+///
+/// A store that was restored from a copy has lost who owned keys since. Its record says so by its
+/// era, and then names owners, but proves nothing:
+/// - The leader goes on with the tokens that it has, and writes its record anew once the owners
+///   have accepted them again. A server that accepts shows that no later leader has given its keys
+///   away, since that leader would have made it accept a higher token first. Only then does the
+///   leader raise the tokens.
+/// - What no owner confirms, and all ranges of a daemon that takes over from an older copy, may be
+///   held by any server. They are granted to nobody until every grant of an earlier era has
+///   expired.
 class RangeGranter
 {
 public:
@@ -164,7 +180,9 @@
   }
   /// Stops being leader. Sends nothing to the servers: their grants stay valid until they expire.
   void Resign();
-  bool IsLeader() const { return mState == State::kLeading; }
+  bool IsLeader() const { return mState == State::kLeading || mState == State::kRestoring; }
+  /// Whether this daemon led when the store was restored and has not written its record anew yet.
+  bool IsRestoring() const { return mState == State::kRestoring; }
   bool IsIdle() const { return mState == State::kIdle; }
   std::uint64_t Term() const { return mRecord.term; }
 
@@ -174,6 +192,10 @@
   /// Reports that an earlier leader is confirmed to have stopped. Once all have, no earlier grant
   /// is renewed, so all expire within the lifetime of one grant.
   void OnEarlierLeaderStopped(const DaemonRef& aLeader, Instant aNow);
+  /// Reports the latest era of the store that this daemon knows.
+  void OnStoreEra(StoreEra aEra, Instant aNow);
+  /// Reports that the store has no record, in this era.
+  void OnRecordMissing(StoreEra aEra, Instant aNow);
   /// Reports that @p aRecord was read from the store, which was asked for it at @p aAskedAt.
   void OnRecordRead(const StoredObject& aRecord, Instant aAskedAt, Instant aNow);
   /// Reports that the store, asked at @p aAskedAt, has no record later than Revision().
@@ -181,7 +203,7 @@
   /// When the store last confirmed that the record names this daemon, as the leader.
   Instant ConfirmedAt() const { return mLeadershipConfirmedAt; }
   /// Revision of the record as this daemon last wrote it.
-  Version Revision() const { return mRevision; }
+  StoreRevision Revision() const { return mRevision; }
 
   /// Starts to move the keys; if exactly these keys are being moved already, changes their target.
   /// Ignored if the keys are not all within one range, are a part of a range that is being moved,
@@ -250,6 +272,8 @@
     OwnerEndProof endProof = OwnerEndProof::kNone;
     /// The range is to be granted to the registered incarnation of its owner.
     bool rebinds = false;
+    /// The owner has accepted a grant that was sent in the present era of the store.
+    bool confirmedInEra = false;
   };
   /// A leader that was paused for longer may have been superseded meanwhile.
   static constexpr Duration kMaxTickGap = milliseconds(900);
@@ -269,6 +293,8 @@
     kIdle,
     kTakingOver,
     kLeading,
+    /// Led when the store was restored: renews only, until its record is written anew.
+    kRestoring,
   };
   /// A command whose result has not been reported yet.
   struct PendingCommand
@@ -278,6 +304,8 @@
     FencingToken token = 0;
     /// See GrantCommand::provesToken.
     bool provesToken = false;
+    /// Era of the store when it was sent.
+    StoreEra era = 0;
   };
 
   /// Longest time from now for which a grant that is now in a server's hands can be valid, slow
@@ -291,6 +319,20 @@
   bool HaveGrantsExpired(const Range& aRange, Instant aNow) const;
   /// Whether the registry has another incarnation of @p aOwner.
   bool HasRestarted(const ServerRef& aOwner) const;
+  /// Longest time from now until every grant of a leader has expired that may go on renewing for
+  /// RenewalLimit().
+  Duration MaxEarlierGrantTime() const;
+  /// The fencing token for what the next write changes.
+  FencingToken NextToken(const RangeRecord& aRecord) const;
+  /// The record of a takeover from @p aCurrent, which may be an older copy.
+  RangeRecord RecordToTakeOver(RangeRecord aRecord, std::uint64_t aEndedBefore);
+  /// Goes on with the owners that are known here, whose confirmation is still to come.
+  void BeginRestoring(Instant aNow);
+  /// Writes the record anew once the owners have confirmed what they hold, or have had the time.
+  void PlanRestoringWrite(Instant aNow);
+  void CommitRestored(Instant aNow);
+  /// Waits until nobody can hold the range any more.
+  void SetUncertain(Range& aRange, Instant aNow);
   /// Starts to grant the range to the registered incarnation of its owner.
   void Rebind(Range& aRange, Instant aNow);
   void ConfirmLeadership(Instant aAskedAt, Instant aNow);
@@ -314,7 +356,7 @@
   /// Continues a held range, whose owner stays the same, with a higher token from the store.
   void RaiseToken(Range& aRange, FencingToken aToken, Instant aNow);
   /// Makes the pending write, which is in the store as @p aRevision, the current record.
-  void Commit(Version aRevision, Instant aNow);
+  void Commit(StoreRevision aRevision, Instant aNow);
   void CommitTakeover(Instant aNow);
   /// Splits ranges so that @p aKeys is one, and returns it. Null if the keys span two ranges, or
   /// are part of a range that is being moved.
@@ -335,7 +377,20 @@
   std::map<std::string, std::size_t> mSentReleases;
   State mState = State::kIdle;
   RangeRecord mRecord;
-  Version mRevision = 0;
+  StoreRevision mRevision;
+  /// The latest era of the store that is known; nothing before the first.
+  std::optional<StoreEra> mEra;
+  /// When it began, as far as this daemon knows, and whether it knew an earlier one.
+  Instant mEraKnownAt;
+  bool mHadEarlierEra = false;
+  /// The takeover is from a record of other leaders, or one that the store has lost.
+  bool mInherited = false;
+  /// While restoring: the record in the restored store has been read, or there is none. Its
+  /// revision, and the highest term and token in it.
+  bool mRestoredRecordKnown = false;
+  StoreRevision mRestoredRevision;
+  std::uint64_t mRestoredTerm = 0;
+  FencingToken mRestoredToken = 0;
   std::map<RangeKey, Range> mRanges;
   std::map<std::string, GrantableServer> mServers;
   std::map<std::uint64_t, PendingCommand> mPendingCommands;
--- a/ports/object_store.h
+++ b/ports/object_store.h
@@ -27,13 +27,18 @@
   /// date. If the list can't be read to its end, the result is kIncomplete.
   virtual void List(ObjectKind aKind, bool aMayBeStale, ReadDone aDone) = 0;
   /// Returns the changes after revision @p aSince; if there are none, waits up to @p aWait for one.
-  virtual void Watch(ObjectKind aKind, Version aSince, Duration aWait, ReadDone aDone) = 0;
-  /// Writes @p aValue if the object's revision is @p aExpected (0: the object does not exist yet).
+  /// If the store has been restored since that revision, the result is kHistoryGone.
+  virtual void Watch(ObjectKind aKind, StoreRevision aSince, Duration aWait, ReadDone aDone) = 0;
+  /// Writes @p aValue if the object's revision is @p aExpected (its number is 0: the object does
+  /// not exist yet). If the store turns out to be in another era than that, the result is kUnknown,
+  /// whatever it answers: what it has replaced is not what was read.
   virtual void Write(ObjectKind aKind,
                      const std::string& aName,
-                     Version aExpected,
+                     StoreRevision aExpected,
                      const std::string& aValue,
                      WriteDone aDone) = 0;
+  /// The latest era of the store that an answer has stated; nothing before the first answer.
+  virtual std::optional<StoreEra> Era() const { return std::nullopt; }
 };
 
 /// Parses objects that backend servers and operators write to the store. If an object can't be
--- a/runtime/heartbeat_messages.cpp
+++ b/runtime/heartbeat_messages.cpp
@@ -45,9 +45,11 @@
 
 void WriteContent(const MeshSelf& aSelf, wire::RouterBeat& aHeartbeat)
 {
-  for (const Version it : aSelf.mirrorRevisions) {
-    aHeartbeat.add_at(it);
+  for (const StoreRevision& it : aSelf.mirrorRevisions) {
+    aHeartbeat.add_at(it.Number());
+    aHeartbeat.add_at_eras(it.Era());
   }
+  aHeartbeat.set_store_era(aSelf.storeEra);
   aHeartbeat.set_store_age_ms(ToMilliseconds(std::min(aSelf.storeAge, kMaxStoreAge)));
   aHeartbeat.set_leaving(aSelf.leaving);
   aHeartbeat.set_configuration_kb(
@@ -69,6 +71,7 @@
     StoreFollower::IsReliable(aPeer.storeAge) != StoreFollower::IsReliable(storeAge);
   aPeer.sequence = aHeartbeat.sequence();
   aPeer.storeAge = storeAge;
+  aPeer.storeEra = aHeartbeat.store_era();
   aPeer.leaving = aHeartbeat.leaving();
   aPeer.claims.clear();
   for (const wire::RangeClaim& it : aHeartbeat.claims()) {
@@ -87,7 +90,12 @@
 
 void CopyDirectContent(const wire::RouterBeat& aHeartbeat, Instant aNow, MeshPeer& aPeer)
 {
-  aPeer.mirrorRevisions.assign(aHeartbeat.at().begin(), aHeartbeat.at().end());
+  aPeer.mirrorRevisions.clear();
+  for (int n = 0; n < aHeartbeat.at_size(); ++n) {
+    // Daemons of earlier versions state no eras.
+    const StoreEra era = n < aHeartbeat.at_eras_size() ? aHeartbeat.at_eras(n) : 0;
+    aPeer.mirrorRevisions.emplace_back(aHeartbeat.at(n), era);
+  }
   aPeer.configurationBytes = aHeartbeat.configuration_kb() * kBytesPerKilobyte;
   aPeer.foreignInterval = milliseconds(aHeartbeat.foreign_interval_ms());
   aPeer.usedNoRelayAt = aHeartbeat.direct() ? aNow : Instant();
@@ -103,6 +111,7 @@
   text += aPeer.leaving ? 'l' : '-';
   text += aPeer.storeAge > Duration::zero() ? 'w' : '-';
   text += StoreFollower::IsReliable(aPeer.storeAge) ? 's' : '-';
+  text += std::to_string(aPeer.storeEra);
   for (const auto& [service, term] : aPeer.claims) {
     text += kSeparator + service + kSeparator + std::to_string(term);
   }
@@ -122,6 +131,7 @@
   heartbeat.set_power(aPeer.power);
   heartbeat.set_can_relay(aPeer.canRelay);
   heartbeat.set_store_age_ms(ToMilliseconds(aPeer.storeAge));
+  heartbeat.set_store_era(aPeer.storeEra);
   heartbeat.set_leaving(aPeer.leaving);
   WriteClaims(aPeer.claims, heartbeat);
   return relayed;
--- a/runtime/mesh_peer.h
+++ b/runtime/mesh_peer.h
@@ -4,6 +4,7 @@
 
 #include "core/ids.h"
 #include "core/instant.h"
+#include "core/store_revision.h"
 
 #include <cstdint>
 #include <map>
@@ -25,9 +26,11 @@
   /// When its latest heartbeat was received, or was sent if a relay has passed it on.
   Instant heartbeatAt;
   /// Revision of its mirror, by kind of object; of the latest heartbeat that came directly.
-  std::vector<Version> mirrorRevisions;
+  std::vector<StoreRevision> mirrorRevisions;
   /// Time since the store last answered it; 0 if it does not watch the store.
   Duration storeAge = Duration::zero();
+  /// The latest era of the store that it has acted on; 0 if it knows none.
+  StoreEra storeEra = 0;
   bool leaving = false;
   /// Power class of its host.
   unsigned power = 0;
@@ -56,8 +59,9 @@
 /// What a daemon reports about itself in its heartbeats; fields as in MeshPeer.
 struct MeshSelf
 {
-  std::vector<Version> mirrorRevisions;
+  std::vector<StoreRevision> mirrorRevisions;
   Duration storeAge = Duration::zero();
+  StoreEra storeEra = 0;
   bool leaving = false;
   std::size_t configurationBytes = 0;
   /// Whether daemons of other failure domains rely on this one, and must soon notice if it is lost.
--- a/runtime/object_exchange.cpp
+++ b/runtime/object_exchange.cpp
@@ -29,12 +29,14 @@
   wire::StoredObjects* const objects = message.mutable_stored_objects();
   objects->set_kind(aKind);
   objects->set_whole(aChanges.whole);
-  objects->set_since(aChanges.since);
-  objects->set_at(aChanges.at);
+  objects->set_since(aChanges.since.Number());
+  objects->set_at(aChanges.at.Number());
+  objects->set_era(aChanges.at.Era());
   for (const StoredObject& it : aChanges.objects) {
     wire::StoredObjects::Item* const item = objects->add_items();
     item->set_name(it.name);
-    item->set_revision(it.revision);
+    item->set_revision(it.revision.Number());
+    item->set_era(it.revision.Era());
     item->set_removed(it.removed);
     item->set_value(it.value);
   }
@@ -98,7 +100,8 @@
   progress.answerUntil = aNow + kAnswerTimeout;
   wire::Envelope request;
   request.mutable_stored_objects_question()->set_kind(static_cast<std::uint32_t>(aKind));
-  request.mutable_stored_objects_question()->set_since(mMirror.At(aKind));
+  request.mutable_stored_objects_question()->set_since(mMirror.At(aKind).Number());
+  request.mutable_stored_objects_question()->set_era(mMirror.At(aKind).Era());
   mMesh.Send(aPeer.ref.id, std::move(request));
 }
 
@@ -133,8 +136,8 @@
   if (aQuestion.kind() >= kObjectKinds) {
     return;
   }
-  const MirrorChanges changes =
-    mMirror.ChangesSince(static_cast<ObjectKind>(aQuestion.kind()), aQuestion.since());
+  const MirrorChanges changes = mMirror.ChangesSince(
+    static_cast<ObjectKind>(aQuestion.kind()), StoreRevision(aQuestion.since(), aQuestion.era()));
   wire::Envelope answer = MakeAnswer(aQuestion.kind(), changes);
   if (!TakeLinkShare(answer.ByteSizeLong(), aNow)) {
     answer.mutable_stored_objects()->Clear();
@@ -163,14 +166,17 @@
   progress.behindSince = Instant();
   StoreReading reading;
   reading.result = StoreResult::kDone;
-  reading.at = aObjects.at();
+  reading.at = StoreRevision(aObjects.at(), aObjects.era());
   for (const wire::StoredObjects::Item& it : aObjects.items()) {
-    reading.objects.push_back(
-      { it.name(), it.revision(), it.removed(), mReader.Redact(kind, it.value()) });
+    reading.objects.push_back({ it.name(),
+                                StoreRevision(it.revision(), it.era()),
+                                it.removed(),
+                                mReader.Redact(kind, it.value()) });
   }
   const std::vector<StoredObject> changes =
-    aObjects.whole() ? mMirror.ApplyList(kind, reading)
-                     : mMirror.ApplyChanges(kind, aObjects.since(), reading);
+    aObjects.whole()
+      ? mMirror.ApplyList(kind, reading)
+      : mMirror.ApplyChanges(kind, StoreRevision(aObjects.since(), aObjects.era()), reading);
   if (changes.empty()) {
     return;
   }
--- a/runtime/range_runner.cpp
+++ b/runtime/range_runner.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kLeaderAbsence = milliseconds(200);
 /// ...and the extra wait for each live daemon that ranks before it.
 constexpr Duration kRankDelay = milliseconds(700);
+/// ...and the extra wait, after a restore of the store, of a daemon that has started lately.
+constexpr Duration kNewcomerDelay = milliseconds(2500);
 /// A daemon that has received nothing from the store for longer does not take over.
 constexpr Duration kMaxStoreAge = milliseconds(3000);
 constexpr Duration kTakeoverRetryDelay = milliseconds(500);
@@ -84,6 +86,7 @@
 
 void RangeRunner::Tick(Instant aNow, const RangeDaemonState& aDaemon)
 {
+  UpdateEra(aDaemon.storeEra, aNow);
   mTerms.Note(std::max(mDirectory.Term(), mGranter.Term()), aNow);
   ReportWork(aNow);
   if (mGranter.IsIdle()) {
@@ -120,6 +123,37 @@
   LogGranterEvents();
 }
 
+void RangeRunner::UpdateEra(const std::optional<StoreEra>& aEra, Instant aNow)
+{
+  if (!aEra || mEra >= aEra) {
+    return;
+  }
+  mEra = aEra;
+  mEraKnownAt = aNow;
+  mMustListRecord = true;
+  mWatchRetryAt = aNow;
+  mGranter.OnStoreEra(*aEra, aNow);
+}
+
+bool RangeRunner::AwaitsRestore() const
+{
+  return mDirectory.HasRanges() && mDirectory.Term() < FirstNumberOf(mEra.value_or(0));
+}
+
+bool RangeRunner::HaveEarlierErasEnded(Instant aNow) const
+{
+  // A daemon that has not run for long need not have heard of all that led.
+  if (mEraKnownAt - mStartedAt < mGranter.RenewalLimit()) {
+    return false;
+  }
+  const std::vector<const MeshPeer*> peers = mServices.mesh.KnownPeers(aNow);
+  return std::all_of(peers.begin(), peers.end(), [this](const MeshPeer* aPeer) {
+    const auto claim = aPeer->claims.find(mService);
+    const bool claimsEarlier = claim != aPeer->claims.end() && claim->second < FirstNumberOf(*mEra);
+    return aPeer->live && aPeer->storeEra >= *mEra && !claimsEarlier;
+  });
+}
+
 bool RangeRunner::ShouldYield(Instant aNow) const
 {
   if (!mGranter.IsLeader() || aNow - mGranter.ConfirmedAt() < kMaxUnconfirmedLead) {
@@ -178,7 +212,11 @@
   if (aDaemon.leaving || mListing || !ready || aDaemon.storeAge > kMaxStoreAge) {
     return;
   }
-  if (aNow - mLeaderSeenAt > kLeaderAbsence + kRankDelay * Rank()) {
+  // One that was there before the store was restored can tell sooner that no earlier leader is
+  // left.
+  const bool knowsLittle = aNow - mStartedAt < mGranter.RenewalLimit() && AwaitsRestore();
+  const Duration delay = knowsLittle ? kNewcomerDelay : Duration::zero();
+  if (aNow - mLeaderSeenAt > kLeaderAbsence + kRankDelay * Rank() + delay) {
     BeginTakeover();
   }
 }
@@ -211,7 +249,8 @@
     const DaemonRef& self = mServices.mesh.Self();
     const bool ownEarlierIncarnation =
       record.leader.id == self.id && record.leader.incarnation < self.incarnation;
-    if (ownEarlierIncarnation && mGranter.IsIdle() && !AnnouncedLeader()) {
+    const bool isOlderCopy = record.era && *record.era != object->revision.Era();
+    if (ownEarlierIncarnation && !isOlderCopy && mGranter.IsIdle() && !AnnouncedLeader()) {
       TakeOver(*object);
     }
   });
@@ -237,8 +276,9 @@
     DecodeRangeRecord(aRecord.value, record);
     mServices.log.Write(EventId::kRecordWentBack,
                         { { "service", mService },
-                          { "revision", aRecord.revision },
-                          { "known", mRecordRevision },
+                          { "revision", aRecord.revision.Number() },
+                          { "era", aRecord.revision.Era() },
+                          { "known", mRecordRevision.Number() },
                           { "term", record.term },
                           { "leader", record.leader.id } });
   }
@@ -297,22 +337,26 @@
 void RangeRunner::WatchRecord(Instant aNow)
 {
   // A write of this daemon's that the store has accepted confirms the record, too.
-  const bool confirmed = aNow - mGranter.ConfirmedAt() < kMinConfirmationAge;
+  const bool confirmed =
+    aNow - mGranter.ConfirmedAt() < kMinConfirmationAge && !mGranter.IsRestoring();
   if (mWatching || confirmed || !mGranter.IsLeader() || aNow < mWatchRetryAt) {
     return;
   }
   mWatching = true;
   mWatchSentAt = aNow;
   mWatchRevision = std::max(mWatchRevision, mGranter.Revision());
-  const auto done = [this](const StoreReading& aReading) { OnRecordWatched(aReading); };
-  if (mMustListRecord) {
+  const bool lists = mMustListRecord || mGranter.IsRestoring();
+  const auto done = [this, lists](const StoreReading& aReading) {
+    OnRecordWatched(aReading, lists);
+  };
+  if (lists) {
     mServices.store.List(ObjectKind::kRanges, false, done);
   } else {
     mServices.store.Watch(ObjectKind::kRanges, mWatchRevision, kRecordWatchTimeout, done);
   }
 }
 
-void RangeRunner::OnRecordWatched(const StoreReading& aReading)
+void RangeRunner::OnRecordWatched(const StoreReading& aReading, bool aIsList)
 {
   mWatching = false;
   const Instant now = mServices.timers.Now();
@@ -336,7 +380,9 @@
       mGranter.OnRecordRead(it, mWatchSentAt, now);
     }
   }
-  if (!seen && isWhole) {
+  if (!seen && isWhole && aIsList) {
+    mGranter.OnRecordMissing(aReading.at.Era(), now);
+  } else if (!seen && isWhole) {
     mGranter.OnRecordUnchanged(mWatchSentAt, now);
   }
   LogGranterEvents();
@@ -415,6 +461,10 @@
     return;
   }
   const std::vector<EarlierLeader> leaders = mGranter.EarlierLeaders();
+  const Instant checkedAt = mServices.timers.Now();
+  if (HaveEarlierErasEnded(checkedAt)) {
+    mGranter.OnEarlierLeaderStopped(kUnknownLeader, checkedAt);
+  }
   for (const auto& [daemon, term] : leaders) {
     const std::optional<ProvenEnd> proof = EndOf(daemon);
     if (!proof) {
@@ -644,6 +694,19 @@
       id = EventId::kRangesTaken;
       mBecameLeaderAt = now;
       mServices.mesh.SendHeartbeatNow();
+    } else if (it.type == GranterEvent::Type::kRestored) {
+      mBecameLeaderAt = now;
+      mServices.mesh.SendHeartbeatNow();
+      mServices.metrics.Count("ranges_restored_total");
+      mServices.log.Write(EventId::kRangesRestored,
+                          { { "service", mService },
+                            { "era", mGranter.Revision().Era() },
+                            { "term", mGranter.Term() },
+                            { "token", it.token },
+                            { "confirmed", it.confirmed },
+                            { "uncertain", it.uncertain },
+                            { "elapsed-ms", Millis(it.elapsed) } });
+      continue;
     } else if (it.type == GranterEvent::Type::kPaused) {
       id = EventId::kRangesSuperseded;
       mLeaderSeenAt = now;
@@ -661,8 +724,9 @@
                           { "new", it.to },
                           { "token", it.token },
                           { "term", mGranter.Term() },
-                          { "revision", mGranter.Revision() },
-                          { "read-revision", mRecordRevision },
+                          { "era", mGranter.Revision().Era() },
+                          { "revision", mGranter.Revision().Number() },
+                          { "read-revision", mRecordRevision.Number() },
                           { "record-age-ms", Millis(now - mRecordAskedAt) },
                           { "reason", it.reason },
                           { "confirmed-ms", Millis(now - mGranter.ConfirmedAt()) } });
--- a/runtime/range_runner.h
+++ b/runtime/range_runner.h
@@ -50,6 +50,8 @@
   bool leaving = false;
   /// The daemon may read the ranges' record while no other daemon has told it the owners.
   bool readsRecord = false;
+  /// The latest era of the store that the daemon knows; nothing before the first.
+  std::optional<StoreEra> storeEra = std::nullopt;
 };
 
 /// How a leader is known to have stopped granting.
@@ -131,7 +133,8 @@
   void CountWork(RangeKey aKey, Duration aWork, Instant aNow);
   /// Watches the range record, as the leader: it must still name this daemon.
   void WatchRecord(Instant aNow);
-  void OnRecordWatched(const StoreReading& aReading);
+  /// @p aIsList: all records were listed, not only changes.
+  void OnRecordWatched(const StoreReading& aReading, bool aIsList);
   /// Passes the service's servers to the granter.
   void UpdateGrantableServers();
   /// Sends health checks to the servers that have not answered anything yet.
@@ -145,6 +148,13 @@
   };
   /// Nothing if the daemon may still grant.
   std::optional<ProvenEnd> EndOf(const DaemonRef& aLeader) const;
+  /// Acts on the era of the store, if it is a new one.
+  void UpdateEra(const std::optional<StoreEra>& aEra, Instant aNow);
+  /// Whether the store has lost owners, as far as is known, and no leader has told their keys
+  /// since.
+  bool AwaitsRestore() const;
+  /// Whether no daemon grants keys on the strength of an earlier era of the store any more.
+  bool HaveEarlierErasEnded(Instant aNow) const;
   /// Reports earlier leaders as stopped once their heartbeats confirm that.
   void CheckEarlierLeaders();
   void Execute(const std::vector<GranterAction>& aActions);
@@ -181,6 +191,9 @@
   ServerVetting mVetting;
   /// Work of requests that has not been reported to the leader yet.
   std::map<RangeKey, Duration> mUnreportedWork;
+  /// The latest era of the store that is known, and since when.
+  std::optional<StoreEra> mEra;
+  Instant mEraKnownAt;
   Instant mStartedAt;
   Instant mServersChangedAt;
   Instant mServersUpdatedAt;
@@ -197,10 +210,10 @@
   Instant mBecameLeaderAt;
   Instant mWatchRetryAt;
   /// The highest revision of the record that was read, and when the store was asked for it.
-  Version mRecordRevision = 0;
+  StoreRevision mRecordRevision;
   Instant mRecordAskedAt;
   /// Revision from which the range record is watched.
-  Version mWatchRevision = 0;
+  StoreRevision mWatchRevision;
   bool mWatching = false;
   /// When the store was last asked for changes of the range record.
   Instant mWatchSentAt;
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace hawthornlug {
 
@@ -40,6 +41,9 @@
 constexpr std::string_view kMeshScheme = "tcp://";
 /// Longest time until a daemon knows what another one has reported, also through relays.
 constexpr Duration kMaxHeartbeatGap = milliseconds(1200);
+/// After a restore of the store, servers write their entries again within 3 s; PendingRemovals
+/// waits a part of that by itself.
+constexpr Duration kReregistrationTime = milliseconds(1200);
 
 /// Reads the mesh endpoint from a daemon's entry; nothing if it is not an IP address with a port.
 /// The library for messages would look up names, and all messages would wait for that.
@@ -194,12 +198,15 @@
     mMesh.SendHeartbeatNow();
   }
   mMesh.Tick(aNow);
+  // Heartbeats state the era that the ranges have been told.
+  UpdateStoreEra(aNow);
   RemoveGoneServers(aNow);
   KeepDirectory(aNow);
   RangeDaemonState state;
   state.storeAge = mStoreFollower.Watches() ? mStoreFollower.Age(aNow) : Duration::zero();
   state.leaving = mLeaving;
   state.readsRecord = mWatchesStore || IsPastPatience(aNow);
+  state.storeEra = mStoreEra;
   for (const auto& [service, ranges] : mRanges) {
     ranges->Tick(aNow, state);
   }
@@ -218,6 +225,35 @@
   }
 }
 
+void RouterDaemon::UpdateStoreEra(Instant aNow)
+{
+  std::optional<StoreEra> era = mServices.store.Era();
+  for (const MeshPeer* it : mMesh.LivePeers()) {
+    if (it->storeEra > 0) {
+      era = std::max(era.value_or(0), it->storeEra);
+    }
+  }
+  if (!era || mStoreEra >= era) {
+    return;
+  }
+  const std::optional<StoreEra> before = std::exchange(mStoreEra, era);
+  if (!before) {
+    return;
+  }
+  mServices.log.Write(EventId::kStoreRestored, { { "era", *era }, { "before", *before } });
+  mServices.metrics.Count("store_restores_total");
+  // Servers that registered since the copy are listed again once they have written their entries.
+  mPendingRemovals.OnOutage(aNow + kReregistrationTime);
+  // What this daemon wrote may be gone.
+  mRegistered = false;
+  if (mStoreFollower.Watches()) {
+    for (const ObjectKind it :
+         { ObjectKind::kServer, ObjectKind::kConfiguration, ObjectKind::kDomainOut }) {
+      mStoreFollower.ReadOnce(it);
+    }
+  }
+}
+
 void RouterDaemon::UpdateSpeeds(Instant aNow)
 {
   mSpeedExchange.Tick(mLoadReporter.RelayInUse(), aNow);
@@ -333,6 +369,11 @@
     return;
   }
   mRegistering = true;
+  // A revision of an earlier era stands for another state.
+  const StoreEra era = mServices.store.Era().value_or(0);
+  if (mRegisteredRevision.Era() != era) {
+    mRegisteredRevision = StoreRevision(0, era);
+  }
   const nlohmann::json value = { { "endpoint", mSettings.meshEndpoint },
                                  { "domain", mSettings.domain },
                                  { "incarnation", mSettings.self.incarnation } };
@@ -385,7 +426,7 @@
     }
     for (const std::string& it : domains) {
       mServices.log.Write(EventId::kDomainOut,
-                          { { "domain", it }, { "revision", mMirror.At(aKind) } });
+                          { { "domain", it }, { "revision", mMirror.At(aKind).Number() } });
     }
     mSelector.SetDomainsOutOfService(std::move(domains));
   }
@@ -425,7 +466,7 @@
                         { "incarnation", entry->incarnation },
                         { "slots", entry->slots },
                         { "warm-up-ms", Millis(entry->warmUpLeft) },
-                        { "revision", aObject.revision } });
+                        { "revision", aObject.revision.Number() } });
   mSelector.Put(*entry, now);
   const auto ranges = mRanges.find(entry->service);
   if (ranges != mRanges.end()) {
@@ -445,7 +486,7 @@
 {
   // A list that has a gap may show servers, too.
   const bool knowsServers = mStoreFollower.HasListed(ObjectKind::kServer) ||
-                            mMirror.At(ObjectKind::kServer) != 0 || mSelector.HasServers();
+                            !mMirror.At(ObjectKind::kServer).IsNone() || mSelector.HasServers();
   return !mLeaving && !mRoutes.IsEmpty() && knowsServers;
 }
 
@@ -494,7 +535,7 @@
                         { "before", previousVersion },
                         { "routes", mRoutes.Config().routes.size() },
                         { "organisations", mRoutes.Config().organisations.size() },
-                        { "revision", aObject.revision } });
+                        { "revision", aObject.revision.Number() } });
   ApplyQuotaLimits();
   for (const auto& [name, rule] : mRoutes.Config().services) {
     mSelector.SetServiceRule(rule);
@@ -564,6 +605,7 @@
   // watcher, since nothing shows that the store does not answer it.
   self.storeAge = mStoreFollower.Watches() ? mStoreFollower.ReportedAge(mServices.timers.Now())
                                            : Duration::zero();
+  self.storeEra = mStoreEra.value_or(0);
   self.leaving = mLeaving;
   self.configurationBytes = mObjectExchange.ConfigurationBytes();
   self.hasRole = mWatchesStore || !LeadsNoRange();
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -109,6 +109,8 @@
 
 private:
   void Tick(Instant aNow);
+  /// Notices that the store was restored, by its answers or from other daemons.
+  void UpdateStoreEra(Instant aNow);
   /// Records by how much the event loop is behind, and logs it if that is much.
   void ObserveLoopDelay(Instant aNow);
   /// Exchanges the servers' speeds with other daemons and records how many are known.
@@ -158,6 +160,8 @@
   Forwarder mForwarder;
   PendingRemovals mPendingRemovals;
   Instant mStartedAt;
+  /// The latest era of the store that this daemon has acted on; nothing before the first.
+  std::optional<StoreEra> mStoreEra;
   bool mLeaving = false;
   /// The roles of this daemon, and when they were last decided.
   bool mWatchesStore = false;
@@ -170,7 +174,7 @@
   bool mReportedFailing = false;
   bool mRegistered = false;
   bool mRegistering = false;
-  Version mRegisteredRevision = 0;
+  StoreRevision mRegisteredRevision;
   /// When Tick() was last called; the epoch before the first call.
   Instant mTickedAt;
   /// Messages of other daemons that were received since then.
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -89,7 +89,7 @@
 bool StoreFollower::IsDue(ObjectKind aKind, Instant aNow, Reading aReading) const
 {
   const Followed& it = mFollowed.at(static_cast<std::size_t>(aKind));
-  const bool missing = aReading == Reading::kMissing && mMirror.At(aKind) == 0;
+  const bool missing = aReading == Reading::kMissing && mMirror.At(aKind).IsNone();
   const bool wanted = aReading == Reading::kWatching || missing || it.wanted;
   return it.active && !it.busy && wanted && aNow >= it.nextAt;
 }
@@ -123,8 +123,8 @@
   Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
   followed.busy = true;
   followed.nextAt = aNow;
-  const Version since = mMirror.At(aKind);
-  if (followed.mustList || followed.wanted || since == 0) {
+  const StoreRevision since = mMirror.At(aKind);
+  if (followed.mustList || followed.wanted || since.IsNone()) {
     followed.wanted = false;
     mStore.List(aKind, false, [this, aKind](const StoreReading& aReading) {
       OnReading(aKind, aReading, [&] { return mMirror.ApplyList(aKind, aReading); });
@@ -181,7 +181,7 @@
   followed.failures = 0;
   followed.listed = true;
   // A list with revision 0 is of a kind that the store does not know yet: it is listed again.
-  followed.mustList = aReading.at == 0;
+  followed.mustList = aReading.at.IsNone();
   OnAnswered(mTimers.Now());
   if (followed.mustList) {
     followed.nextAt = mTimers.Now() + kRetryDelay;
--- a/tests/fuzz/stored_objects.cpp
+++ b/tests/fuzz/stored_objects.cpp
@@ -46,8 +46,8 @@
   PlatformObjectReader reader(Log());
   const std::string redacted = RedactKeys(aObject.value);
   CHECK_ALWAYS(RedactKeys(redacted) == redacted);
-  const auto before = reader.ReadConfiguration({ "main", 1, false, aObject.value });
-  const auto after = reader.ReadConfiguration({ "main", 1, false, redacted });
+  const auto before = reader.ReadConfiguration({ "main", StoreRevision(1), false, aObject.value });
+  const auto after = reader.ReadConfiguration({ "main", StoreRevision(1), false, redacted });
   CHECK_ALWAYS(before.has_value() == after.has_value());
   if (!before) {
     return;
@@ -188,10 +188,10 @@
       CheckEntry(ReadWatchAnswer, R"({"Object":)", text, "}");
       break;
     case 3:
-      reader.ReadServer({ "name", 1, false, text });
+      reader.ReadServer({ "name", StoreRevision(1), false, text });
       break;
     case 4:
-      CheckRedaction({ "main", 1, false, text });
+      CheckRedaction({ "main", StoreRevision(1), false, text });
       break;
     case 5:
       ReadTyped<SettingError>([&] { return ParseHostSettings(text); });
--- a/tests/ownership/range_granter_test.cpp
+++ b/tests/ownership/range_granter_test.cpp
@@ -150,8 +150,11 @@
       granter.OnReleased(release->order, { ResultOf(release->server), "warm" }, now);
     } else {
       const auto& write = std::get<WriteRecord>(aAction);
-      REQUIRE(write.expected == (record ? record->revision : 0));
-      record = StoredObject{ "service", write.expected + 10, false, write.value };
+      REQUIRE(write.expected == (record ? record->revision : StoreRevision()));
+      record = StoredObject{ "service",
+                             StoreRevision(write.expected.Number() + 10, write.expected.Era()),
+                             false,
+                             write.value };
       granter.OnWritten({ StoreResult::kDone, record }, now);
     }
   }
@@ -647,7 +650,7 @@
   other.leader = { "e", 1 };
   ++other.term;
   fixture.granter.OnRecordRead(
-    { "service", 99, false, EncodeRangeRecord(other) }, fixture.now, fixture.now);
+    { "service", StoreRevision(99), false, EncodeRangeRecord(other) }, fixture.now, fixture.now);
   CHECK(fixture.granter.IsIdle());
 }
 
--- a/tests/ownership/range_scenarios_test.cpp
+++ b/tests/ownership/range_scenarios_test.cpp
@@ -36,6 +36,7 @@
 {
   std::string name;
   std::function<void(RangeSimulation&)> schedule;
+  StoreEra firstEra = 0;
 };
 
 void LateGrants(RangeSimulation& aSimulation)
@@ -154,6 +155,70 @@
   });
 }
 
+/// Keys move, and the store loses that.
+void MoveAndRestore(RangeSimulation& aSimulation)
+{
+  aSimulation.Schedule(seconds(20), [&] { aSimulation.MoveBucket(3, 2); });
+  aSimulation.Schedule(seconds(21), [&] { aSimulation.MoveBucket(8, 0); });
+  aSimulation.Schedule(seconds(22),
+                       [&] { aSimulation.RestoreStore(seconds(5), milliseconds(800)); });
+}
+
+void RestoredWithLeader(RangeSimulation& aSimulation)
+{
+  MoveAndRestore(aSimulation);
+  aSimulation.Schedule(seconds(26), [&] { aSimulation.MoveBucket(3, 1); });
+}
+
+void RestoredTwice(RangeSimulation& aSimulation)
+{
+  MoveAndRestore(aSimulation);
+  aSimulation.Schedule(seconds(24),
+                       [&] { aSimulation.RestoreStore(seconds(6), milliseconds(300)); });
+  aSimulation.Schedule(seconds(28), [&] { aSimulation.MoveBucket(3, 1); });
+}
+
+void RestoredWithoutLeader(RangeSimulation& aSimulation)
+{
+  MoveAndRestore(aSimulation);
+  aSimulation.Schedule(seconds(22), [&] { aSimulation.RestartDaemon(0); });
+  aSimulation.Schedule(seconds(24), [&] { aSimulation.TakeOver(1); });
+  aSimulation.Schedule(seconds(25), [&] { aSimulation.MoveBucket(3, 1); });
+}
+
+void RestoredAllRestarted(RangeSimulation& aSimulation)
+{
+  MoveAndRestore(aSimulation);
+  aSimulation.Schedule(seconds(22), [&] { aSimulation.RestartAllDaemons(); });
+  aSimulation.Schedule(seconds(24), [&] { aSimulation.TakeOver(2); });
+}
+
+void RestoredWithStaleLeader(RangeSimulation& aSimulation)
+{
+  // The first leader is frozen and superseded, which the store then loses.
+  aSimulation.Schedule(seconds(20), [&] { aSimulation.TakeOver(1); });
+  aSimulation.Schedule(milliseconds(20010),
+                       [&] { aSimulation.FreezeDaemon(0, milliseconds(800)); });
+  aSimulation.Schedule(milliseconds(20200), [&] { aSimulation.MoveBucket(3, 2); });
+  aSimulation.Schedule(milliseconds(20500),
+                       [&] { aSimulation.RestoreStore(seconds(1), milliseconds(200)); });
+}
+
+void RestoredWhileOwnerIsWritten(RangeSimulation& aSimulation)
+{
+  // The write of a new owner gets no answer, and the store loses it.
+  aSimulation.Schedule(seconds(20), [&] {
+    RangeFaults unanswered = NoFaults();
+    unanswered.unansweredWrites = 1.0;
+    aSimulation.SetFaults(unanswered);
+    aSimulation.MoveBucket(3, 2);
+  });
+  aSimulation.Schedule(milliseconds(20400), [&] {
+    aSimulation.SetFaults(NoFaults());
+    aSimulation.RestoreStore(seconds(1), milliseconds(100));
+  });
+}
+
 const std::vector<RangeScenario>& Scenarios()
 {
   static const std::vector<RangeScenario> scenarios = {
@@ -167,6 +232,12 @@
     { "recovery-after-full-restart", RecoveryAfterFullRestart },
     { "earlier-leader-cut-off-with-its-server", EarlierLeaderCutOffWithItsServer },
     { "server-restarted-while-its-keys-move", ServerRestartedWhileItsKeysMove },
+    { "store-restored", RestoredWithLeader, kFirstStoreEra },
+    { "store-restored-twice", RestoredTwice, kFirstStoreEra },
+    { "store-restored-leader-lost", RestoredWithoutLeader, kFirstStoreEra },
+    { "store-restored-all-daemons-restarted", RestoredAllRestarted, kFirstStoreEra },
+    { "store-restored-stale-leader", RestoredWithStaleLeader, kFirstStoreEra },
+    { "store-restored-owner-being-written", RestoredWhileOwnerIsWritten, kFirstStoreEra },
   };
   return scenarios;
 }
@@ -180,7 +251,9 @@
   const RangeScenario& scenario = Scenarios()[n];
   DYNAMIC_SECTION(scenario.name)
   {
-    RangeSimulation simulation(kSeed, NoFaults());
+    RangeFaults faults = NoFaults();
+    faults.firstEra = scenario.firstEra;
+    RangeSimulation simulation(kSeed, faults);
     simulation.Schedule(milliseconds(1), [&] { simulation.TakeOver(0); });
     scenario.schedule(simulation);
     const std::string violation = simulation.Run();
--- a/tests/ownership/range_schedules.cpp
+++ b/tests/ownership/range_schedules.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <iostream>
 
+using namespace hawthornlug;
 using namespace hawthornlug::test;
 
 int main(int aArgCount, char** aArgs)
@@ -43,6 +44,7 @@
     // Each seed runs in one of the two modes of the granter.
     faults.joinsNeighbours = seed % 2 == 1;
     faults.restores = restores;
+    faults.firstEra = restores > 0 ? kFirstStoreEra : 0;
     RangeSimulation simulation(seed, faults);
     const std::string violation = simulation.Run();
     moves += simulation.Moves();
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -76,14 +76,14 @@
   StoreReading Watch()
   {
     return Await<StoreReading>([&](auto aDone) {
-      Store().Watch(ObjectKind::kServer, 7, milliseconds(50), std::move(aDone));
+      Store().Watch(ObjectKind::kServer, StoreRevision(7), milliseconds(50), std::move(aDone));
     });
   }
 
   StoreWrite Write()
   {
     return Await<StoreWrite>([&](auto aDone) {
-      Store().Write(ObjectKind::kRanges, "keyed", 7, R"({"a":1})", std::move(aDone));
+      Store().Write(ObjectKind::kRanges, "keyed", StoreRevision(7), R"({"a":1})", std::move(aDone));
     });
   }
 
--- a/tests/platform/organisation_keys_test.cpp
+++ b/tests/platform/organisation_keys_test.cpp
@@ -30,7 +30,7 @@
 std::optional<RouteConfig> Read(const std::string& aText)
 {
   DecisionLog log("test");
-  return PlatformObjectReader(log).ReadConfiguration({ "main", 12, false, aText });
+  return PlatformObjectReader(log).ReadConfiguration({ "main", StoreRevision(12), false, aText });
 }
 
 const std::string kDigestOfOne = ToText(DigestOf("key-one"));
@@ -277,7 +277,7 @@
   std::optional<StoreReading> reading;
   const auto done = [&](StoreReading aReading) { reading = std::move(aReading); };
   if (watches) {
-    client.Watch(ObjectKind::kConfiguration, 1, milliseconds(100), done);
+    client.Watch(ObjectKind::kConfiguration, StoreRevision(1), milliseconds(100), done);
   } else {
     client.List(ObjectKind::kConfiguration, false, done);
   }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -165,7 +165,8 @@
 {
   DecisionLog log("test");
   PlatformObjectReader reader(log);
-  const auto config = reader.ReadConfiguration({ "main", 12, false, kConfiguration });
+  const auto config =
+    reader.ReadConfiguration({ "main", StoreRevision(12), false, kConfiguration });
   REQUIRE(config);
   CHECK(config->version == 7);
   REQUIRE(config->routes.size() == 2);
@@ -204,7 +205,7 @@
   PlatformObjectReader reader(log);
   const std::string text =
     WithReplacement(kConfiguration, R"("Kind":"unsafe")", R"("Kind":")" + row.kind + '"');
-  const auto config = reader.ReadConfiguration({ "main", 12, false, text });
+  const auto config = reader.ReadConfiguration({ "main", StoreRevision(12), false, text });
   REQUIRE(config);
   CHECK(config->routes[1].idempotent == row.idempotent);
 }
@@ -229,14 +230,14 @@
   DecisionLog log("test");
   PlatformObjectReader reader(log);
   CHECK_FALSE(reader.ReadConfiguration(
-    { "main", 12, false, WithReplacement(kConfiguration, edit.part, edit.with) }));
+    { "main", StoreRevision(12), false, WithReplacement(kConfiguration, edit.part, edit.with) }));
 }
 
 TEST_CASE("a registry entry is read, and a malformed one yields no server", "[platform]")
 {
   DecisionLog log("test");
   PlatformObjectReader reader(log);
-  const auto entry = reader.ReadServer({ "i-1", 3, false, kServer });
+  const auto entry = reader.ReadServer({ "i-1", StoreRevision(3), false, kServer });
   REQUIRE(entry);
   CHECK(entry->id == "i-1");
   CHECK(entry->address == "10.1.2.3:80");
@@ -264,8 +265,8 @@
     { "{\"Service\"", "[\"Service\"" },
   }));
   INFO(edit.part << " -> " << edit.with);
-  CHECK_FALSE(
-    reader.ReadServer({ "i-1", 3, false, WithReplacement(kServer, edit.part, edit.with) }));
+  CHECK_FALSE(reader.ReadServer(
+    { "i-1", StoreRevision(3), false, WithReplacement(kServer, edit.part, edit.with) }));
 }
 
 TEST_CASE("a server whose name no header can carry is not used", "[platform]")
@@ -295,7 +296,8 @@
   INFO(row.name);
   DecisionLog log("test");
   PlatformObjectReader reader(log);
-  CHECK(reader.ReadServer({ row.name, 3, false, kServer }).has_value() == row.usable);
+  CHECK(reader.ReadServer({ row.name, StoreRevision(3), false, kServer }).has_value() ==
+        row.usable);
 }
 
 TEST_CASE("only the object of that name is the configuration", "[platform]")
@@ -305,8 +307,8 @@
   INFO(name);
   DecisionLog log("test");
   PlatformObjectReader reader(log);
-  CHECK(reader.ReadConfiguration({ "main", 12, false, kConfiguration }));
-  CHECK_FALSE(reader.ReadConfiguration({ name, 13, false, kConfiguration }));
+  CHECK(reader.ReadConfiguration({ "main", StoreRevision(12), false, kConfiguration }));
+  CHECK_FALSE(reader.ReadConfiguration({ name, StoreRevision(13), false, kConfiguration }));
 }
 
 TEST_CASE("a health path can be sent as a request's target", "[platform]")
@@ -333,7 +335,7 @@
   DecisionLog log("test");
   PlatformObjectReader reader(log);
   const std::string text = WithReplacement(kConfiguration, "\"/health\"", '"' + row.path + '"');
-  const auto config = reader.ReadConfiguration({ "main", 12, false, text });
+  const auto config = reader.ReadConfiguration({ "main", StoreRevision(12), false, text });
   REQUIRE(config);
   CHECK(config->services.at("s").healthPath == row.target);
 }
@@ -400,7 +402,7 @@
   const std::string good = R"({"Metadata":{"Name":"good","Revision":8},"Spec":)" + kServer + "}";
   const auto check = [](const StorePage& aPage) {
     REQUIRE(aPage.objects.size() == 2);
-    CHECK(aPage.at == 9);
+    CHECK(aPage.at == StoreRevision(9));
     DecisionLog log("test");
     PlatformObjectReader reader(log);
     CHECK(aPage.objects[0].name == "odd");
@@ -455,5 +457,5 @@
   DecisionLog log("test");
   PlatformObjectReader reader(log);
   const std::string text = WithReplacement(kConfiguration, "\"r7\"", "\"" + version + "\"");
-  CHECK_FALSE(reader.ReadConfiguration({ "main", 12, false, text }));
+  CHECK_FALSE(reader.ReadConfiguration({ "main", StoreRevision(12), false, text }));
 }
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -47,14 +47,14 @@
       [&](auto aDone) { mClient.List(ObjectKind::kServer, aMayBeStale, std::move(aDone)); });
   }
 
-  StoreReading Watch(Version aSince)
+  StoreReading Watch(StoreRevision aSince)
   {
     return Await<StoreReading>([&](auto aDone) {
       mClient.Watch(ObjectKind::kServer, aSince, milliseconds(50), std::move(aDone));
     });
   }
 
-  StoreWrite Write(const std::string& aName, Version aExpected, const std::string& aValue)
+  StoreWrite Write(const std::string& aName, StoreRevision aExpected, const std::string& aValue)
   {
     return Await<StoreWrite>([&](auto aDone) {
       mClient.Write(ObjectKind::kRanges, aName, aExpected, aValue, std::move(aDone));
@@ -251,7 +251,7 @@
   const std::string name = GENERATE(from_range(kNames));
   INFO(name);
   ClientUnderTest client;
-  const Version before = client.Store().Revision();
+  const StoreRevision before = client.Store().Revision();
   client.Store().Put(kServers, name, { { "odd", true } });
   const StoreReading added = client.Watch(before);
   CHECK(added.result == StoreResult::kDone);
@@ -269,7 +269,7 @@
   const std::string name = GENERATE(from_range(kNames));
   INFO(name);
   ClientUnderTest client;
-  const StoreWrite created = client.Write(name, 0, R"({"n":1})");
+  const StoreWrite created = client.Write(name, StoreRevision(0, kFirstStoreEra), R"({"n":1})");
   CHECK(created.result == StoreResult::kDone);
   REQUIRE(created.object);
   CHECK(created.object->name == name);
@@ -304,7 +304,7 @@
   INFO(row.what);
   ClientUnderTest client;
   client.Store().PutText(kServers, kOdd, row.text);
-  const StoreReading reading = client.Watch(1);
+  const StoreReading reading = client.Watch(StoreRevision(1, kFirstStoreEra));
   CHECK(reading.result == StoreResult::kDone);
   CHECK(NamesOf(reading) == NamesBeside(row));
   CHECK(SoundAsWritten(reading));
@@ -342,7 +342,7 @@
   if (row.named) {
     CHECK(page.objects[1].name == "i-odd");
     CHECK(page.objects[1].value == "null");
-    CHECK(page.objects[1].revision == 9);
+    CHECK(page.objects[1].revision == StoreRevision(9));
   }
 }
 
@@ -352,7 +352,8 @@
   INFO(row.what);
   ClientUnderTest client;
   client.Store().PutText("hawthornlug-ranges", kOdd, row.text);
-  const StoreWrite write = client.Write(kOdd, client.Store().Revision() + 1, R"({"n":1})");
+  const StoreWrite write = client.Write(
+    kOdd, StoreRevision(client.Store().Revision().Number() + 1, kFirstStoreEra), R"({"n":1})");
   const bool usable = row.known == Known::kMetadata;
   CHECK(write.result == (usable ? StoreResult::kConflict : StoreResult::kUnknown));
   CHECK(write.object.has_value() == usable);
--- a/tests/process/restore_test.cpp
+++ b/tests/process/restore_test.cpp
@@ -86,7 +86,7 @@
 
 } // namespace
 
-TEST_CASE("the store comes back from an older copy: each key has one owner", "[restore]")
+TEST_CASE("the store comes back from an older copy: each key has one owner", "[process][restore]")
 {
   const auto drill = GENERATE(values<Drill>({
     { "only away", false, Trouble::kNone, milliseconds(0) },
--- a/tests/runtime/range_runner_test.cpp
+++ b/tests/runtime/range_runner_test.cpp
@@ -19,18 +19,18 @@
   {
     mPending.push_back([this, aKind, aDone] { aDone(Reading(aKind)); });
   }
-  void Watch(ObjectKind, Version, Duration, ReadDone aDone) override
+  void Watch(ObjectKind, StoreRevision, Duration, ReadDone aDone) override
   {
     mPending.push_back([this, aDone] {
       StoreReading unchanged;
       unchanged.result = watchResult;
-      unchanged.at = mRevision;
+      unchanged.at = StoreRevision(mRevision);
       aDone(unchanged);
     });
   }
   void Write(ObjectKind aKind,
              const std::string& aName,
-             Version aExpected,
+             StoreRevision aExpected,
              const std::string& aValue,
              WriteDone aDone) override
   {
@@ -40,7 +40,7 @@
       StoreWrite write;
       write.result = StoreResult::kConflict;
       if (object.revision == aExpected) {
-        object = { aName, ++mRevision, false, aValue };
+        object = { aName, StoreRevision(++mRevision), false, aValue };
         write.result = StoreResult::kDone;
       }
       write.object = object;
@@ -67,7 +67,7 @@
   {
     StoreReading reading;
     reading.result = listResult;
-    reading.at = mRevision;
+    reading.at = StoreRevision(mRevision);
     for (const auto& [name, object] : mObjects) {
       if (name.first == aKind) {
         reading.objects.push_back(object);
@@ -78,7 +78,7 @@
 
   std::vector<std::function<void()>> mPending;
   std::map<std::pair<ObjectKind, std::string>, StoredObject> mObjects;
-  Version mRevision = 1;
+  std::uint64_t mRevision = 1;
 };
 
 /// Servers that grant and release at once. Answers are kept until Deliver().
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -20,11 +20,13 @@
     ++lists;
     calls.push_back(std::move(aDone));
   }
-  void Watch(ObjectKind, Version, Duration, ReadDone aDone) override
+  void Watch(ObjectKind, StoreRevision, Duration, ReadDone aDone) override
   {
     calls.push_back(std::move(aDone));
   }
-  void Write(ObjectKind, const std::string&, Version, const std::string&, WriteDone) override {}
+  void Write(ObjectKind, const std::string&, StoreRevision, const std::string&, WriteDone) override
+  {
+  }
 
   /// Completes all pending calls.
   void Complete(StoreResult aResult)
@@ -34,7 +36,7 @@
     for (const ReadDone& it : ended) {
       StoreReading reading;
       reading.result = aResult;
-      reading.at = ++revision;
+      reading.at = StoreRevision(++revision);
       reading.objects = objects;
       it(reading);
     }
@@ -43,7 +45,7 @@
   std::vector<ReadDone> calls;
   /// What each answer holds.
   std::vector<StoredObject> objects;
-  Version revision = 0;
+  std::uint64_t revision = 0;
   unsigned lists = 0;
 };
 
@@ -111,20 +113,21 @@
           "[runtime][store]")
 {
   Fixture fixture;
-  const Version before = fixture.mirror.At(ObjectKind::kServer);
+  const StoreRevision before = fixture.mirror.At(ObjectKind::kServer);
   // Both kinds have to be listed again.
   fixture.store.Complete(StoreResult::kHistoryGone);
   fixture.AdvanceTime(milliseconds(20));
   REQUIRE(fixture.store.lists == 4);
-  fixture.store.objects = { { "a", 1, false, "{}" }, { "b", 2, false, "{}" } };
+  fixture.store.objects = { { "a", StoreRevision(1), false, "{}" },
+                            { "b", StoreRevision(2), false, "{}" } };
   fixture.store.Complete(StoreResult::kDone);
   fixture.AdvanceTime(milliseconds(300));
   fixture.store.Complete(StoreResult::kHistoryGone);
   fixture.AdvanceTime(milliseconds(20));
   REQUIRE(fixture.store.lists == 6);
-  const Version whole = fixture.mirror.At(ObjectKind::kServer);
+  const StoreRevision whole = fixture.mirror.At(ObjectKind::kServer);
   REQUIRE(whole > before);
-  fixture.store.objects = { { "c", 100, false, "{}" } };
+  fixture.store.objects = { { "c", StoreRevision(100), false, "{}" } };
   fixture.store.Complete(StoreResult::kIncomplete);
   CHECK(fixture.mirror.At(ObjectKind::kServer) == whole);
   CHECK(fixture.mirror.All(ObjectKind::kServer).size() == 3);
--- a/tests/support/range_simulation.cpp
+++ b/tests/support/range_simulation.cpp
@@ -8,6 +8,11 @@
 
 constexpr Duration kTickInterval = milliseconds(20);
 constexpr Duration kRecordReadInterval = milliseconds(1500);
+constexpr Duration kRestoringReadInterval = milliseconds(100);
+/// Longest time until a daemon that reaches the store learns that it was restored.
+constexpr Duration kLongestEraLag = milliseconds(1500);
+/// Probability, per tick, that a daemon hears of a new era from another one.
+constexpr double kEraHeardChance = 0.05;
 constexpr RangeKey kBucketWidth = 4096;
 /// Slightly less than GrantTiming::maxClockDrift, which the granter allows for.
 constexpr double kServerClockDrift = 0.019;
@@ -33,6 +38,7 @@
   : mGenerator(aSeed)
   , mFaults(aFaults)
   , mEnd(mNow + aFaults.duration)
+  , mEra(aFaults.firstEra)
 {
   for (unsigned n = 0; n < kServers; ++n) {
     Server server;
@@ -41,11 +47,13 @@
   }
   for (unsigned n = 0; n < kDaemons; ++n) {
     Daemon daemon;
+    daemon.startedAt = mNow;
     daemon.ref = { "d" + std::to_string(n), 1 };
     daemon.granter = std::make_unique<RangeGranter>(daemon.ref, DefaultTiming());
     SetMode(*daemon.granter);
     mDaemons.push_back(std::move(daemon));
   }
+  mRecordHistory.push_back({ mNow, mRecord, mRevision });
 }
 
 void RangeSimulation::Schedule(Duration aDelay, std::function<void()> aCallback)
@@ -148,6 +156,7 @@
   if (mNow >= std::max(leader.silentUntil, daemon.silentUntil)) {
     daemon.terms.Note(leader.granter->IsLeader() ? leader.granter->Term() : 0, mNow);
   }
+  LearnEra(daemon);
   UpdateServers(daemon);
   const bool storeReachable = mNow >= daemon.storeUnreachableUntil;
   if (granter.IsIdle()) {
@@ -158,14 +167,18 @@
   }
   if (granter.IsLeader()) {
     CheckEarlierLeaders(daemon);
-    if (mNow - daemon.recordReadAt > kRecordReadInterval && storeReachable) {
+    const Duration interval = granter.IsRestoring() ? kRestoringReadInterval : kRecordReadInterval;
+    if (mNow - daemon.recordReadAt > interval && storeReachable) {
       daemon.recordReadAt = mNow;
-      const std::optional<StoredObject> record = mRecord;
-      Deliver(aDaemon, daemon.ref.incarnation, [this, record, asked = mNow](Daemon& aTarget) {
-        if (record) {
-          aTarget.granter->OnRecordRead(*record, asked, mNow);
-        }
-      });
+      Deliver(aDaemon,
+              daemon.ref.incarnation,
+              [this, record = mRecord, era = mEra, asked = mNow](Daemon& aTarget) {
+                if (record) {
+                  aTarget.granter->OnRecordRead(*record, asked, mNow);
+                } else {
+                  aTarget.granter->OnRecordMissing(era, mNow);
+                }
+              });
     }
     if (RandomChance(mFaults.moveChance)) {
       const auto bucket = std::uniform_int_distribution<unsigned>(0, kBuckets - 1)(mGenerator);
@@ -176,6 +189,42 @@
   Act(aDaemon);
 }
 
+bool RangeSimulation::Hears(const Daemon& aDaemon, const Daemon& aOther) const
+{
+  return mNow >= std::max({ aOther.silentUntil, aOther.frozenUntil, aDaemon.silentUntil });
+}
+
+void RangeSimulation::LearnEra(Daemon& aDaemon)
+{
+  std::optional<StoreEra> era = aDaemon.storeEra;
+  if (mNow >= std::max(aDaemon.storeUnreachableUntil, aDaemon.learnsEraAt)) {
+    era = mEra;
+  }
+  for (const Daemon& it : mDaemons) {
+    if (it.storeEra > era && Hears(aDaemon, it) && RandomChance(kEraHeardChance)) {
+      era = it.storeEra;
+    }
+  }
+  if (era > aDaemon.storeEra) {
+    aDaemon.storeEra = era;
+    aDaemon.storeEraKnownAt = mNow;
+    aDaemon.granter->OnStoreEra(*era, mNow);
+  }
+}
+
+bool RangeSimulation::HaveEarlierErasEnded(const Daemon& aDaemon) const
+{
+  const bool ranBefore =
+    aDaemon.storeEraKnownAt - aDaemon.startedAt >= aDaemon.granter->RenewalLimit();
+  return ranBefore && std::all_of(mDaemons.begin(), mDaemons.end(), [&](const Daemon& aOther) {
+           const RangeGranter& granter = *aOther.granter;
+           const bool leadsEarlier =
+             granter.IsLeader() && granter.Term() < FirstNumberOf(aDaemon.storeEra.value_or(0));
+           return &aOther == &aDaemon ||
+                  (Hears(aDaemon, aOther) && !leadsEarlier && aOther.storeEra >= aDaemon.storeEra);
+         });
+}
+
 void RangeSimulation::Act(unsigned aDaemon)
 {
   Daemon& daemon = mDaemons[aDaemon];
@@ -192,14 +241,23 @@
       line += " moved bucket " + std::to_string(BucketOf(it.keys.from)) + " from " + it.from;
       line += " to " + it.to + ", " + it.reason + ", token " + std::to_string(it.token);
       AppendLine(line);
+    } else if (it.type == GranterEvent::Type::kRestored) {
+      AppendLine(daemon.ref.id + " wrote its record anew, " + std::to_string(it.confirmed) +
+                 " ranges confirmed, " + std::to_string(it.uncertain) + " not");
     }
   }
 }
 
 void RangeSimulation::CheckEarlierLeaders(Daemon& aDaemon)
 {
+  if (HaveEarlierErasEnded(aDaemon)) {
+    aDaemon.granter->OnEarlierLeaderStopped(kUnknownLeader, mNow);
+  }
   const std::vector<EarlierLeader> leaders = aDaemon.granter->EarlierLeaders();
   for (const auto& [it, term] : leaders) {
+    if (it == kUnknownLeader) {
+      continue;
+    }
     const Daemon& earlier = mDaemons[static_cast<unsigned>(std::stoul(it.id.substr(1)))];
     const bool heard =
       mNow >= std::max({ earlier.silentUntil, earlier.frozenUntil, aDaemon.silentUntil });
@@ -388,13 +446,14 @@
 
 bool RangeSimulation::ApplyWrite(const WriteRecord& aAction)
 {
-  const Version current = mRecord ? mRecord->revision : 0;
-  if (current != aAction.expected) {
+  // The store knows no eras of its callers: a number from before a restore may match.
+  const std::uint64_t current = mRecord ? mRecord->revision.Number() : 0;
+  if (current != aAction.expected.Number()) {
     return false;
   }
   // Revisions are shared with other objects, so the next one may be skipped.
-  mRevision += 1 + static_cast<Version>(RandomChance(0.3) ? 3 : 0);
-  mRecord = StoredObject{ "service", mRevision, false, aAction.value };
+  mRevision += 1 + static_cast<std::uint64_t>(RandomChance(0.3) ? 3 : 0);
+  mRecord = StoredObject{ "service", StoreRevision(mRevision, mEra), false, aAction.value };
   mRecordHistory.push_back({ mNow, mRecord, mRevision });
   return true;
 }
@@ -415,6 +474,10 @@
     answer({ StoreResult::kUnknown, std::nullopt }, milliseconds(1500));
     return;
   }
+  if (mDaemons[aDaemon].storeEra > aAction.expected.Era()) {
+    answer({ StoreResult::kRefused, std::nullopt }, milliseconds(0));
+    return;
+  }
   if (RandomChance(mFaults.unansweredWrites)) {
     const Duration delay =
       RandomChance(0.5) ? milliseconds(4) : RandomDuration(seconds(1), seconds(6));
@@ -424,7 +487,12 @@
   }
   Schedule(RandomDuration(milliseconds(2), milliseconds(20)), [this, aAction, answer] {
     const bool done = ApplyWrite(aAction);
-    answer({ done ? StoreResult::kDone : StoreResult::kConflict, mRecord }, milliseconds(0));
+    const bool isMeant = aAction.expected.Era() == mEra;
+    answer({ !isMeant ? StoreResult::kUnknown
+             : done   ? StoreResult::kDone
+                      : StoreResult::kConflict,
+             isMeant ? mRecord : std::nullopt },
+           milliseconds(0));
   });
 }
 
@@ -501,6 +569,8 @@
   SetMode(*daemon.granter);
   daemon.readingRecord = false;
   daemon.terms = TermHistory();
+  daemon.startedAt = mNow;
+  daemon.storeEra.reset();
   AppendLine("restart " + daemon.ref.id);
 }
 
@@ -550,13 +620,17 @@
                        mRecordHistory.end(),
                        copiedAt,
                        [](Instant aAt, const RecordState& aState) { return aAt < aState.at; });
-    if (later == mRecordHistory.begin()) {
-      return;
-    }
     // What was written since is no part of the history any more.
-    mRecordHistory.erase(later, mRecordHistory.end());
+    mRecordHistory.erase(std::max(later, std::next(mRecordHistory.begin())), mRecordHistory.end());
     mRecord = mRecordHistory.back().record;
     mRevision = mRecordHistory.back().revision;
+    ++mEra;
+    if (mRecord) {
+      mRecord->revision = StoreRevision(mRecord->revision.Number(), mEra);
+    }
+    for (Daemon& it : mDaemons) {
+      it.learnsEraAt = mNow + RandomDuration(milliseconds(0), kLongestEraLag);
+    }
     RestoreRegistry(copiedAt);
     AppendLine("the store is back with revision " + std::to_string(mRevision));
   });
--- a/tests/support/range_simulation.h
+++ b/tests/support/range_simulation.h
@@ -43,6 +43,8 @@
   bool joinsNeighbours = false;
   /// Number of times, at random, that the store is away and comes back from an older copy.
   unsigned restores = 0;
+  /// Era of the store at the start of the run.
+  StoreEra firstEra = 0;
   /// Largest age of that copy when the store goes away, and longest time for which it is away.
   Duration longestCopyAge = seconds(10);
   Duration longestStoreOutage = seconds(2);
@@ -128,6 +130,11 @@
     Instant silentUntil;
     /// Incarnation of each server as this daemon has read it from the registry.
     std::vector<Incarnation> registeredIncarnations = std::vector<Incarnation>(kServers, 1);
+    Instant startedAt;
+    /// The latest era of the store that it knows, and when it learns of a later one by itself.
+    std::optional<StoreEra> storeEra;
+    Instant storeEraKnownAt;
+    Instant learnsEraAt;
     /// The record is being read for a takeover.
     bool readingRecord = false;
   };
@@ -151,6 +158,12 @@
   /// Sets the granter's mode as the faults say.
   void SetMode(RangeGranter& aGranter) const;
   void Tick(unsigned aDaemon);
+  /// Lets the daemon learn of the store's era, from the store or from other daemons.
+  void LearnEra(Daemon& aDaemon);
+  /// Whether a daemon hears another one.
+  bool Hears(const Daemon& aDaemon, const Daemon& aOther) const;
+  /// Whether the daemon hears that no other one leads since before the store was restored.
+  bool HaveEarlierErasEnded(const Daemon& aDaemon) const;
   /// Executes what the daemon's granter is to do now.
   void Act(unsigned aDaemon);
   /// Tells the granter which earlier leaders have stopped, as far as heartbeats show that.
@@ -196,13 +209,14 @@
   std::vector<Server> mServers;
   std::vector<Daemon> mDaemons;
   std::optional<StoredObject> mRecord;
-  Version mRevision = 40;
+  std::uint64_t mRevision = 40;
+  StoreEra mEra;
   /// The record after each of its changes, and the store's revision, by time.
   struct RecordState
   {
     Instant at;
     std::optional<StoredObject> record;
-    Version revision = 0;
+    std::uint64_t revision = 0;
   };
   std::vector<RecordState> mRecordHistory;
   /// By bucket: the highest token of any applied grant, and the server incarnation that got it.
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -194,11 +194,11 @@
   return it == mCalls.end() ? 0 : it->second;
 }
 
-StoreReading SimulatedStore::ReadingSince(ObjectKind aKind, Version aSince) const
+StoreReading SimulatedStore::ReadingSince(ObjectKind aKind, StoreRevision aSince) const
 {
   StoreReading reading;
   reading.result = StoreResult::kDone;
-  reading.at = mRevision;
+  reading.at = StoreRevision(mRevision);
   for (const auto& [name, object] : mObjects) {
     if (name.first == aKind && object.revision > aSince) {
       reading.objects.push_back(object);
@@ -225,7 +225,7 @@
 
 void SimulatedStore::Put(ObjectKind aKind, const std::string& aName, const std::string& aValue)
 {
-  mObjects[{ aKind, aName }] = { aName, ++mRevision, false, aValue };
+  mObjects[{ aKind, aName }] = { aName, StoreRevision(++mRevision), false, aValue };
   AnswerWatchers(aKind);
 }
 
@@ -236,10 +236,14 @@
     mStore.mTimers.After(kStoreDelay, [aDone] { aDone(RefusedReading()); });
     return;
   }
-  mStore.mTimers.After(kStoreDelay, [this, aKind, aDone] { aDone(mStore.ReadingSince(aKind, 0)); });
+  mStore.mTimers.After(
+    kStoreDelay, [this, aKind, aDone] { aDone(mStore.ReadingSince(aKind, StoreRevision())); });
 }
 
-void SimulatedStore::Port::Watch(ObjectKind aKind, Version aSince, Duration aWait, ReadDone aDone)
+void SimulatedStore::Port::Watch(ObjectKind aKind,
+                                 StoreRevision aSince,
+                                 Duration aWait,
+                                 ReadDone aDone)
 {
   ++mStore.mCalls[StoreCall::kWatch];
   if (mRefused) {
@@ -265,7 +269,7 @@
 
 void SimulatedStore::Port::Write(ObjectKind aKind,
                                  const std::string& aName,
-                                 Version aExpected,
+                                 StoreRevision aExpected,
                                  const std::string& aValue,
                                  WriteDone aDone)
 {
@@ -279,7 +283,7 @@
   StoredObject& object = mStore.mObjects[{ aKind, aName }];
   write.result = StoreResult::kConflict;
   if (object.revision == aExpected) {
-    object = { aName, ++mStore.mRevision, false, aValue };
+    object = { aName, StoreRevision(++mStore.mRevision), false, aValue };
     write.result = StoreResult::kDone;
   }
   write.object = object;
--- a/tests/support/router_simulation.h
+++ b/tests/support/router_simulation.h
@@ -80,10 +80,10 @@
     {
     }
     void List(ObjectKind aKind, bool aMayBeStale, ReadDone aDone) override;
-    void Watch(ObjectKind aKind, Version aSince, Duration aWait, ReadDone aDone) override;
+    void Watch(ObjectKind aKind, StoreRevision aSince, Duration aWait, ReadDone aDone) override;
     void Write(ObjectKind aKind,
                const std::string& aName,
-               Version aExpected,
+               StoreRevision aExpected,
                const std::string& aValue,
                WriteDone aDone) override;
     /// The store turns this daemon away, or serves it again.
@@ -98,12 +98,12 @@
   struct Watcher
   {
     ObjectKind kind = ObjectKind::kServer;
-    Version since = 0;
+    StoreRevision since;
     ObjectStore::ReadDone done;
   };
   using Name = std::pair<ObjectKind, std::string>;
 
-  StoreReading ReadingSince(ObjectKind aKind, Version aSince) const;
+  StoreReading ReadingSince(ObjectKind aKind, StoreRevision aSince) const;
   void AnswerWatchers(ObjectKind aKind);
 
   SimulatedTimers& mTimers;
@@ -111,7 +111,7 @@
   std::map<std::uint64_t, Watcher> mWatchers;
   std::uint64_t mWatcherCount = 0;
   std::map<StoreCall, std::size_t> mCalls;
-  Version mRevision = 1;
+  std::uint64_t mRevision = 1;
 };
 
 /// Servers that grant and release what they are told to. They run requests if that is switched on.
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -3,6 +3,7 @@
 /// decodes request targets as servers do, and lists any bytes that a test puts into it.
 #pragma once
 
+#include "core/store_revision.h"
 #include "http/server.h"
 
 #include <nlohmann/json.hpp>
@@ -41,7 +42,7 @@
   /// From now on every page of a list starts with the first object, whatever is asked for.
   void SetRepeating(bool aRepeating) { mRepeating = aRepeating; }
   /// The revision of the last change.
-  std::uint64_t Revision() const { return mRevision; }
+  StoreRevision Revision() const { return StoreRevision(mRevision, mEra); }
   /// Number of pages of lists of a kind that were asked for.
   unsigned PagesAsked(const std::string& aKind) { return mPagesAsked[aKind]; }
   /// The content of an object; nullptr if there is none.
