--- a/tests/fuzz/stored_objects.cpp
+++ b/tests/fuzz/stored_objects.cpp
@@ -147,6 +147,17 @@
   return {};
 }
 
+/// An era that was accepted is the number that stands there.
+void CheckEra(const std::string& aText)
+{
+  StoreEra era = 0;
+  if (ReadEra(aText, era) == StatedEra::kStated) {
+    const std::size_t zeros = std::min(aText.find_first_not_of('0'), aText.size() - 1);
+    CHECK_ALWAYS(aText.substr(zeros) == std::to_string(era));
+    CHECK_ALWAYS(FirstNumberOf(era) >> kBitsWithinEra == era);
+  }
+}
+
 /// The ranges of a record that was accepted cover all keys, each once.
 void ReadRanges(const std::string& aText)
 {
@@ -184,6 +195,7 @@
       break;
     case 2:
       ReadTyped<AnswerError>([&] { return ReadObjectAnswer(text); });
+      CheckEra(text);
       CheckEntry(ReadListAnswer, "", text, "");
       CheckEntry(ReadWatchAnswer, R"({"Object":)", text, "}");
       break;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -40,6 +40,7 @@
   }
 
   StandInStore& Store() { return mStore; }
+  const StoreClient& Client() const { return mClient; }
 
   StoreReading List(bool aMayBeStale = false)
   {
@@ -471,3 +472,102 @@
   CHECK(part.result == StoreResult::kIncomplete);
   CHECK(part.objects.size() == 2);
 }
+
+TEST_CASE("revisions carry the era that the store states; without the header it is 0",
+          "[platform][store][era]")
+{
+  const bool states = GENERATE(true, false);
+  ClientUnderTest client;
+  if (!states) {
+    client.Store().SetEraText("");
+  }
+  const StoreEra era = states ? kFirstStoreEra : 0;
+  const StoreReading list = client.List();
+  REQUIRE(list.result == StoreResult::kDone);
+  CHECK(list.at.Era() == era);
+  CHECK(list.objects.at(0).revision.Era() == era);
+  CHECK(client.Client().Era() == era);
+  const StoreWrite write = client.Write("keyed", StoreRevision(0, era), "{}");
+  REQUIRE(write.result == StoreResult::kDone);
+  CHECK(write.object->revision.Era() == era);
+  CHECK(client.Watch(list.at).result == StoreResult::kDone);
+}
+
+TEST_CASE("an answer whose era is malformed, missing or earlier is not used",
+          "[platform][store][era]")
+{
+  struct Row
+  {
+    const char* text;
+    bool used;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "7", true },
+    { "8", true },
+    { "8388607", true },
+    { "", false },
+    { "6", false },
+    { "0", false },
+    { "-7", false },
+    { "+7", false },
+    { " 7 8", false },
+    { "7.0", false },
+    { "0x7", false },
+    { "seven", false },
+    { "8388608", false },
+    { "18446744073709551623", false },
+  }));
+  INFO(row.text);
+  ClientUnderTest client;
+  client.Store().SetEraText("7");
+  const StoreReading first = client.List();
+  REQUIRE(first.result == StoreResult::kDone);
+  client.Store().SetEraText(row.text);
+  const StoreReading second = client.List();
+  CHECK((second.result == StoreResult::kDone) == row.used);
+  CHECK(second.objects.empty() != row.used);
+  CHECK((client.Write("keyed", StoreRevision(0, client.Client().Era().value()), "{}").result ==
+         StoreResult::kDone) == row.used);
+  client.Store().SetEraText(row.used ? row.text : "7");
+  CHECK(client.List().result == StoreResult::kDone);
+}
+
+TEST_CASE("a watch, a list and a write that began before a restore are not taken for its answers",
+          "[platform][store][era]")
+{
+  ClientUnderTest client;
+  const auto copy = client.Store().MakeCopy();
+  const StoreWrite written = client.Write("keyed", StoreRevision(0, kFirstStoreEra), R"({"n":1})");
+  REQUIRE(written.object);
+  client.Store().RestoreFrom(*copy);
+  // The number is given out again, to another state of the object.
+  client.Store().Put("hawthornlug-ranges", "keyed", { { "n", 2 } });
+  REQUIRE(client.Store().Revision().Number() == written.object->revision.Number());
+  SECTION("a write with the same number")
+  {
+    const StoreWrite write = client.Write("keyed", written.object->revision, R"({"n":3})");
+    CHECK(write.result == StoreResult::kUnknown);
+    CHECK_FALSE(write.object);
+    // From now on the client knows the era, and does not send such a write.
+    client.Store().Put("hawthornlug-ranges", "keyed", { { "n", 4 } });
+    CHECK(client.Write("keyed", written.object->revision, "{}").result == StoreResult::kRefused);
+    CHECK(client.Store().Find("hawthornlug-ranges", "keyed")->at("n") == 4);
+  }
+  SECTION("a watch from a revision that exists again")
+  {
+    const StoreRevision since(written.object->revision.Number() - 1, kFirstStoreEra);
+    CHECK(client.Watch(since).result == StoreResult::kHistoryGone);
+  }
+  SECTION("a watch from a revision that the store has lost")
+  {
+    const StoreRevision since(written.object->revision.Number() + 9, kFirstStoreEra);
+    CHECK(client.Watch(since).result == StoreResult::kHistoryGone);
+  }
+  SECTION("pages of two eras")
+  {
+    client.Store().SetPageSize(1);
+    client.Store().RestoreAfterPages(1);
+    const StoreReading list = client.List();
+    CHECK(list.result == StoreResult::kUnknown);
+  }
+}
--- a/tests/support/standin_store.cpp
+++ b/tests/support/standin_store.cpp
@@ -95,7 +95,10 @@
 void StandInStore::Answer(http::Exchange& aExchange, int aStatus, std::string aBody) const
 {
   http::Response response = Reply(aStatus, std::move(aBody));
-  response.headers.Add("Store-Era", std::to_string(mEra));
+  const std::string era = mEraText.value_or(std::to_string(mEra));
+  if (!era.empty()) {
+    response.headers.Add("Store-Era", era);
+  }
   aExchange.Respond(std::move(response));
 }
 
@@ -213,10 +216,14 @@
   }
   const bool more =
     std::any_of(it, objects.end(), [](const auto& aEntry) { return !aEntry.second.removed; });
+  const bool restores = mRestoreAfterPages > 0 && --mRestoreAfterPages == 0;
   Answer(*aExchange,
          200,
          R"({"items":[)" + items + R"(],"HasMore":)" + (more ? "true" : "false") + R"(,"At":)" +
            std::to_string(mRevision) + "}");
+  if (restores) {
+    ++mEra;
+  }
 }
 
 void StandInStore::Write(const std::shared_ptr<http::Exchange>& aExchange,
--- a/tests/support/standin_store.h
+++ b/tests/support/standin_store.h
@@ -12,6 +12,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hawthornlug::test {
@@ -37,6 +38,10 @@
   /// The store is as it was when the copy was made, in a new era: what was written since is gone,
   /// and its revisions are given out again.
   void RestoreFrom(const Copy& aCopy);
+  /// The store is restored, with what it has, once it has answered so many pages of lists.
+  void RestoreAfterPages(unsigned aPages) { mRestoreAfterPages = aPages; }
+  /// Answers state this text for the era, or nothing if it is empty, until the next call.
+  void SetEraText(std::optional<std::string> aText) { mEraText = std::move(aText); }
   /// Sets how many objects one page of a list has at most.
   void SetPageSize(std::size_t aObjects) { mPageSize = aObjects; }
   /// From now on every page of a list starts with the first object, whatever is asked for.
@@ -93,6 +98,10 @@
   std::size_t mPageSize = 500;
   std::uint64_t mRevision = 1;
   std::uint64_t mEra = 1;
+  /// Pages that are still to be answered before the store is restored; 0 for no restore.
+  unsigned mRestoreAfterPages = 0;
+  /// What answers state instead of the era.
+  std::optional<std::string> mEraText;
   bool mDown = false;
   bool mRepeating = false;
 };
