News of the store: how old it is when it is put in force, from whom, after how many questions in vain

A statement counts only if the replica has the latest change that it is about. Nothing decides by it yet.

H203 and H640 have lag-at-most-ms, source, known-ms and asked-in-vain; H800 to H802 registry-age-ms; configuration_lag_seconds and server_state_lag_seconds are histograms on /metrics. An unknown message is dropped by daemons of the version before, whose statements are then missing.

--- a/config/object_mirror.cpp
+++ b/config/object_mirror.cpp
@@ -15,6 +15,7 @@
     return false;
   }
   entry.changedAt = aObject.removed ? std::max(aAt, aObject.revision) : aObject.revision;
+  aKind.changedAt = std::max(aKind.changedAt, entry.changedAt);
   entry.object = aObject;
   return true;
 }
@@ -52,6 +53,7 @@
     if (!object.removed && !listed.contains(name) && object.revision <= aReading.at) {
       object.removed = true;
       entry.changedAt = aReading.at;
+      kind.changedAt = std::max(kind.changedAt, aReading.at);
       changes.push_back(object);
     }
   }
@@ -75,6 +77,23 @@
   return changes;
 }
 
+StoreRevision ObjectMirror::ChangedAt(ObjectKind aKind) const
+{
+  const Kind& kind = Of(aKind);
+  const bool isOfThisEra = kind.changedAt.Era() == kind.at.Era();
+  return isOfThisEra ? kind.changedAt : StoreRevision(0, kind.at.Era());
+}
+
+bool ObjectMirror::TakeUnchanged(ObjectKind aKind, StoreRevision aChangedAt, StoreRevision aAt)
+{
+  Kind& kind = Of(aKind);
+  if (kind.at.IsNone() || kind.at.Era() != aAt.Era() || kind.at < aChangedAt) {
+    return false;
+  }
+  kind.at = std::max(kind.at, aAt);
+  return true;
+}
+
 std::size_t ObjectMirror::Bytes(ObjectKind aKind) const
 {
   std::size_t bytes = 0;
--- a/config/object_mirror.h
+++ b/config/object_mirror.h
@@ -41,6 +41,12 @@
 
   /// Revision up to which the objects of a kind are complete; none if no list has been applied yet.
   StoreRevision At(ObjectKind aKind) const { return Of(aKind).at; }
+  /// Revision of the latest change of a kind that is known: nothing of it has changed between that
+  /// and At(). Of the same era; its number is 0 if nothing has changed in that.
+  StoreRevision ChangedAt(ObjectKind aKind) const;
+  /// Takes over from another replica that nothing of a kind has changed between @p aChangedAt and
+  /// @p aAt. Returns whether this replica is complete up to @p aAt.
+  bool TakeUnchanged(ObjectKind aKind, StoreRevision aChangedAt, StoreRevision aAt);
   /// Size of the values of all objects of a kind.
   std::size_t Bytes(ObjectKind aKind) const;
   /// Returns all objects that are not removed.
@@ -64,6 +70,8 @@
     StoreRevision at;
     /// Removals before this revision are not known.
     StoreRevision completeFrom;
+    /// Revision of the latest change.
+    StoreRevision changedAt;
     std::map<std::string, Entry> objects;
   };
 
--- a/routing/server_selector.h
+++ b/routing/server_selector.h
@@ -144,6 +144,10 @@
   /// Adds or updates a server. A new incarnation starts without the samples of the earlier one.
   void Put(const ServerEntry& aEntry, Instant aNow);
   void Remove(const std::string& aId, Instant aNow);
+  /// Everything that the registry had confirmed by @p aAsOf has been put in.
+  void SetRegistryAsOf(Instant aAsOf) { mRegistryAsOf = aAsOf; }
+  /// Age of the knowledge of the servers' states.
+  Duration RegistryAge(Instant aNow) const { return aNow - mRegistryAsOf; }
   /// Records what one incarnation of a server has stated about itself, whether or not it is
   /// registered. Returns whether it is news that this incarnation is leaving.
   bool OnNotice(const ServerRef& aServer, const ServerNotice& aNotice, Instant aNow);
@@ -372,6 +376,7 @@
   std::map<std::string, ServiceRule> mServiceRules;
   std::map<std::string, unsigned> mDaemonsByDomain;
   std::set<std::string> mDomainsOutOfService;
+  Instant mRegistryAsOf;
   ServerNotices mNotices;
   /// Null if servers are compared by the number of outstanding requests.
   const WorkEstimator* mEstimates = nullptr;
--- a/runtime/daemon.cpp
+++ b/runtime/daemon.cpp
@@ -214,6 +214,7 @@
     case wire::Envelope::kQuotaReport:
     case wire::Envelope::kQuotaAnswer:
     case wire::Envelope::kServiceTimes:
+    case wire::Envelope::kStoreCurrency:
     case wire::Envelope::BODY_NOT_SET:
       break;
   }
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -448,6 +448,7 @@
   request.lastServer = server.id;
   request.lastOutstanding = aChoice.outstanding;
   request.lastSentAt = aNow;
+  request.lastRegistryAge = mServices.selector.RegistryAge(aNow);
   ++request.attempts;
   Attempt& attempt = request.openAttempts.emplace_back();
   attempt.server = server.id;
@@ -680,6 +681,7 @@
       { "attempts", request.attempts },
       { "hedged", request.hedged },
       { "outstanding", request.lastOutstanding },
+      { "registry-age-ms", Millis(request.lastRegistryAge) },
       { "waited-ms",
         Millis((request.attempts > 0 ? request.lastSentAt : now) - request.receivedAt) },
       { "elapsed-ms", Millis(elapsed) },
--- a/runtime/forwarder_request.h
+++ b/runtime/forwarder_request.h
@@ -64,6 +64,8 @@
   std::string lastServer;
   unsigned lastOutstanding = 0;
   Instant lastSentAt;
+  /// How old the knowledge of the servers' states was then.
+  Duration lastRegistryAge = Duration::zero();
   /// Attempts that have no outcome yet; a second one beside the first is a hedge.
   std::list<Attempt> openAttempts;
   bool hedged = false;
--- a/runtime/object_exchange.cpp
+++ b/runtime/object_exchange.cpp
@@ -1,6 +1,7 @@
 #include "runtime/object_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornlug {
 
@@ -102,6 +103,7 @@
   if (!MayAsk(aPeer, progress, aNow)) {
     return;
   }
+  progress.askedInVain += progress.asked.empty() ? 0 : 1;
   progress.asked = aPeer.ref.id;
   progress.answerUntil = aNow + kAnswerTimeout;
   wire::Envelope request;
@@ -164,11 +166,16 @@
   Progress& progress = ProgressOf(kind);
   if (progress.asked == aDaemon) {
     progress.answerUntil = Instant();
+    progress.asked.clear();
   }
   if (aObjects.busy()) {
     mBusyUntil[aDaemon] = aNow + kBusyTime;
     return;
   }
+  NewsOrigin origin{ aDaemon, std::exchange(progress.askedInVain, 0), Duration::zero() };
+  if (progress.behindSince != Instant()) {
+    origin.knownFor = aNow - progress.behindSince;
+  }
   progress.behindSince = Instant();
   StoreReading reading;
   reading.result = StoreResult::kDone;
@@ -186,7 +193,7 @@
   if (changes.empty()) {
     return;
   }
-  mOnChanged(kind, changes);
+  mOnChanged(kind, changes, origin);
   if (mIsRelay) {
     // The daemons of this domain wait for it.
     mMesh.SendHeartbeatNow(Mesh::Audience::kOwnDomain);
--- a/runtime/object_exchange.h
+++ b/runtime/object_exchange.h
@@ -15,6 +15,17 @@
 
 namespace hawthornlug {
 
+/// From whom a daemon has learned of changes.
+struct NewsOrigin
+{
+  /// The daemon's id, or "store".
+  std::string source;
+  /// Number of questions of this daemon that got no answer before.
+  unsigned askedInVain = 0;
+  /// Time since this daemon learned that there are changes.
+  Duration knownFor = Duration::zero();
+};
+
 /// Fetches objects that heartbeats show to be newer than this daemon's, and sends others what they
 /// lack. Traffic between failure domains is expensive and links are slow, so:
 /// - only a few daemons of a domain, its relays, fetch from other domains; the others fetch from
@@ -26,7 +37,8 @@
 class ObjectExchange
 {
 public:
-  using Changed = std::function<void(ObjectKind, const std::vector<StoredObject>&)>;
+  using Changed =
+    std::function<void(ObjectKind, const std::vector<StoredObject>&, const NewsOrigin&)>;
   /// Reads a kind from the store, once.
   using ReadStore = std::function<void(ObjectKind)>;
 
@@ -60,6 +72,8 @@
     /// The daemon that was asked, and until when its answer is waited for.
     std::string asked;
     Instant answerUntil;
+    /// Number of questions since then that got no answer.
+    unsigned askedInVain = 0;
     /// No reading of the store begins before this.
     Instant storeRetryAt;
   };
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -80,22 +80,25 @@
   , mSpeedExchange(mSpeeds, mMesh, aServices.log)
   , mNoticeRelay(mSelector, mMesh, *this, aServices.timers, aServices.log, aServices.metrics)
   , mWarmUpPermits(mSelector, mMesh, aServices.timers.Now())
-  , mStoreFollower(aServices.store,
-                   mMirror,
-                   aServices.timers,
-                   aServices.log,
-                   [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
-                     OnObjects(aKind, aObjects);
-                   })
+  , mCurrency(mMirror, mMesh, aServices.timers.Now())
+  , mStoreFollower(
+      aServices.store,
+      mMirror,
+      aServices.timers,
+      aServices.log,
+      [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
+        OnObjects(aKind, aObjects, { "store" });
+      },
+      [this](ObjectKind aKind, Instant aAsOf) { mCurrency.OnReading(aKind, aAsOf); })
   , mObjectExchange(
       mMirror,
       mMesh,
       aServices.reader,
       aSettings.linkBytesPerSecond,
       [this](ObjectKind aKind) { mStoreFollower.ReadOnce(aKind); },
-      [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
-        OnObjects(aKind, aObjects);
-      })
+      [this](ObjectKind aKind,
+             const std::vector<StoredObject>& aObjects,
+             const NewsOrigin& aOrigin) { OnObjects(aKind, aObjects, aOrigin); })
   , mQuotaExchange(
       aSettings.self,
       [this](const std::string& aDaemon, wire::Envelope aMessage) {
@@ -198,6 +201,8 @@
     mMesh.SendHeartbeatNow();
   }
   mMesh.Tick(aNow);
+  mCurrency.Tick(aNow);
+  mSelector.SetRegistryAsOf(mCurrency.AsOf(ObjectKind::kServer));
   // Heartbeats state the era that the ranges have been told.
   UpdateStoreEra(aNow);
   RemoveGoneServers(aNow);
@@ -412,15 +417,17 @@
   });
 }
 
-void RouterDaemon::OnObjects(ObjectKind aKind, const std::vector<StoredObject>& aObjects)
+void RouterDaemon::OnObjects(ObjectKind aKind,
+                             const std::vector<StoredObject>& aObjects,
+                             const NewsOrigin& aOrigin)
 {
   for (const StoredObject& it : aObjects) {
     switch (aKind) {
       case ObjectKind::kServer:
-        OnServer(it);
+        OnServer(it, aOrigin);
         break;
       case ObjectKind::kConfiguration:
-        OnConfiguration(it);
+        OnConfiguration(it, aOrigin);
         break;
       case ObjectKind::kDomainOut:
       case ObjectKind::kDaemon:
@@ -452,7 +459,12 @@
   }
 }
 
-void RouterDaemon::OnServer(const StoredObject& aObject)
+Duration RouterDaemon::LagAtMost(ObjectKind aKind) const
+{
+  return mServices.timers.Now() - mCurrency.AsOf(aKind);
+}
+
+void RouterDaemon::OnServer(const StoredObject& aObject, const NewsOrigin& aOrigin)
 {
   const Instant now = mServices.timers.Now();
   if (aObject.removed) {
@@ -475,7 +487,14 @@
                         { "incarnation", entry->incarnation },
                         { "slots", entry->slots },
                         { "warm-up-ms", Millis(entry->warmUpLeft) },
-                        { "revision", aObject.revision.Number() } });
+                        { "revision", aObject.revision.Number() },
+                        { "lag-at-most-ms", Millis(LagAtMost(ObjectKind::kServer)) },
+                        { "source", aOrigin.source },
+                        { "asked-in-vain", aOrigin.askedInVain },
+                        { "known-ms", Millis(aOrigin.knownFor) } });
+  if (mSelector.Find(entry->id) != nullptr) {
+    mServices.metrics.Observe("server_state_lag_seconds", LagAtMost(ObjectKind::kServer));
+  }
   mSelector.Put(*entry, now);
   const auto ranges = mRanges.find(entry->service);
   if (ranges != mRanges.end()) {
@@ -499,6 +518,12 @@
   return !mLeaving && !mRoutes.IsEmpty() && knowsServers;
 }
 
+std::optional<ServerState> RouterDaemon::StateOfServer(const std::string& aId) const
+{
+  const ServerEntry* const entry = mSelector.Find(aId);
+  return entry == nullptr ? std::nullopt : std::optional(entry->state);
+}
+
 Duration RouterDaemon::StoreAge(Instant aNow) const
 {
   std::optional<Duration> age;
@@ -526,7 +551,7 @@
   }
 }
 
-void RouterDaemon::OnConfiguration(const StoredObject& aObject)
+void RouterDaemon::OnConfiguration(const StoredObject& aObject, const NewsOrigin& aOrigin)
 {
   if (aObject.removed) {
     return;
@@ -544,7 +569,15 @@
                         { "before", previousVersion },
                         { "routes", mRoutes.Config().routes.size() },
                         { "organisations", mRoutes.Config().organisations.size() },
-                        { "revision", aObject.revision.Number() } });
+                        { "revision", aObject.revision.Number() },
+                        { "lag-at-most-ms", Millis(LagAtMost(ObjectKind::kConfiguration)) },
+                        { "source", aOrigin.source },
+                        { "asked-in-vain", aOrigin.askedInVain },
+                        { "known-ms", Millis(aOrigin.knownFor) } });
+  if (previousVersion != 0) {
+    mServices.metrics.Observe("configuration_lag_seconds",
+                              LagAtMost(ObjectKind::kConfiguration));
+  }
   ApplyQuotaLimits();
   for (const auto& [name, rule] : mRoutes.Config().services) {
     mSelector.SetServiceRule(rule);
@@ -676,6 +709,11 @@
     mObjectExchange.OnQuestion(aPeer.ref.id, aMessage.stored_objects_question(), now);
   } else if (aMessage.has_stored_objects()) {
     mObjectExchange.OnObjects(aPeer.ref.id, aMessage.stored_objects(), now);
+    for (const ObjectKind it : kReplicatedKinds) {
+      mCurrency.OnApplied(it);
+    }
+  } else if (aMessage.has_store_currency()) {
+    mCurrency.OnStatements(aPeer, aMessage, now);
   }
 }
 
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -7,6 +7,7 @@
 #include "membership/pending_removals.h"
 #include "ports/object_store.h"
 #include "runtime/contended_queue.h"
+#include "runtime/currency_exchange.h"
 #include "runtime/forwarder.h"
 #include "runtime/load_reporter.h"
 #include "runtime/mesh.h"
@@ -87,6 +88,8 @@
   std::uint64_t ConfigurationVersion() const { return mRoutes.Version(); }
   /// Whether the server may be sent requests, as far as its registry entry tells.
   bool KnowsServer(const std::string& aId) const { return mSelector.Find(aId) != nullptr; }
+  /// The state that the server's registry entry tells; nothing if it has none.
+  std::optional<ServerState> StateOfServer(const std::string& aId) const;
   /// Number of other daemons that are live.
   std::size_t LivePeerCount() const { return mMesh.LivePeers().size(); }
   /// Whether callers may be sent here: the daemon has a configuration and knows which servers there
@@ -115,10 +118,14 @@
   void ObserveLoopDelay(Instant aNow);
   /// Exchanges the servers' speeds with other daemons and records how many are known.
   void UpdateSpeeds(Instant aNow);
-  void OnObjects(ObjectKind aKind, const std::vector<StoredObject>& aObjects);
-  void OnServer(const StoredObject& aObject);
+  void OnObjects(ObjectKind aKind,
+                 const std::vector<StoredObject>& aObjects,
+                 const NewsOrigin& aOrigin);
+  void OnServer(const StoredObject& aObject, const NewsOrigin& aOrigin);
   void RemoveServer(const std::string& aId);
-  void OnConfiguration(const StoredObject& aObject);
+  void OnConfiguration(const StoredObject& aObject, const NewsOrigin& aOrigin);
+  /// For how long, at most, a change of this kind that is applied now had been confirmed.
+  Duration LagAtMost(ObjectKind aKind) const;
   /// Passes the organisations' limits of the configuration in force to the quota gate.
   void ApplyQuotaLimits();
   /// Time since the store last answered any daemon that watches it.
@@ -150,6 +157,7 @@
   SpeedExchange mSpeedExchange;
   ServerNoticeRelay mNoticeRelay;
   WarmUpPermits mWarmUpPermits;
+  CurrencyExchange mCurrency;
   StoreFollower mStoreFollower;
   ObjectExchange mObjectExchange;
   std::map<std::string, std::unique_ptr<RangeRunner>> mRanges;
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -36,12 +36,14 @@
                              ObjectMirror& aMirror,
                              TimerService& aTimers,
                              DecisionLog& aLog,
-                             Changed aChanged)
+                             Changed aChanged,
+                             Current aCurrent)
   : mStore(aStore)
   , mMirror(aMirror)
   , mTimers(aTimers)
   , mLog(aLog)
   , mOnChanged(std::move(aChanged))
+  , mOnCurrent(std::move(aCurrent))
   , mAnsweredAt(aTimers.Now())
 {
 }
@@ -123,6 +125,8 @@
   Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
   followed.busy = true;
   followed.nextAt = aNow;
+  followed.startedAt = aNow;
+  followed.wait = Duration::zero();
   const StoreRevision since = mMirror.At(aKind);
   if (followed.mustList || followed.wanted || since.IsNone()) {
     followed.wanted = false;
@@ -131,8 +135,8 @@
     });
     return;
   }
-  const Duration timeout = aKind == ObjectKind::kDomainOut ? kDomainWatchTimeout : kWatchTimeout;
-  mStore.Watch(aKind, since, timeout, [this, aKind, since](const StoreReading& aReading) {
+  followed.wait = aKind == ObjectKind::kDomainOut ? kDomainWatchTimeout : kWatchTimeout;
+  mStore.Watch(aKind, since, followed.wait, [this, aKind, since](const StoreReading& aReading) {
     OnReading(aKind, aReading, [&] { return mMirror.ApplyChanges(aKind, since, aReading); });
   });
 }
@@ -193,6 +197,13 @@
     }
     mOnChanged(aKind, changes);
   }
+  if (!aReading.at.IsNone()) {
+    // A watch without a change has seen its wait pass.
+    const bool waited = aReading.objects.empty();
+    mOnCurrent(aKind,
+               std::min(mTimers.Now(),
+                        followed.startedAt + (waited ? followed.wait : Duration::zero())));
+  }
 }
 
 } // namespace hawthornlug
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -18,12 +18,15 @@
 {
 public:
   using Changed = std::function<void(ObjectKind, const std::vector<StoredObject>&)>;
+  /// A reading that has been applied shows the state of the store at the given time or later.
+  using Current = std::function<void(ObjectKind, Instant)>;
 
   StoreFollower(ObjectStore& aStore,
                 ObjectMirror& aMirror,
                 TimerService& aTimers,
                 DecisionLog& aLog,
-                Changed aChanged);
+                Changed aChanged,
+                Current aCurrent);
 
   /// Begins to follow a kind.
   void Follow(ObjectKind aKind);
@@ -71,6 +74,9 @@
     bool wanted = false;
     Instant nextAt;
     unsigned failures = 0;
+    /// When the call in progress began, and how long it waits for a change.
+    Instant startedAt;
+    Duration wait = Duration::zero();
   };
 
   void Start(ObjectKind aKind, Instant aNow);
@@ -88,6 +94,7 @@
   TimerService& mTimers;
   DecisionLog& mLog;
   Changed mOnChanged;
+  Current mOnCurrent;
   std::array<Followed, kObjectKinds> mFollowed;
   Instant mAnsweredAt;
   unsigned mFailedInRow = 0;
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -71,7 +71,7 @@
   ObjectMirror mirror;
   ManualTimers timers;
   DecisionLog log{ "test" };
-  StoreFollower follower{ store, mirror, timers, log, [](auto, const auto&) {} };
+  StoreFollower follower{ store, mirror, timers, log, [](auto, const auto&) {}, [](auto, auto) {} };
 };
 
 } // namespace
