News of the store: no daemon waits for one other; one budget from the confirmation to in force

Callers saw: 404 on a route that had been confirmed 2.0 s before, at a daemon that lived while five of eight started again (CONFIG). A server that says that it leaves is told of by the same way (DRAIN).

Cause: every stage had a timeout of its own and waited for one daemon. ObjectExchange asked one and waited 0.9 s for it whatever others offered, turned to the store after 1.5 s and waited again; lost watchers were replaced after 1.3 to 2.0 s of silence, hung watches after 1.7 s. Nothing added them up. A question was open most of the time, since a revision rises with the changes of all kinds.

Change: each daemon knows as of when its replica is complete (ReplicaCurrency) and acts on that age alone. One watcher watches closely and tells the fleet each 280 ms that nothing was missed; a daemon that hasn't heard that for 620 ms reads the changes from the store itself, those preferred as watchers first, and tells the others (RefreshSchedule; backoff for a store that doesn't answer well). Another daemon is asked after 150 ms, at once if the one that was asked is lost. Heartbeats state the latest change, so that readings without one are not asked for.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -91,6 +91,7 @@
   { 312, 'w', "store-restored" },
   { 205, 'w', "store-era-unusable" },
   { 536, 'i', "ranges-restored" },
+  { 206, 'i', "replica-stale" },
 });
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -95,6 +95,7 @@
   kStoreRestored,
   kStoreEraUnusable,
   kRangesRestored,
+  kReplicaStale,
 };
 
 /// Number, level and name of an event.
--- a/runtime/heartbeat_messages.cpp
+++ b/runtime/heartbeat_messages.cpp
@@ -49,6 +49,9 @@
     aHeartbeat.add_at(it.Number());
     aHeartbeat.add_at_eras(it.Era());
   }
+  for (const StoreRevision& it : aSelf.mirrorChanges) {
+    aHeartbeat.add_changed_at(it.Number());
+  }
   aHeartbeat.set_store_era(aSelf.storeEra);
   aHeartbeat.set_store_age_ms(ToMilliseconds(std::min(aSelf.storeAge, kMaxStoreAge)));
   aHeartbeat.set_leaving(aSelf.leaving);
@@ -91,10 +94,14 @@
 void CopyDirectContent(const wire::RouterBeat& aHeartbeat, Instant aNow, MeshPeer& aPeer)
 {
   aPeer.mirrorRevisions.clear();
+  aPeer.mirrorChanges.clear();
   for (int n = 0; n < aHeartbeat.at_size(); ++n) {
     // Daemons of earlier versions state no eras.
     const StoreEra era = n < aHeartbeat.at_eras_size() ? aHeartbeat.at_eras(n) : 0;
     aPeer.mirrorRevisions.emplace_back(aHeartbeat.at(n), era);
+    if (n < aHeartbeat.changed_at_size()) {
+      aPeer.mirrorChanges.emplace_back(aHeartbeat.changed_at(n), era);
+    }
   }
   aPeer.configurationBytes = aHeartbeat.configuration_kb() * kBytesPerKilobyte;
   aPeer.foreignInterval = milliseconds(aHeartbeat.foreign_interval_ms());
--- a/runtime/mesh_peer.h
+++ b/runtime/mesh_peer.h
@@ -27,6 +27,8 @@
   Instant heartbeatAt;
   /// Revision of its mirror, by kind of object; of the latest heartbeat that came directly.
   std::vector<StoreRevision> mirrorRevisions;
+  /// Revision of the latest change in its mirror, by kind; empty if its version does not say.
+  std::vector<StoreRevision> mirrorChanges;
   /// Time since the store last answered it; 0 if it does not watch the store.
   Duration storeAge = Duration::zero();
   /// The latest era of the store that it has acted on; 0 if it knows none.
@@ -60,6 +62,7 @@
 struct MeshSelf
 {
   std::vector<StoreRevision> mirrorRevisions;
+  std::vector<StoreRevision> mirrorChanges;
   Duration storeAge = Duration::zero();
   StoreEra storeEra = 0;
   bool leaving = false;
--- a/runtime/object_exchange.cpp
+++ b/runtime/object_exchange.cpp
@@ -1,5 +1,8 @@
 #include "runtime/object_exchange.h"
 
+#include "config/replica_currency.h"
+#include "core/hashing.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,13 +10,20 @@
 
 namespace {
 
-/// An answer that has not come after this time is asked for again.
+/// An answer that has not come after this time is not waited for.
 constexpr Duration kAnswerTimeout = milliseconds(900);
+/// Another daemon is asked if an answer has not come after this time...
+constexpr Duration kAnswerPatience = milliseconds(150);
+/// ...or after this one if it takes links long to carry.
+constexpr Duration kLongAnswerPatience = milliseconds(450);
+constexpr std::size_t kLongAnswerBytes = 16384;
+/// Number of daemons whose answers are waited for at the same time.
+constexpr std::size_t kMaxQuestions = 3;
 /// A daemon that is no relay waits this long for one of its own domain to have the objects.
-constexpr Duration kOwnDomainPatience = milliseconds(600);
-/// Objects that no daemon has delivered after this time are read from the store.
-constexpr Duration kDaemonPatience = milliseconds(1500);
-/// Interval between two readings of the store by a daemon that is behind.
+constexpr Duration kOwnDomainPatience = milliseconds(300);
+/// A large configuration that the store has not delivered after this time is asked for elsewhere.
+constexpr Duration kStorePatience = milliseconds(900);
+/// Interval between two readings of a large configuration from the store.
 constexpr Duration kStoreRetryInterval = seconds(1);
 /// A configuration that is larger than this is read from the store, not from other daemons.
 constexpr std::size_t kLargeConfigurationBytes = 65536;
@@ -68,11 +78,9 @@
 
 void ObjectExchange::OnHeartbeat(const MeshPeer& aPeer, Instant aNow)
 {
-  for (std::size_t n = 0; n < std::min(aPeer.mirrorRevisions.size(), kObjectKinds); ++n) {
-    const auto kind = static_cast<ObjectKind>(n);
-    const StoreRevision& theirs = aPeer.mirrorRevisions[n];
-    if (StoreRevision(theirs.Number(), EraOrOwn(kind, theirs.Era())) > mMirror.At(kind)) {
-      CatchUp(kind, aPeer, aNow);
+  for (const ObjectKind it : kReplicatedKinds) {
+    if (IsAhead(it, aPeer)) {
+      CatchUp(it, aPeer, aNow);
     }
   }
 }
@@ -82,30 +90,47 @@
   return aEra != 0 ? aEra : mMirror.At(aKind).Era();
 }
 
+bool ObjectExchange::IsAhead(ObjectKind aKind, const MeshPeer& aPeer)
+{
+  const auto n = static_cast<std::size_t>(aKind);
+  if (n >= aPeer.mirrorRevisions.size()) {
+    return false;
+  }
+  const StoreRevision& stated = aPeer.mirrorRevisions[n];
+  const StoreRevision theirs(stated.Number(), EraOrOwn(aKind, stated.Era()));
+  if (n < aPeer.mirrorChanges.size()) {
+    // Revisions count the changes of all kinds: most readings are later, and show nothing new.
+    const StoreRevision changed(aPeer.mirrorChanges[n].Number(), theirs.Era());
+    mMirror.TakeUnchanged(aKind, changed, theirs);
+  }
+  return theirs > mMirror.At(aKind);
+}
+
 void ObjectExchange::CatchUp(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow)
 {
   Progress& progress = ProgressOf(aKind);
   if (progress.behindSince == Instant()) {
     progress.behindSince = aNow;
   }
-  if (aNow < progress.answerUntil) {
-    return;
-  }
   const bool large =
     aKind == ObjectKind::kConfiguration && aPeer.configurationBytes > kLargeConfigurationBytes;
-  const bool waitedLong = aNow - progress.behindSince > kDaemonPatience;
-  if ((large || waitedLong) && aNow >= progress.storeRetryAt) {
+  if (large && aNow >= progress.storeRetryAt) {
     progress.storeRetryAt = aNow + kStoreRetryInterval;
-    progress.answerUntil = aNow + kAnswerTimeout;
     mReadStore(aKind);
-    return;
   }
-  if (!MayAsk(aPeer, progress, aNow)) {
+  if (large && aNow - progress.behindSince < kStorePatience) {
     return;
   }
-  progress.askedInVain += progress.asked.empty() ? 0 : 1;
-  progress.asked = aPeer.ref.id;
-  progress.answerUntil = aNow + kAnswerTimeout;
+  const bool isLong =
+    aKind == ObjectKind::kConfiguration && aPeer.configurationBytes > kLongAnswerBytes;
+  if (IsQuestionDue(progress, isLong, aNow) && MayAsk(aPeer, progress, aNow)) {
+    Ask(aKind, aPeer, aNow);
+  }
+}
+
+void ObjectExchange::Ask(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow)
+{
+  ProgressOf(aKind).open.push_back({ aPeer.ref.id, aNow });
   wire::Envelope request;
   request.mutable_stored_objects_question()->set_kind(static_cast<std::uint32_t>(aKind));
   request.mutable_stored_objects_question()->set_since(mMirror.At(aKind).Number());
@@ -113,16 +138,88 @@
   mMesh.Send(aPeer.ref.id, std::move(request));
 }
 
+bool ObjectExchange::IsQuestionDue(const Progress& aProgress, bool aIsLong, Instant aNow)
+{
+  if (aProgress.open.empty()) {
+    return true;
+  }
+  const Duration patience = aIsLong ? kLongAnswerPatience : kAnswerPatience;
+  return aProgress.open.size() < kMaxQuestions &&
+         aNow - aProgress.open.back().askedAt >= patience;
+}
+
 bool ObjectExchange::MayAsk(const MeshPeer& aPeer, const Progress& aProgress, Instant aNow) const
 {
   const auto busy = mBusyUntil.find(aPeer.ref.id);
-  if (busy != mBusyUntil.end() && aNow < busy->second) {
+  const bool isBusy = busy != mBusyUntil.end() && aNow < busy->second;
+  const bool wasAsked = std::any_of(
+    aProgress.open.begin(), aProgress.open.end(), [&](const Question& aQuestion) {
+      return aQuestion.daemon == aPeer.ref.id;
+    });
+  if (isBusy || wasAsked) {
     return false;
   }
   return mIsRelay || aPeer.domain == mMesh.Domain() ||
          aNow - aProgress.behindSince > kOwnDomainPatience;
 }
 
+const MeshPeer* ObjectExchange::NextToAsk(ObjectKind aKind, Instant aNow)
+{
+  const Progress& progress = ProgressOf(aKind);
+  const MeshPeer* next = nullptr;
+  std::pair<bool, std::uint64_t> preference;
+  for (const MeshPeer* it : mMesh.LivePeers()) {
+    if (!IsAhead(aKind, *it) || !MayAsk(*it, progress, aNow)) {
+      continue;
+    }
+    const std::pair candidate{ it->domain == mMesh.Domain(),
+                               RendezvousWeight(mMesh.Self().id, it->ref.id) };
+    if (next == nullptr || candidate > preference) {
+      next = it;
+      preference = candidate;
+    }
+  }
+  return next;
+}
+
+bool ObjectExchange::IsBehind(ObjectKind aKind)
+{
+  const std::vector<const MeshPeer*>& peers = mMesh.LivePeers();
+  return std::any_of(
+    peers.begin(), peers.end(), [&](const MeshPeer* aPeer) { return IsAhead(aKind, *aPeer); });
+}
+
+void ObjectExchange::DropQuestions(Progress& aProgress,
+                                   const std::function<bool(const Question&)>& aIsLost)
+{
+  aProgress.askedInVain += static_cast<unsigned>(std::erase_if(aProgress.open, aIsLost));
+}
+
+void ObjectExchange::Tick(Instant aNow)
+{
+  for (const ObjectKind it : kReplicatedKinds) {
+    Progress& progress = ProgressOf(it);
+    if (progress.behindSince == Instant()) {
+      continue;
+    }
+    DropQuestions(progress, [&](const Question& aQuestion) {
+      return aNow - aQuestion.askedAt >= kAnswerTimeout;
+    });
+    if (!IsBehind(it)) {
+      progress = Progress{ Instant(), {}, 0, progress.storeRetryAt };
+    } else if (const MeshPeer* const peer = NextToAsk(it, aNow)) {
+      CatchUp(it, *peer, aNow);
+    }
+  }
+}
+
+void ObjectExchange::OnPeerLost(const std::string& aDaemon)
+{
+  for (Progress& it : mProgress) {
+    DropQuestions(it, [&](const Question& aQuestion) { return aQuestion.daemon == aDaemon; });
+  }
+}
+
 bool ObjectExchange::TakeLinkShare(std::size_t aBytes, Instant aNow)
 {
   if (mLinkBytesPerSecond <= 0.0) {
@@ -164,10 +261,8 @@
   }
   const auto kind = static_cast<ObjectKind>(aObjects.kind());
   Progress& progress = ProgressOf(kind);
-  if (progress.asked == aDaemon) {
-    progress.answerUntil = Instant();
-    progress.asked.clear();
-  }
+  std::erase_if(progress.open,
+                [&](const Question& aQuestion) { return aQuestion.daemon == aDaemon; });
   if (aObjects.busy()) {
     mBusyUntil[aDaemon] = aNow + kBusyTime;
     return;
@@ -176,7 +271,6 @@
   if (progress.behindSince != Instant()) {
     origin.knownFor = aNow - progress.behindSince;
   }
-  progress.behindSince = Instant();
   StoreReading reading;
   reading.result = StoreResult::kDone;
   const StoreEra era = EraOrOwn(kind, aObjects.era());
@@ -187,9 +281,14 @@
                                 it.removed(),
                                 mReader.Redact(kind, it.value()) });
   }
+  const StoreRevision before = mMirror.At(kind);
   const std::vector<StoredObject> changes =
     aObjects.whole() ? mMirror.ApplyList(kind, reading)
                      : mMirror.ApplyChanges(kind, StoreRevision(aObjects.since(), era), reading);
+  if (mMirror.At(kind) > before) {
+    // What is newer still is waited for from now on.
+    progress.behindSince = IsBehind(kind) ? aNow : Instant();
+  }
   if (changes.empty()) {
     return;
   }
--- a/runtime/object_exchange.h
+++ b/runtime/object_exchange.h
@@ -31,7 +31,8 @@
 /// - only a few daemons of a domain, its relays, fetch from other domains; the others fetch from
 ///   daemons of their own domain, and elsewhere only if none there has the objects soon;
 /// - what is large is read from the store instead, which has a faster link than any daemon;
-/// - nothing is asked for again while an answer is on its way;
+/// - another daemon is asked only if the answer does not come soon: the one that was asked may be
+///   lost;
 /// - a daemon answers no more than its link carries, and tells the others that it is busy.
 /// Runs on the daemon's event loop.
 class ObjectExchange
@@ -56,6 +57,10 @@
   void SetIsRelay(bool aIsRelay) { mIsRelay = aIsRelay; }
   /// Asks for what the sender of a heartbeat has newer.
   void OnHeartbeat(const MeshPeer& aPeer, Instant aNow);
+  /// Asks others if those that were asked have not answered.
+  void Tick(Instant aNow);
+  /// A daemon is lost: its answers are not waited for.
+  void OnPeerLost(const std::string& aDaemon);
   void OnQuestion(const std::string& aDaemon,
                   const wire::StoredObjectsQuestion& aQuestion,
                   Instant aNow);
@@ -64,14 +69,18 @@
   std::size_t ConfigurationBytes() const;
 
 private:
+  struct Question
+  {
+    std::string daemon;
+    Instant askedAt;
+  };
   /// How far this daemon is behind with one kind of objects, and what it does about it.
   struct Progress
   {
     /// When a newer revision was first seen; the epoch if this daemon has the newest one.
     Instant behindSince;
-    /// The daemon that was asked, and until when its answer is waited for.
-    std::string asked;
-    Instant answerUntil;
+    /// Questions that have no answer yet, the earlier ones first.
+    std::vector<Question> open;
     /// Number of questions since then that got no answer.
     unsigned askedInVain = 0;
     /// No reading of the store begins before this.
@@ -82,8 +91,19 @@
   /// The era that a daemon states, or this daemon's if it states none: daemons of earlier versions
   /// pass on numbers only.
   StoreEra EraOrOwn(ObjectKind aKind, StoreEra aEra) const;
+  /// Whether another daemon has changes that this one lacks.
+  bool IsAhead(ObjectKind aKind, const MeshPeer& aPeer);
   void CatchUp(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow);
+  void Ask(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow);
+  /// Whether it is time for a question, also to another daemon than those that were asked.
+  static bool IsQuestionDue(const Progress& aProgress, bool aIsLarge, Instant aNow);
   bool MayAsk(const MeshPeer& aPeer, const Progress& aProgress, Instant aNow) const;
+  /// The live daemon to ask that has changes which this one lacks; null if there is none.
+  const MeshPeer* NextToAsk(ObjectKind aKind, Instant aNow);
+  bool IsBehind(ObjectKind aKind);
+  /// Drops questions that meet a condition, as ones that get no answer.
+  static void DropQuestions(Progress& aProgress,
+                            const std::function<bool(const Question&)>& aIsLost);
   /// Takes the bytes of an answer from what the link may carry; returns false if it is too much
   /// now.
   bool TakeLinkShare(std::size_t aBytes, Instant aNow);
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -201,6 +201,8 @@
     mMesh.SendHeartbeatNow();
   }
   mMesh.Tick(aNow);
+  mObjectExchange.Tick(aNow);
+  RefreshStale(aNow);
   mCurrency.Tick(aNow);
   mSelector.SetRegistryAsOf(mCurrency.AsOf(ObjectKind::kServer));
   // Heartbeats state the era that the ranges have been told.
@@ -318,7 +320,8 @@
     }
   }
   const RoleCandidate self = mMesh.AsCandidate();
-  mWatchesStore = SpreadRankOf(kWatcherRole, self, reliable) < kStoreWatchers;
+  mWatcherRank = SpreadRankOf(kWatcherRole, self, reliable);
+  mWatchesStore = mWatcherRank < kStoreWatchers;
   mIsRegistrar = RankInDomain(kRegistrarRole, self, all) < kRegistrars;
   // A daemon that leaves asks the keeper that the others choose.
   std::vector<RoleCandidate> keepers = all;
@@ -354,11 +357,29 @@
 StoreFollower::Reading RouterDaemon::StoreReadingNow(Instant aNow) const
 {
   if (mWatchesStore) {
-    return StoreFollower::Reading::kWatching;
+    return mWatcherRank == 0 ? StoreFollower::Reading::kWatchingClosely
+                             : StoreFollower::Reading::kWatching;
   }
   return IsPastPatience(aNow) ? StoreFollower::Reading::kMissing : StoreFollower::Reading::kNothing;
 }
 
+void RouterDaemon::RefreshStale(Instant aNow)
+{
+  for (const ObjectKind it : kReplicatedKinds) {
+    const Instant asOf = mCurrency.AsOf(it);
+    const auto done = [this](bool aDone) { mRefreshes.OnEnded(aDone, mServices.timers.Now()); };
+    if (!mRefreshes.IsDue(it, asOf, mWatcherRank, aNow) || !mStoreFollower.Refresh(it, done)) {
+      continue;
+    }
+    mRefreshes.OnBegun(aNow);
+    mServices.metrics.Count("store_refreshes_total");
+    mServices.log.Write(EventId::kReplicaStale,
+                        { { "kind", NameOf(kObjectKindNames, it) },
+                          { "age-ms", Millis(aNow - asOf) },
+                          { "rank", mWatcherRank } });
+  }
+}
+
 void RouterDaemon::KeepDirectory(Instant aNow)
 {
   if (!IsPastPatience(aNow) || mStoreFollower.IsLost()) {
@@ -447,7 +468,7 @@
     mSelector.SetDomainsOutOfService(std::move(domains));
   }
   mForwarder.Dispatch();
-  if (!mStoreFollower.Watches()) {
+  if (!mStoreFollower.Watches() && !mStoreFollower.IsRefresh(aKind)) {
     return;
   }
   // The other daemons request the objects that this heartbeat shows to have changed. Entries of
@@ -642,6 +663,7 @@
   MeshSelf self;
   for (std::size_t n = 0; n < kObjectKinds; ++n) {
     self.mirrorRevisions.push_back(mMirror.At(static_cast<ObjectKind>(n)));
+    self.mirrorChanges.push_back(mMirror.ChangedAt(static_cast<ObjectKind>(n)));
   }
   // An age of 0 states that this daemon does not watch the store. It counts as eligible to become a
   // watcher, since nothing shows that the store does not answer it.
@@ -720,6 +742,7 @@
 void RouterDaemon::OnPeerLost(const std::string& aDaemon)
 {
   mSelector.SetPeerCounts(aDaemon, {}, mServices.timers.Now());
+  mObjectExchange.OnPeerLost(aDaemon);
 }
 
 } // namespace hawthornlug
--- a/runtime/router_daemon.h
+++ b/runtime/router_daemon.h
@@ -5,6 +5,7 @@
 #include "core/load_features.h"
 #include "limits/shared_retry_budget.h"
 #include "membership/pending_removals.h"
+#include "membership/refresh_schedule.h"
 #include "ports/object_store.h"
 #include "runtime/contended_queue.h"
 #include "runtime/currency_exchange.h"
@@ -137,6 +138,8 @@
   void UpdateLoadRelays(const std::vector<RoleCandidate>& aCandidates);
   /// What this daemon reads from the store by itself.
   StoreFollower::Reading StoreReadingNow(Instant aNow) const;
+  /// Reads from the store what this daemon has not heard to be current for too long.
+  void RefreshStale(Instant aNow);
   /// Whether other daemons have had the time to tell this one, after its start, what they know.
   bool IsPastPatience(Instant aNow) const;
   /// Writes this daemon's address to the store if it is one of the few by which others find the
@@ -167,12 +170,15 @@
   std::unique_ptr<ContendedQueue> mContendedQueue;
   Forwarder mForwarder;
   PendingRemovals mPendingRemovals;
+  RefreshSchedule mRefreshes;
   Instant mStartedAt;
   /// The latest era of the store that this daemon has acted on; nothing before the first.
   std::optional<StoreEra> mStoreEra;
   bool mLeaving = false;
   /// The roles of this daemon, and when they were last decided.
   bool mWatchesStore = false;
+  /// Number of daemons that are preferred as watchers of the store.
+  unsigned mWatcherRank = 0;
   bool mIsRegistrar = false;
   Instant mRolesDecidedAt;
   /// The mesh's number of changes by then; none before the first decision.
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -1,19 +1,14 @@
 #include "runtime/store_follower.h"
 
+#include "config/news_budget.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace hawthornlug {
 
 namespace {
 
-/// Timeout of a watch. A watch that gets no answer is noticed half a second after it, early enough
-/// for other daemons to watch the store instead before a new configuration must be in force.
-constexpr Duration kWatchTimeout = milliseconds(1200);
-/// Timeout of a watch for failure domains that are taken out of service, which has more time.
-constexpr Duration kDomainWatchTimeout = milliseconds(3000);
-/// After a change of servers' entries the next ones are waited for this long and read together,
-/// since each reading is a call to the store and is passed on to all daemons.
-constexpr Duration kServersPause = milliseconds(250);
 /// The store counts as lost if it has not answered for this long.
 constexpr Duration kLostAfter = milliseconds(3500);
 /// Servers' registry entries may expire if the store does not answer for this long; longer than a
@@ -26,6 +21,8 @@
 /// Smallest reported age of a daemon that watches the store; 0 means that it does not watch.
 constexpr Duration kMinReportedAge = milliseconds(1);
 constexpr Duration kRetryDelay = milliseconds(150);
+/// Shortest wait of a watch: it returns what has changed already.
+constexpr Duration kNoWait = milliseconds(1);
 /// A list that has a gap may take many pages, and probably has it again.
 constexpr Duration kGapRetryDelay = seconds(1);
 constexpr unsigned kMaxRetryFactor = 4;
@@ -92,7 +89,8 @@
 {
   const Followed& it = mFollowed.at(static_cast<std::size_t>(aKind));
   const bool missing = aReading == Reading::kMissing && mMirror.At(aKind).IsNone();
-  const bool wanted = aReading == Reading::kWatching || missing || it.wanted;
+  const bool watches = aReading == Reading::kWatching || aReading == Reading::kWatchingClosely;
+  const bool wanted = watches || missing || it.wanted;
   return it.active && !it.busy && wanted && aNow >= it.nextAt;
 }
 
@@ -103,7 +101,8 @@
 
 void StoreFollower::Tick(Instant aNow, Reading aReading)
 {
-  const bool watches = aReading == Reading::kWatching;
+  mWatchesClosely = aReading == Reading::kWatchingClosely;
+  const bool watches = aReading == Reading::kWatching || mWatchesClosely;
   if (watches && !mWatches) {
     // The time in which other daemons watched instead of this one is no outage.
     mAnsweredAt = aNow;
@@ -120,7 +119,41 @@
   }
 }
 
+bool StoreFollower::Refresh(ObjectKind aKind, RefreshDone aDone)
+{
+  Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
+  if (followed.busy || !followed.active) {
+    return false;
+  }
+  followed.refreshDone = std::move(aDone);
+  Call(aKind, kNoWait, mTimers.Now());
+  return true;
+}
+
+bool StoreFollower::IsRefresh(ObjectKind aKind) const
+{
+  return mFollowed.at(static_cast<std::size_t>(aKind)).refreshDone != nullptr;
+}
+
+Duration StoreFollower::WaitOf(ObjectKind aKind, Instant aNow) const
+{
+  if (aKind == ObjectKind::kDomainOut) {
+    return kDomainWatchWait;
+  }
+  if (!mWatchesClosely) {
+    return kWatchWait;
+  }
+  // The last answer may have shown an older state than that at its time.
+  const Instant end = mFollowed.at(static_cast<std::size_t>(aKind)).asOf + kCloseWatchWait;
+  return std::clamp(end - aNow, kNoWait, kCloseWatchWait);
+}
+
 void StoreFollower::Start(ObjectKind aKind, Instant aNow)
+{
+  Call(aKind, WaitOf(aKind, aNow), aNow);
+}
+
+void StoreFollower::Call(ObjectKind aKind, Duration aWait, Instant aNow)
 {
   Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
   followed.busy = true;
@@ -135,8 +168,8 @@
     });
     return;
   }
-  followed.wait = aKind == ObjectKind::kDomainOut ? kDomainWatchTimeout : kWatchTimeout;
-  mStore.Watch(aKind, since, followed.wait, [this, aKind, since](const StoreReading& aReading) {
+  followed.wait = aWait;
+  mStore.Watch(aKind, since, aWait, [this, aKind, since](const StoreReading& aReading) {
     OnReading(aKind, aReading, [&] { return mMirror.ApplyChanges(aKind, since, aReading); });
   });
 }
@@ -175,35 +208,45 @@
 {
   Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
   followed.busy = false;
-  if (aReading.result != StoreResult::kDone) {
+  const bool done = aReading.result == StoreResult::kDone;
+  if (done) {
+    OnDone(aKind, aReading, aApply());
+  } else {
     OnFailure(followed, aReading.result);
     if (aReading.result == StoreResult::kIncomplete) {
       ApplyPart(aKind, aReading);
     }
-    return;
   }
+  if (followed.refreshDone) {
+    std::exchange(followed.refreshDone, nullptr)(done);
+  }
+}
+
+void StoreFollower::OnDone(ObjectKind aKind,
+                           const StoreReading& aReading,
+                           const std::vector<StoredObject>& aChanges)
+{
+  Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
+  const Instant now = mTimers.Now();
   followed.failures = 0;
   followed.listed = true;
   // A list with revision 0 is of a kind that the store does not know yet: it is listed again.
   followed.mustList = aReading.at.IsNone();
-  OnAnswered(mTimers.Now());
+  OnAnswered(now);
   if (followed.mustList) {
-    followed.nextAt = mTimers.Now() + kRetryDelay;
+    followed.nextAt = now + kRetryDelay;
   }
-  const std::vector<StoredObject> changes = aApply();
-  if (!changes.empty()) {
+  if (!aChanges.empty()) {
     if (aKind == ObjectKind::kServer) {
-      followed.nextAt = std::max(followed.nextAt, mTimers.Now() + kServersPause);
+      const Duration pause = mWatchesClosely ? kCloseServersPause : kServersPause;
+      followed.nextAt = std::max(followed.nextAt, now + pause);
     }
-    mOnChanged(aKind, changes);
-  }
-  if (!aReading.at.IsNone()) {
-    // A watch without a change has seen its wait pass.
-    const bool waited = aReading.objects.empty();
-    mOnCurrent(aKind,
-               std::min(mTimers.Now(),
-                        followed.startedAt + (waited ? followed.wait : Duration::zero())));
+    mOnChanged(aKind, aChanges);
   }
+  // A watch without a change has seen its wait pass.
+  const Duration waited = aReading.objects.empty() ? followed.wait : Duration::zero();
+  followed.asOf = std::max(followed.asOf, std::min(now, followed.startedAt + waited));
+  mOnCurrent(aKind, followed.asOf);
 }
 
 } // namespace hawthornlug
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -36,11 +36,19 @@
     kNothing, ///< Only what ReadOnce() asks for.
     kMissing, ///< Each kind is listed until the mirror has it.
     kWatching,
+    /// Watches end soon, so that others are often told that there was no change.
+    kWatchingClosely,
   };
   /// Starts calls that are due.
   void Tick(Instant aNow, Reading aReading);
   /// Lists a kind with the next tick, unless a call for it is in progress.
   void ReadOnce(ObjectKind aKind);
+  using RefreshDone = std::function<void(bool)>;
+  /// Reads, at once, what has changed of a kind. Returns whether a call was begun: none is if one is
+  /// in progress. @p aDone is told whether it succeeded.
+  bool Refresh(ObjectKind aKind, RefreshDone aDone);
+  /// Whether the reading that is being applied was begun by Refresh().
+  bool IsRefresh(ObjectKind aKind) const;
 
   /// Whether this daemon has read a whole list of a kind from the store, if only that there is no
   /// object of it.
@@ -77,14 +85,25 @@
     /// When the call in progress began, and how long it waits for a change.
     Instant startedAt;
     Duration wait = Duration::zero();
+    /// Set while a call of Refresh() is in progress.
+    RefreshDone refreshDone;
+    /// The latest time of which a reading has shown the state.
+    Instant asOf;
   };
 
   void Start(ObjectKind aKind, Instant aNow);
+  /// How long a watch that begins now waits for a change.
+  Duration WaitOf(ObjectKind aKind, Instant aNow) const;
+  /// Calls the store for changes, or for a list where those can't be had.
+  void Call(ObjectKind aKind, Duration aWait, Instant aNow);
   bool IsDue(ObjectKind aKind, Instant aNow, Reading aReading) const;
   /// Processes the store's answer; @p aApply applies it to the mirror and returns the changes.
   void OnReading(ObjectKind aKind,
                  const StoreReading& aReading,
                  const std::function<std::vector<StoredObject>()>& aApply);
+  void OnDone(ObjectKind aKind,
+              const StoreReading& aReading,
+              const std::vector<StoredObject>& aChanges);
   void OnFailure(Followed& aFollowed, StoreResult aResult);
   /// Uses what could be read of a list that has a gap.
   void ApplyPart(ObjectKind aKind, const StoreReading& aReading);
@@ -100,6 +119,7 @@
   unsigned mFailedInRow = 0;
   bool mLost = false;
   bool mWatches = false;
+  bool mWatchesClosely = false;
 };
 
 } // namespace hawthornlug
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -64,7 +64,7 @@
   void AdvanceTime(Duration aTime)
   {
     timers.now += aTime;
-    follower.Tick(timers.now, StoreFollower::Reading::kWatching);
+    follower.Tick(timers.now, StoreFollower::Reading::kWatchingClosely);
   }
 
   ManualStore store;
--- a/tests/support/router_simulation.cpp
+++ b/tests/support/router_simulation.cpp
@@ -11,6 +11,9 @@
 using Json = nlohmann::json;
 
 constexpr Duration kStoreDelay = milliseconds(4);
+/// Timeouts of the daemons' calls to the store.
+constexpr Duration kCallTimeout = milliseconds(1500);
+constexpr Duration kWatchTimeoutMargin = milliseconds(500);
 constexpr Duration kServerDelay = milliseconds(2);
 constexpr Duration kLinkDelay = milliseconds(1);
 constexpr const char* kService = "s";
@@ -45,6 +48,9 @@
     entry.domain = value.at("domain");
     entry.incarnation = value.at("incarnation");
     entry.slots = 4;
+    if (value.value("leaving", false)) {
+      entry.state = ServerState::kDraining;
+    }
     return entry;
   }
   std::optional<RouteConfig> ReadConfiguration(const StoredObject& aObject) override
@@ -136,6 +142,11 @@
   return reading;
 }
 
+Json ServerValue(const std::string& aDomain, Incarnation aIncarnation)
+{
+  return { { "domain", aDomain }, { "incarnation", aIncarnation } };
+}
+
 std::string EndpointOf(unsigned aDaemon)
 {
   constexpr unsigned kPerNetwork = 250;
@@ -180,6 +191,35 @@
   mNow = end;
 }
 
+std::unique_ptr<TimerSubscription> HostTimers::Every(Duration aInterval,
+                                                     std::function<void(Instant)> aCallback)
+{
+  return mTimers.Every(aInterval, [this, callback = std::move(aCallback)](Instant aNow) {
+    if (!mFrozen) {
+      callback(aNow);
+    }
+  });
+}
+
+void HostTimers::Run(std::function<void()> aTask)
+{
+  if (mFrozen) {
+    mDue.push_back(std::move(aTask));
+  } else {
+    aTask();
+  }
+}
+
+void HostTimers::Thaw()
+{
+  mFrozen = false;
+  std::vector<std::function<void()>> due;
+  due.swap(mDue);
+  for (const auto& it : due) {
+    it();
+  }
+}
+
 std::size_t SimulatedStore::Calls() const
 {
   return std::accumulate(mCalls.begin(),
@@ -219,7 +259,7 @@
     }
   }
   for (const Watcher& it : answered) {
-    mTimers.After(kStoreDelay, [it, reading = ReadingSince(aKind, it.since)] { it.done(reading); });
+    it.reply(ReadingSince(aKind, it.since));
   }
 }
 
@@ -229,15 +269,45 @@
   AnswerWatchers(aKind);
 }
 
+template<typename Answer>
+std::shared_ptr<SimulatedStore::Port::Call<Answer>> SimulatedStore::Port::Begin(
+  std::function<void(Answer)> aDone,
+  Duration aTimeout)
+{
+  auto call = std::make_shared<Call<Answer>>();
+  call->done = std::move(aDone);
+  mStore.mTimers.After(aTimeout, [this, call] {
+    mHost.Run([call] {
+      if (call->done) {
+        std::exchange(call->done, nullptr)({});
+      }
+    });
+  });
+  return call;
+}
+
+template<typename Answer>
+void SimulatedStore::Port::Reply(const std::shared_ptr<Call<Answer>>& aCall, Answer aAnswer)
+{
+  mStore.mTimers.After(kStoreDelay, [this, aCall, answer = std::move(aAnswer)] {
+    if (mCut) {
+      return;
+    }
+    mHost.Run([aCall, answer] {
+      if (aCall->done) {
+        std::exchange(aCall->done, nullptr)(answer);
+      }
+    });
+  });
+}
+
 void SimulatedStore::Port::List(ObjectKind aKind, bool, ReadDone aDone)
 {
   ++mStore.mCalls[StoreCall::kList];
-  if (mRefused) {
-    mStore.mTimers.After(kStoreDelay, [aDone] { aDone(RefusedReading()); });
-    return;
+  const auto call = Begin<StoreReading>(std::move(aDone), kCallTimeout);
+  if (!mCut) {
+    Reply(call, mRefused ? RefusedReading() : mStore.ReadingSince(aKind, StoreRevision()));
   }
-  mStore.mTimers.After(
-    kStoreDelay, [this, aKind, aDone] { aDone(mStore.ReadingSince(aKind, StoreRevision())); });
 }
 
 void SimulatedStore::Port::Watch(ObjectKind aKind,
@@ -246,23 +316,29 @@
                                  ReadDone aDone)
 {
   ++mStore.mCalls[StoreCall::kWatch];
+  const auto call = Begin<StoreReading>(std::move(aDone), aWait + kWatchTimeoutMargin);
+  if (mCut) {
+    return;
+  }
   if (mRefused) {
-    mStore.mTimers.After(kStoreDelay, [aDone] { aDone(RefusedReading()); });
+    Reply(call, RefusedReading());
     return;
   }
   const StoreReading reading = mStore.ReadingSince(aKind, aSince);
   if (!reading.objects.empty()) {
-    mStore.mTimers.After(kStoreDelay, [reading, aDone] { aDone(reading); });
+    Reply(call, reading);
     return;
   }
   const std::uint64_t id = ++mStore.mWatcherCount;
-  mStore.mWatchers[id] = { aKind, aSince, aDone };
+  mStore.mWatchers[id] = { aKind, aSince, [this, call](const StoreReading& aReading) {
+                            Reply(call, aReading);
+                          } };
   mStore.mTimers.After(aWait, [this, id, aKind, aSince] {
     const auto it = mStore.mWatchers.find(id);
     if (it != mStore.mWatchers.end()) {
       const Watcher watcher = it->second;
       mStore.mWatchers.erase(it);
-      watcher.done(mStore.ReadingSince(aKind, aSince));
+      watcher.reply(mStore.ReadingSince(aKind, aSince));
     }
   });
 }
@@ -274,10 +350,14 @@
                                  WriteDone aDone)
 {
   ++mStore.mCalls[StoreCall::kWrite];
+  const auto call = Begin<StoreWrite>(std::move(aDone), kCallTimeout);
+  if (mCut) {
+    return;
+  }
   StoreWrite write;
   if (mRefused) {
     write.result = StoreResult::kRefused;
-    mStore.mTimers.After(kStoreDelay, [write, aDone] { aDone(write); });
+    Reply(call, write);
     return;
   }
   StoredObject& object = mStore.mObjects[{ aKind, aName }];
@@ -287,7 +367,7 @@
     write.result = StoreResult::kDone;
   }
   write.object = object;
-  mStore.mTimers.After(kStoreDelay, [write, aDone] { aDone(write); });
+  Reply(call, write);
   if (write.result == StoreResult::kDone) {
     mStore.AnswerWatchers(aKind);
   }
@@ -382,7 +462,8 @@
 struct RouterSimulation::Node
 {
   Node(RouterSimulation& aSimulation, unsigned aNumber, const std::string& aDomain)
-    : store(aSimulation.store)
+    : host(aSimulation.timers)
+    , store(aSimulation.store, host)
     , peers([this, &aSimulation](const std::string& aEndpoint, const wire::Envelope& aMessage) {
       aSimulation.Deliver(*this, aEndpoint, aMessage);
     })
@@ -399,6 +480,7 @@
   }
 
   RouterSettings settings;
+  HostTimers host;
   SimulatedStore::Port store;
   SimulatedReader reader;
   SimulatedCallerHeaders headers;
@@ -407,6 +489,7 @@
   /// Until when the link is taken by what was sent and received.
   Instant sendsUntil;
   Instant receivesUntil;
+  bool cutFromPeers = false;
   std::unique_ptr<RouterDaemon> daemon;
   /// Daemons that were ended: store and servers may still answer them.
   std::vector<std::unique_ptr<RouterDaemon>> ended;
@@ -442,7 +525,7 @@
                                                                 backends,
                                                                 aNode.headers,
                                                                 aNode.peers,
-                                                                timers,
+                                                                aNode.host,
                                                                 log,
                                                                 metrics,
                                                                 aNode.spans });
@@ -485,10 +568,15 @@
   }
   aFrom.sendsUntil = std::max(aFrom.sendsUntil, timers.Now()) + onLink;
   receiver.receivesUntil = std::max(receiver.receivesUntil + onLink, aFrom.sendsUntil);
-  timers.At(receiver.receivesUntil + kLinkDelay, [&receiver, message = aMessage] {
-    if (receiver.daemon) {
-      receiver.daemon->Take(message);
+  timers.At(receiver.receivesUntil + kLinkDelay, [&aFrom, &receiver, message = aMessage] {
+    if (aFrom.cutFromPeers || receiver.cutFromPeers) {
+      return;
     }
+    receiver.host.Run([&receiver, message] {
+      if (receiver.daemon) {
+        receiver.daemon->Take(message);
+      }
+    });
   });
 }
 
@@ -502,10 +590,36 @@
                                 const std::string& aDomain,
                                 Incarnation aIncarnation)
 {
-  const Json value = { { "domain", aDomain }, { "incarnation", aIncarnation } };
+  store.Put(ObjectKind::kServer, aServer, ServerValue(aDomain, aIncarnation).dump());
+}
+
+void RouterSimulation::Drain(const std::string& aServer, const std::string& aDomain)
+{
+  Json value = ServerValue(aDomain, 1);
+  value["leaving"] = true;
   store.Put(ObjectKind::kServer, aServer, value.dump());
 }
 
+void RouterSimulation::Freeze(unsigned aDaemon)
+{
+  mNodes.at(aDaemon)->host.Freeze();
+}
+
+void RouterSimulation::Thaw(unsigned aDaemon)
+{
+  mNodes.at(aDaemon)->host.Thaw();
+}
+
+void RouterSimulation::CutFromPeers(unsigned aDaemon, bool aCut)
+{
+  mNodes.at(aDaemon)->cutFromPeers = aCut;
+}
+
+void RouterSimulation::CutFromStore(unsigned aDaemon, bool aCut)
+{
+  mNodes.at(aDaemon)->store.SetCut(aCut);
+}
+
 RouterDaemon* RouterSimulation::Daemon(unsigned aDaemon) const
 {
   return mNodes.at(aDaemon)->daemon.get();
--- a/tests/support/router_simulation.h
+++ b/tests/support/router_simulation.h
@@ -48,6 +48,30 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mEvents;
 };
 
+/// The timers of one host. While it is frozen nothing runs there; what was due runs when it is
+/// thawed.
+class HostTimers : public TimerService
+{
+public:
+  explicit HostTimers(SimulatedTimers& aTimers)
+    : mTimers(aTimers)
+  {
+  }
+  Instant Now() const override { return mTimers.Now(); }
+  std::unique_ptr<TimerSubscription> Every(Duration aInterval,
+                                           std::function<void(Instant)> aCallback) override;
+  /// Runs @p aTask now, or when the host is thawed.
+  void Run(std::function<void()> aTask);
+  void Freeze() { mFrozen = true; }
+  void Thaw();
+  bool IsFrozen() const { return mFrozen; }
+
+private:
+  SimulatedTimers& mTimers;
+  bool mFrozen = false;
+  std::vector<std::function<void()>> mDue;
+};
+
 /// What daemons have called the store for.
 enum class StoreCall
 {
@@ -75,8 +99,9 @@
   class Port : public ObjectStore
   {
   public:
-    explicit Port(SimulatedStore& aStore)
+    Port(SimulatedStore& aStore, HostTimers& aHost)
       : mStore(aStore)
+      , mHost(aHost)
     {
     }
     void List(ObjectKind aKind, bool aMayBeStale, ReadDone aDone) override;
@@ -88,10 +113,28 @@
                WriteDone aDone) override;
     /// The store turns this daemon away, or serves it again.
     void SetRefused(bool aRefused) { mRefused = aRefused; }
+    /// Calls and answers between this daemon and the store are lost, or pass again.
+    void SetCut(bool aCut) { mCut = aCut; }
 
   private:
+    /// A call whose completion has not been called yet.
+    template<typename Answer>
+    struct Call
+    {
+      std::function<void(Answer)> done;
+    };
+
+    /// Begins a call that ends without an answer after @p aTimeout.
+    template<typename Answer>
+    std::shared_ptr<Call<Answer>> Begin(std::function<void(Answer)> aDone, Duration aTimeout);
+    /// Delivers an answer after the store's delay, unless it is lost.
+    template<typename Answer>
+    void Reply(const std::shared_ptr<Call<Answer>>& aCall, Answer aAnswer);
+
     SimulatedStore& mStore;
+    HostTimers& mHost;
     bool mRefused = false;
+    bool mCut = false;
   };
 
 private:
@@ -99,7 +142,7 @@
   {
     ObjectKind kind = ObjectKind::kServer;
     StoreRevision since;
-    ObjectStore::ReadDone done;
+    std::function<void(const StoreReading&)> reply;
   };
   using Name = std::pair<ObjectKind, std::string>;
 
@@ -184,10 +227,17 @@
   void Configure(std::uint64_t aVersion, std::size_t aBytes);
   /// Registers a server, or changes its entry.
   void Register(const std::string& aServer, const std::string& aDomain, Incarnation aIncarnation);
+  /// A server says in its entry that it leaves.
+  void Drain(const std::string& aServer, const std::string& aDomain);
   /// Ends a daemon; it is silent from then on.
   void Kill(unsigned aDaemon);
   /// Starts a daemon that was ended, as a new incarnation that knows nothing.
   void Restart(unsigned aDaemon);
+  void Freeze(unsigned aDaemon);
+  void Thaw(unsigned aDaemon);
+  /// Messages between a daemon and all others are lost, or pass again.
+  void CutFromPeers(unsigned aDaemon, bool aCut);
+  void CutFromStore(unsigned aDaemon, bool aCut);
   /// The store turns a daemon away, or serves it again.
   void RefuseAtStore(unsigned aDaemon, bool aRefused);
   /// The daemon that grants the keys; none if there is none or several.
@@ -197,6 +247,7 @@
   unsigned Running() const;
   /// Null if the daemon was ended.
   RouterDaemon* Daemon(unsigned aDaemon) const;
+  unsigned DaemonCount() const { return static_cast<unsigned>(mNodes.size()); }
   /// Bytes that all daemons have sent to each other.
   std::size_t BytesSent() const { return mBytesSent; }
   std::size_t MessagesSent() const { return mMessagesSent; }
