Requests: the time that one takes to arrive counts against its route's timeout

Cause: the time began when the whole request had been read. That of a body that comes slowly, or of a wait in the connection's buffer behind others, came on top; a body that never came was waited for until the idle timeout.

Change: http::Server notes when the first byte of a request came (Request::receiveTime) and asks the handler, once the header is there, how long the request may take (Handler::TimeLimitOf). A body that isn't there by then is answered 408: not run. The forwarder's deadline and target count from the first byte, and nothing is sent any more at the deadline. Timeouts are looked for each 100 ms instead of 200.

--- a/http/message.h
+++ b/http/message.h
@@ -2,6 +2,8 @@
 /// Complete HTTP/1.1 messages, with their bodies in memory.
 #pragma once
 
+#include "core/instant.h"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,6 +50,8 @@
   bool keepAlive = true;
   /// IP address of the peer that sent the request; set only in requests that a Server received.
   std::string senderIp;
+  /// Time from the arrival of its first byte until it was passed on; likewise.
+  Duration receiveTime = Duration::zero();
 
   /// Returns the part of the target before the query.
   std::string_view Path() const;
--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -330,6 +330,15 @@
   return mParser->complete ? ReadState::kComplete : ReadState::kMalformed;
 }
 
+Request MessageReader::PeekRequest() const
+{
+  Request request;
+  request.method = http_method_str(static_cast<http_method>(mParser->parser.method));
+  request.target = mParser->target;
+  request.headers = mParser->headers;
+  return request;
+}
+
 Request MessageReader::TakeRequest()
 {
   Request request;
--- a/http/message_reader.h
+++ b/http/message_reader.h
@@ -72,6 +72,8 @@
   bool IsInMessage() const;
   /// Whether the header of the current message is complete.
   bool HasHeader() const;
+  /// The current message without its body; HasHeader() must be true.
+  Request PeekRequest() const;
   /// Whether the sender waits for "100 Continue" before it sends its body.
   bool ExpectsContinue() const;
   /// Number of bytes that were received but not parsed yet.
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t kSmallBufferBytes = 65536;
 /// Responses may take one part in this many of the limit for requests and responses.
 constexpr std::size_t kResponsePart = 2;
-constexpr std::chrono::milliseconds kTimeoutCheckInterval{ 200 };
+constexpr std::chrono::milliseconds kTimeoutCheckInterval{ 100 };
+constexpr int kRequestTimeout = 408;
 /// How long a connection that is being closed is still read, so that its last response isn't lost.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 constexpr int kInternalError = 500;
@@ -89,18 +90,22 @@
       CloseUnread();
       return;
     }
+    if (mBodyUntil && aNow > *mBodyUntil) {
+      Refuse(kRequestTimeout, ReadState::kNeedsMore);
+      return;
+    }
     if (!mPending.empty() || mWriting) {
       return;
     }
     if (mReader.IsInMessage() && !mReader.HasHeader()) {
       if (aNow - mMessageStartedAt > mServer.mLimits.headerTimeout) {
-        Refuse(408, ReadState::kNeedsMore);
+        Refuse(kRequestTimeout, ReadState::kNeedsMore);
       }
       return;
     }
     if (aNow - mLastActivityAt > mServer.mLimits.idleTimeout) {
       if (mReader.IsInMessage()) {
-        Refuse(408, ReadState::kNeedsMore);
+        Refuse(kRequestTimeout, ReadState::kNeedsMore);
         return;
       }
       Close();
@@ -259,6 +264,7 @@
     }
     const SteadyPoint now = std::chrono::steady_clock::now();
     mLastActivityAt = now;
+    mReadAt = now;
     if (!mReader.IsInMessage()) {
       mMessageStartedAt = now;
       mReader.SetLimits(mServer.mLimits.read);
@@ -331,6 +337,7 @@
           mContinueSent = true;
           WriteBytes(std::string(kContinueResponse), false);
         }
+        LimitBody();
         return;
       }
       if (state != ReadState::kComplete) {
@@ -338,9 +345,13 @@
         return;
       }
       mContinueSent = false;
-      mMessageStartedAt = std::chrono::steady_clock::now();
+      mBodyUntil.reset();
       auto it = std::make_shared<PendingExchange>(weak_from_this(), mReader.TakeRequest());
       it->Received().senderIp = mSenderIp;
+      it->Received().receiveTime = std::chrono::duration_cast<Duration>(
+        std::chrono::steady_clock::now() - mMessageStartedAt);
+      // What is buffered of the next request has come with the bytes that were read last.
+      mMessageStartedAt = mReadAt;
       mCloseRequested = !it->Received().keepAlive;
       mPending.push_back(it);
       PassToHandler(it);
@@ -350,6 +361,16 @@
     }
   }
 
+  /// Sets until when the body of the request that is being received is waited for.
+  void LimitBody()
+  {
+    if (mBodyUntil || !mReader.HasHeader()) {
+      return;
+    }
+    const std::optional<Duration> limit = mServer.mHandler.TimeLimitOf(mReader.PeekRequest());
+    mBodyUntil = limit ? mMessageStartedAt + *limit : SteadyPoint::max();
+  }
+
   /// If the handler fails, the request may still be in progress somewhere: the caller gets an
   /// answer that promises nothing.
   void PassToHandler(const std::shared_ptr<PendingExchange>& aExchange)
@@ -454,7 +475,12 @@
   std::deque<std::shared_ptr<PendingExchange>> mPending;
   /// When bytes were last received or a response was last written.
   SteadyPoint mLastActivityAt;
+  /// When bytes were last received.
+  SteadyPoint mReadAt;
+  /// When the first byte of the request that is being received came.
   SteadyPoint mMessageStartedAt;
+  /// Until when the rest of its body is waited for; set once its header has been read.
+  std::optional<SteadyPoint> mBodyUntil;
   std::size_t mBufferedBytes = 0;
   /// The responses' share of mBufferedBytes.
   std::size_t mResponseBytes = 0;
--- a/http/server.h
+++ b/http/server.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace hawthornlug::http {
@@ -39,6 +40,13 @@
   virtual ~Handler() = default;
 
   virtual void OnRequest(std::shared_ptr<Exchange> aExchange) = 0;
+  /// How long, from its first byte, a request whose header has arrived may take until it is
+  /// answered. One whose body is not there by then is answered with 408, and its connection closed.
+  /// Nothing: only the limits of the server hold.
+  virtual std::optional<Duration> TimeLimitOf([[maybe_unused]] const Request& aHeader)
+  {
+    return std::nullopt;
+  }
   /// Called when a connection is answered with error status @p aStatus and closed, because its
   /// request is malformed, too large or too slow, or because memory is short.
   virtual void OnBadRequest(int aStatus, ReadState aState) = 0;
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -120,6 +120,11 @@
   Dispatch();
 }
 
+std::optional<Duration> Forwarder::TimeLimitOf(const http::Request& aHeader)
+{
+  return mAdmission.TimeLimitOf(aHeader);
+}
+
 bool Forwarder::Admit(const RoutedRequestPtr& aRequest)
 {
   RoutedRequest& request = *aRequest;
@@ -140,10 +145,10 @@
     Refuse(aRequest, *admission.refusal);
     return false;
   }
-  request.targetAt = request.receivedAt + request.route.targetLatency;
-  const Duration timeout = request.route.timeout;
-  request.deadline =
-    request.receivedAt + std::min(timeout, request.terms.timeout.value_or(timeout));
+  // The caller has waited since it began to send.
+  const Instant begunAt = request.receivedAt - request.exchange->Received().receiveTime;
+  request.targetAt = begunAt + request.route.targetLatency;
+  request.deadline = begunAt + LongestTime(request.route, request.terms);
   request.work = mWork->Of(TraitsOf(request), request.route.targetLatency);
   if (!request.organisation.empty()) {
     request.quota.Begin(mServices.quotas.Claim(request.organisation, request.receivedAt),
@@ -346,7 +351,7 @@
 bool Forwarder::TrySend(const RoutedRequestPtr& aRequest, Instant aNow)
 {
   RoutedRequest& request = *aRequest;
-  if (aNow < request.notBefore) {
+  if (aNow < request.notBefore || aNow >= request.deadline) {
     return false;
   }
   if (request.keyed) {
@@ -682,6 +687,7 @@
       { "hedged", request.hedged },
       { "outstanding", request.lastOutstanding },
       { "registry-age-ms", Millis(request.lastRegistryAge) },
+      { "receive-ms", Millis(request.exchange->Received().receiveTime) },
       { "waited-ms",
         Millis((request.attempts > 0 ? request.lastSentAt : now) - request.receivedAt) },
       { "elapsed-ms", Millis(elapsed) },
--- a/runtime/forwarder.h
+++ b/runtime/forwarder.h
@@ -65,6 +65,7 @@
   }
   const WorkEstimator& Estimates() const { return *mWork; }
   void OnRequest(std::shared_ptr<http::Exchange> aExchange) override;
+  std::optional<Duration> TimeLimitOf(const http::Request& aHeader) override;
   void OnBadRequest(int aStatus, http::ReadState aState) override;
   void OnUnreadResponse(std::size_t aBytes) override;
   void OnMalformedResponse(int aStatus) override;
--- a/runtime/request_admission.cpp
+++ b/runtime/request_admission.cpp
@@ -1,5 +1,7 @@
 #include "runtime/request_admission.h"
 
+#include <algorithm>
+
 namespace hawthornlug {
 
 namespace {
@@ -19,6 +21,21 @@
 
 } // namespace
 
+Duration LongestTime(const RouteRule& aRoute, const CallerTerms& aTerms)
+{
+  return std::min(aRoute.timeout, aTerms.timeout.value_or(aRoute.timeout));
+}
+
+std::optional<Duration> RequestAdmission::TimeLimitOf(const http::Request& aHeader)
+{
+  const RouteRule* const route = mRoutes.Find(aHeader.headers.Get("Host"), aHeader.Path());
+  const auto terms = mHeaders.Read(aHeader);
+  if (route == nullptr || !terms) {
+    return std::nullopt;
+  }
+  return LongestTime(*route, *terms);
+}
+
 AdmissionResult RequestAdmission::Check(const http::Request& aRequest, bool aStopping)
 {
   AdmissionResult result;
--- a/runtime/request_admission.h
+++ b/runtime/request_admission.h
@@ -41,6 +41,9 @@
   std::optional<AdmissionRefusal> refusal;
 };
 
+/// The longest time that a request may take: the timeout of its route, or what its caller states.
+Duration LongestTime(const RouteRule& aRoute, const CallerTerms& aTerms);
+
 /// Decides whether a request is accepted, and by which route and service.
 class RequestAdmission
 {
@@ -55,6 +58,10 @@
   /// none.
   AdmissionResult Check(const http::Request& aRequest, bool aStopping);
 
+  /// How long a request may take from its first byte to its answer; nothing if no route matches
+  /// its header.
+  std::optional<Duration> TimeLimitOf(const http::Request& aHeader);
+
 private:
   /// Fills in @p aResult; returns why the request is refused, if it is.
   std::optional<AdmissionRefusal> Fill(AdmissionResult& aResult,
