Heartbeats: a daemon that tells its own domain of many changes is heard in other domains too

Cause: in a fleet of under 16 daemons the heartbeat to other domains was sent only when one was due in the own domain. A daemon that passes changes on to its domain more often than each 400 ms, as a relay does in a series of changes, never had one due. The same with servers' changes, which go to relays only.

Change: heartbeats to other domains are due by themselves.

--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -205,6 +205,16 @@
   return aNow - mForeignSentAt >= ForeignInterval(aHasRole) - kHeartbeatInterval / 2;
 }
 
+bool Mesh::IsHeartbeatDue(Instant aNow) const
+{
+  if (aNow - mHeartbeatSentAt >= kHeartbeatInterval) {
+    return true;
+  }
+  // Changes may be told to the own domain so often that none is due there.
+  return aNow - mForeignSentAt >= kMinForeignInterval &&
+         IsForeignHeartbeatDue(mListener->DescribeSelf().hasRole, aNow);
+}
+
 void Mesh::SendDueHeartbeat()
 {
   const bool foreignDue = IsForeignHeartbeatDue(mListener->DescribeSelf().hasRole, mTimers.Now());
@@ -338,7 +348,7 @@
   UpdateRelays(aNow);
   if (mRelays.IsFleetRelayed()) {
     TickRelayed(aNow);
-  } else if (aNow - mHeartbeatSentAt >= kHeartbeatInterval) {
+  } else if (IsHeartbeatDue(aNow)) {
     SendDueHeartbeat();
   }
   // A daemon that starts learns of the others one after the other, and must soon know them all.
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -114,6 +114,8 @@
   /// Sends a small fleet's heartbeat at its time: to other failure domains only if one is due
   /// there.
   void SendDueHeartbeat();
+  /// Whether a small fleet's heartbeat is due, in the own failure domain or in others.
+  bool IsHeartbeatDue(Instant aNow) const;
   /// Whether other failure domains are to be sent a heartbeat directly now.
   bool IsForeignHeartbeatDue(bool aHasRole, Instant aNow) const;
   /// Interval of heartbeats to other failure domains. It rises with the number of daemons there,
--- a/tests/runtime/mesh_fleet_test.cpp
+++ b/tests/runtime/mesh_fleet_test.cpp
@@ -166,6 +166,26 @@
   CheckLoss(shape, GENERATE(0U, 5U));
 }
 
+TEST_CASE("daemons that tell their own domain, or relays, of many changes are heard by all",
+          "[runtime][mesh]")
+{
+  const Shape shape = GENERATE(Shape{ 9, 3 }, Shape{ 48, 4 });
+  const bool toRelays = GENERATE(false, true);
+  INFO(shape.daemons << " daemons, " << (toRelays ? "to relays" : "to the own domain"));
+  SettledFleet simulation(shape);
+  for (Duration time = Duration::zero(); time < seconds(5); time += 3 * kMeshTick) {
+    for (const auto& it : simulation.nodes) {
+      if (toRelays) {
+        it->mesh.SendHeartbeatToRelays();
+      } else {
+        it->mesh.SendHeartbeatNow(Mesh::Audience::kOwnDomain);
+      }
+    }
+    simulation.Run(3 * kMeshTick);
+    CHECK_FALSE(AnyLostBut(simulation, {}));
+  }
+}
+
 TEST_CASE("a daemon that was cut off alone is found again", "[runtime][mesh]")
 {
   const Duration time = GENERATE(seconds(3), seconds(20));
