--- a/config/news_budget.h
+++ b/config/news_budget.h
@@ -61,9 +61,9 @@
 /// reaches the store, or a daemon that does, in a fleet of @p aDaemons of which any number is lost.
 constexpr Duration LongestLag(ObjectKind aKind, unsigned aDaemons)
 {
-  // A daemon has one such call open at a time, and another kind may be due first.
-  const Duration reading = 2 * (kNewsTick + kStoreCall);
-  return CurrencyPatience(aKind) + RefreshDelay(aDaemons - 1) + reading + 2 * kTransit;
+  const Duration reading = kNewsTick + kStoreCall;
+  const Duration exchange = kNewsTick + 2 * kTransit;
+  return CurrencyPatience(aKind) + RefreshDelay(aDaemons - 1) + reading + exchange;
 }
 
 } // namespace hawthornlug
--- a/membership/refresh_schedule.cpp
+++ b/membership/refresh_schedule.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// A call that takes longer counts as a sign that the store is overloaded.
-constexpr Duration kSlowCall = milliseconds(100);
-/// First pause after a call that failed or was slow, and the longest one.
+/// The pause after a call that succeeded is this multiple of the call's time.
+constexpr int kPausePerCallTime = 4;
+/// First pause after a call that failed, and the longest one.
 constexpr Duration kMinBackoff = milliseconds(500);
 constexpr Duration kMaxBackoff = seconds(4);
 
@@ -18,25 +18,22 @@
 
 bool RefreshSchedule::IsDue(ObjectKind aKind, Instant aAsOf, unsigned aRank, Instant aNow) const
 {
-  return !mIsOpen && aNow >= mRetryAt &&
+  const bool mayCall = mOpen == 0 || mBackoff == Duration::zero();
+  return mayCall && aNow >= mRetryAt &&
          aNow - aAsOf >= CurrencyPatience(aKind) + RefreshDelay(aRank);
 }
 
-void RefreshSchedule::OnBegun(Instant aNow)
+void RefreshSchedule::OnBegun()
 {
-  mIsOpen = true;
-  mBegunAt = aNow;
+  ++mOpen;
 }
 
-void RefreshSchedule::OnEnded(bool aDone, Instant aNow)
+void RefreshSchedule::OnEnded(bool aDone, Duration aTime, Instant aNow)
 {
-  mIsOpen = false;
-  if (aDone && aNow - mBegunAt < kSlowCall) {
-    mBackoff = Duration::zero();
-    return;
-  }
-  mBackoff = std::clamp(2 * mBackoff, kMinBackoff, kMaxBackoff);
-  mRetryAt = aNow + mBackoff;
+  --mOpen;
+  mBackoff = aDone ? Duration::zero() : std::clamp(2 * mBackoff, kMinBackoff, kMaxBackoff);
+  const Duration pause = aDone ? std::min(kPausePerCallTime * aTime, kMaxBackoff) : mBackoff;
+  mRetryAt = std::max(mRetryAt, aNow + pause);
 }
 
 } // namespace hawthornlug
--- a/membership/refresh_schedule.h
+++ b/membership/refresh_schedule.h
@@ -10,7 +10,8 @@
 /// A daemon that has not been told for some time that it has missed nothing reads the store itself,
 /// whatever the cause: no daemon is waited for. Daemons that are preferred as watchers read first and
 /// tell the others, so that few do while all is well, and all do if nobody else can. A store that
-/// does not answer well is called ever more rarely. The state depends only on the arguments of the
+/// does not answer is called ever more rarely, one kind at a time, and one that is slow more rarely
+/// the slower it is. The state depends only on the arguments of the
 /// calls.
 class RefreshSchedule
 {
@@ -18,12 +19,13 @@
   /// Whether a kind is to be read now. @p aAsOf: the replica is complete as of then; @p aRank:
   /// number of daemons that are preferred as watchers.
   bool IsDue(ObjectKind aKind, Instant aAsOf, unsigned aRank, Instant aNow) const;
-  void OnBegun(Instant aNow);
-  void OnEnded(bool aDone, Instant aNow);
+  void OnBegun();
+  /// A reading that has taken @p aTime was successful, or failed.
+  void OnEnded(bool aDone, Duration aTime, Instant aNow);
 
 private:
-  Instant mBegunAt;
-  bool mIsOpen = false;
+  /// Number of readings that have not ended.
+  unsigned mOpen = 0;
   Instant mRetryAt;
   Duration mBackoff = Duration::zero();
 };
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -367,11 +367,14 @@
 {
   for (const ObjectKind it : kReplicatedKinds) {
     const Instant asOf = mCurrency.AsOf(it);
-    const auto done = [this](bool aDone) { mRefreshes.OnEnded(aDone, mServices.timers.Now()); };
+    const auto done = [this, aNow](bool aDone) {
+      const Instant now = mServices.timers.Now();
+      mRefreshes.OnEnded(aDone, now - aNow, now);
+    };
     if (!mRefreshes.IsDue(it, asOf, mWatcherRank, aNow) || !mStoreFollower.Refresh(it, done)) {
       continue;
     }
-    mRefreshes.OnBegun(aNow);
+    mRefreshes.OnBegun();
     mServices.metrics.Count("store_refreshes_total");
     mServices.log.Write(EventId::kReplicaStale,
                         { { "kind", NameOf(kObjectKindNames, it) },
