--- a/config/news_budget.h
+++ b/config/news_budget.h
@@ -1,7 +1,8 @@
 /// @file
 /// The time budget of news from the store: the stages that a change passes from its confirmation
-/// until it is in force at every daemon, whichever of them are lost. What a stage may take is decided
-/// here and nowhere else, so that the sum can be checked; docs/design/news-budget.md explains it.
+/// until it is in force at every daemon, whichever of them are lost. What a stage may take is
+/// decided here and nowhere else, so that the sum can be checked; docs/design/news-budget.md
+/// explains it.
 #pragma once
 
 #include "config/stored_object.h"
--- a/config/replica_currency.h
+++ b/config/replica_currency.h
@@ -30,8 +30,8 @@
 /// Keeps, for each kind, the time up to which everything that the store had confirmed is known to
 /// be in the replica: the age of that time bounds how long this daemon has gone on by a state that
 /// has changed. It follows from this daemon's own readings of the store and from those that others
-/// tell of; that another daemon is live, or was asked, says nothing about it. The state depends only
-/// on the arguments of the calls.
+/// tell of; that another daemon is live, or was asked, says nothing about it. The state depends
+/// only on the arguments of the calls.
 class ReplicaCurrency
 {
 public:
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -348,8 +348,8 @@
       mBodyUntil.reset();
       auto it = std::make_shared<PendingExchange>(weak_from_this(), mReader.TakeRequest());
       it->Received().senderIp = mSenderIp;
-      it->Received().receiveTime = std::chrono::duration_cast<Duration>(
-        std::chrono::steady_clock::now() - mMessageStartedAt);
+      it->Received().receiveTime =
+        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - mMessageStartedAt);
       // What is buffered of the next request has come with the bytes that were read last.
       mMessageStartedAt = mReadAt;
       mCloseRequested = !it->Received().keepAlive;
--- a/membership/refresh_schedule.h
+++ b/membership/refresh_schedule.h
@@ -8,11 +8,10 @@
 namespace hawthornlug {
 
 /// A daemon that has not been told for some time that it has missed nothing reads the store itself,
-/// whatever the cause: no daemon is waited for. Daemons that are preferred as watchers read first and
-/// tell the others, so that few do while all is well, and all do if nobody else can. A store that
-/// does not answer is called ever more rarely, one kind at a time, and one that is slow more rarely
-/// the slower it is. The state depends only on the arguments of the
-/// calls.
+/// whatever the cause: no daemon is waited for. Daemons that are preferred as watchers read first
+/// and tell the others, so that few do while all is well, and all do if nobody else can. A store
+/// that does not answer is called ever more rarely, one kind at a time, and one that is slow more
+/// rarely the slower it is. The state depends only on the arguments of the calls.
 class RefreshSchedule
 {
 public:
--- a/runtime/currency_exchange.cpp
+++ b/runtime/currency_exchange.cpp
@@ -14,8 +14,7 @@
 } // namespace
 
 CurrencyExchange::CurrencyExchange(ObjectMirror& aMirror, Mesh& aMesh, Instant aStartedAt)
-  : mMirror(aMirror)
-  , mMesh(aMesh)
+  : mMesh(aMesh)
   , mCurrency(aMirror, aStartedAt)
 {
 }
--- a/runtime/currency_exchange.h
+++ b/runtime/currency_exchange.h
@@ -31,7 +31,6 @@
 private:
   wire::Envelope MakeStatements(Instant aNow) const;
 
-  ObjectMirror& mMirror;
   Mesh& mMesh;
   ReplicaCurrency mCurrency;
   /// The state that this daemon's own readings show, by kind, and which of it has been stated.
--- a/runtime/object_exchange.cpp
+++ b/runtime/object_exchange.cpp
@@ -144,16 +144,15 @@
     return true;
   }
   const Duration patience = aIsLong ? kLongAnswerPatience : kAnswerPatience;
-  return aProgress.open.size() < kMaxQuestions &&
-         aNow - aProgress.open.back().askedAt >= patience;
+  return aProgress.open.size() < kMaxQuestions && aNow - aProgress.open.back().askedAt >= patience;
 }
 
 bool ObjectExchange::MayAsk(const MeshPeer& aPeer, const Progress& aProgress, Instant aNow) const
 {
   const auto busy = mBusyUntil.find(aPeer.ref.id);
   const bool isBusy = busy != mBusyUntil.end() && aNow < busy->second;
-  const bool wasAsked = std::any_of(
-    aProgress.open.begin(), aProgress.open.end(), [&](const Question& aQuestion) {
+  const bool wasAsked =
+    std::any_of(aProgress.open.begin(), aProgress.open.end(), [&](const Question& aQuestion) {
       return aQuestion.daemon == aPeer.ref.id;
     });
   if (isBusy || wasAsked) {
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -599,8 +599,7 @@
                         { "asked-in-vain", aOrigin.askedInVain },
                         { "known-ms", Millis(aOrigin.knownFor) } });
   if (previousVersion != 0) {
-    mServices.metrics.Observe("configuration_lag_seconds",
-                              LagAtMost(ObjectKind::kConfiguration));
+    mServices.metrics.Observe("configuration_lag_seconds", LagAtMost(ObjectKind::kConfiguration));
   }
   ApplyQuotaLimits();
   for (const auto& [name, rule] : mRoutes.Config().services) {
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -44,8 +44,8 @@
   /// Lists a kind with the next tick, unless a call for it is in progress.
   void ReadOnce(ObjectKind aKind);
   using RefreshDone = std::function<void(bool)>;
-  /// Reads, at once, what has changed of a kind. Returns whether a call was begun: none is if one is
-  /// in progress. @p aDone is told whether it succeeded.
+  /// Reads, at once, what has changed of a kind. Returns whether a call was begun: none is if one
+  /// is in progress. @p aDone is told whether it succeeded.
   bool Refresh(ObjectKind aKind, RefreshDone aDone);
   /// Whether the reading that is being applied was begun by Refresh().
   bool IsRefresh(ObjectKind aKind) const;
--- a/tests/runtime/news_lag_test.cpp
+++ b/tests/runtime/news_lag_test.cpp
@@ -51,10 +51,12 @@
 std::vector<unsigned> WatchOrder(const RouterSimulation& aSimulation, unsigned aDomains)
 {
   std::vector<RoleCandidate> all;
+  all.reserve(aSimulation.DaemonCount());
   for (unsigned n = 0; n < aSimulation.DaemonCount(); ++n) {
     all.push_back({ "d" + std::to_string(n), "domain-" + std::to_string(n % aDomains), 0 });
   }
   std::vector<std::pair<unsigned, unsigned>> ranked;
+  ranked.reserve(all.size());
   for (unsigned n = 0; n < all.size(); ++n) {
     std::vector<RoleCandidate> others = all;
     others.erase(others.begin() + n);
@@ -62,6 +64,7 @@
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<unsigned> order;
+  order.reserve(ranked.size());
   for (const auto& [rank, n] : ranked) {
     order.push_back(n);
   }
@@ -143,8 +146,9 @@
 
   bool IsInForce(const RouterDaemon& aDaemon, unsigned aChange) const
   {
-    return mNews == News::kConfiguration ? aDaemon.ConfigurationVersion() >= VersionOf(aChange)
-                                         : aDaemon.StateOfServer(ServerOf(aChange)) == ServerState::kDraining;
+    return mNews == News::kConfiguration
+             ? aDaemon.ConfigurationVersion() >= VersionOf(aChange)
+             : aDaemon.StateOfServer(ServerOf(aChange)) == ServerState::kDraining;
   }
 
   void Sample()
@@ -221,8 +225,8 @@
           "[runtime][lag]")
 {
   LossRun run;
-  run.loss = GENERATE(
-    Loss::kKilled, Loss::kFrozen, Loss::kCutOff, Loss::kCutFromStore, Loss::kCutFromPeers);
+  run.loss =
+    GENERATE(Loss::kKilled, Loss::kFrozen, Loss::kCutOff, Loss::kCutFromStore, Loss::kCutFromPeers);
   run.lossInterval = GENERATE(milliseconds(0), milliseconds(150));
   run.changeInterval = GENERATE(milliseconds(0), milliseconds(60));
   run.phase = GENERATE(milliseconds(0), milliseconds(130), milliseconds(270), milliseconds(410));
@@ -235,8 +239,8 @@
 {
   LossRun run;
   run.news = News::kLeavingServers;
-  run.loss = GENERATE(
-    Loss::kKilled, Loss::kFrozen, Loss::kCutOff, Loss::kCutFromStore, Loss::kCutFromPeers);
+  run.loss =
+    GENERATE(Loss::kKilled, Loss::kFrozen, Loss::kCutOff, Loss::kCutFromStore, Loss::kCutFromPeers);
   run.lossInterval = GENERATE(milliseconds(0), milliseconds(150));
   run.changeInterval = GENERATE(milliseconds(0), milliseconds(60));
   run.phase = GENERATE(milliseconds(0), milliseconds(130), milliseconds(270), milliseconds(410));
--- a/tests/soak/route_soak.cpp
+++ b/tests/soak/route_soak.cpp
@@ -2,8 +2,10 @@
 /// Randomized soak of `hawthornlug route`: real daemons on the real clock, stand-ins for the store
 /// and the backend servers, troubles of all kinds in series, rules checked while it runs.
 ///
-/// usage: route_soak --seed N --seconds S [--daemons 8] [--servers 27] [--restores 1]
-/// With --restores 1 the store comes back from an older copy after two of three outages.
+/// usage: route_soak --seed N --seconds S [--daemons 8] [--servers 27] [--restores 1] [--storms 1]
+/// With --restores 1 the store comes back from an older copy after two of three outages. With
+/// --storms 1 configurations come in series, at times while half of the daemons are killed, and all
+/// daemons that nothing has happened to must follow in time.
 /// The seed chooses the troubles; what the processes make of them differs from run to run. Exits
 /// with 1 if a rule was broken (the daemons' logs are kept then), with 2 if the soak did not start.
 
@@ -42,6 +44,14 @@
 constexpr seconds kStart{ 30 };
 constexpr seconds kRecovery{ 20 };
 constexpr std::size_t kTroublesShown = 20;
+/// Time between two configurations of a series.
+constexpr milliseconds kStormInterval{ 60 };
+/// A configuration must be in force this long after its confirmation, at daemons to which, as to
+/// the store, nothing has happened for some time.
+constexpr milliseconds kInForceBound{ 2000 };
+constexpr milliseconds kCalmTime{ 3000 };
+constexpr int kNotFound = 404;
+constexpr int kOk = 200;
 
 volatile std::sig_atomic_t gStopped = 0;
 
@@ -88,13 +98,15 @@
 class Soak
 {
 public:
-  Soak(std::uint64_t aSeed, unsigned aDaemons, unsigned aServers, bool aRestores)
+  Soak(std::uint64_t aSeed, unsigned aDaemons, unsigned aServers, bool aRestores, bool aStorms)
     : mSeed(aSeed)
     , mRestores(aRestores)
+    , mLastKind(aStorms ? 15 : 12)
     , mRandom(aSeed)
     , mDaemons(aDaemons)
     , mFleet(aDaemons, aServers / 4, aServers - aServers / 4)
     , mSharedSince(kKeys)
+    , mTroubledAt(aDaemons, steady_clock::now())
   {
   }
 
@@ -299,7 +311,7 @@
   {
     milliseconds at(0);
     for (unsigned left = Draw(2, 8); left > 0; --left) {
-      After(at, [this, kind = Draw(0, 12)] {
+      After(at, [this, kind = Draw(0, mLastKind)] {
         if (!mEnding) {
           Play(kind);
         }
@@ -328,6 +340,8 @@
       } else {
         WriteOdd();
       }
+    } else if (aKind > 12) {
+      BeginStorm(aKind == 13);
     } else if (Disturb(kServerTroubles[0], true)) {
       // The granter of the server that has just restarted stops.
       After(DrawTime(0, 300), [this, signal = Draw(0, 1) == 0 ? SIGKILL : SIGSTOP] {
@@ -358,6 +372,7 @@
     const milliseconds time = freezes ? DrawTime(500, 8000) : DrawTime(200, 3000);
     Say(::sigabbrev_np(aSignal), "daemon " + std::to_string(aDaemon) + " for " + Seconds(time));
     mFleet.Signal(aDaemon, aSignal);
+    mTroubledAt[aDaemon] = steady_clock::now();
     if (aSignal == SIGHUP) {
       return;
     }
@@ -368,6 +383,7 @@
     }
     After(time, [this, aDaemon] {
       mFleet.Signal(aDaemon, SIGCONT);
+      mTroubledAt[aDaemon] = steady_clock::now();
       mBusyDaemons.erase(aDaemon);
     });
   }
@@ -384,10 +400,56 @@
     }
     After(aAway, [this, aDaemon] {
       mFleet.StartDaemon(aDaemon);
+      mTroubledAt[aDaemon] = steady_clock::now();
       mBusyDaemons.erase(aDaemon);
     });
   }
 
+  /// Configurations one after the other. Each adds or drops a route; the last one is looked for at
+  /// all daemons.
+  void BeginStorm(bool aKillsHalf)
+  {
+    const unsigned count = Draw(1, 40);
+    Say("storm", std::to_string(count) + (aKillsHalf ? " configurations, and kills" : ""));
+    for (unsigned n = 0; n < count; ++n) {
+      After(n * kStormInterval, [this, isLast = n + 1 == count] { Configure(isLast); });
+    }
+    for (unsigned n = 0; aKillsHalf && n < mDaemons / 2; ++n) {
+      After(count * kStormInterval / 2, [this] { StopDaemon(FreeDaemon(), SIGKILL); });
+    }
+  }
+
+  void Configure(bool aIsLooked)
+  {
+    if (mFleet.Store().IsDown() || mEnding) {
+      return;
+    }
+    mHasMore = !mHasMore;
+    mFleet.Configure(++mVersion, mHasMore);
+    if (aIsLooked) {
+      After(kInForceBound, [this, version = mVersion] { LookForRoute(version); });
+    }
+  }
+
+  /// Whether a daemon goes on by another version than the one that was confirmed some time ago.
+  void LookForRoute(unsigned aVersion)
+  {
+    for (unsigned n = 0; n < mDaemons; ++n) {
+      const auto now = steady_clock::now();
+      const bool calm = now - mTroubledAt[n] > kCalmTime && now - mStoreTroubledAt > kCalmTime;
+      if (aVersion != mVersion || !calm || mBusyDaemons.contains(n) || mFleet.Store().IsDown()) {
+        continue;
+      }
+      const int status = mFleet.Ask(n, "/more/x", -1);
+      ++mLooked;
+      if ((mHasMore && status == kNotFound) || (!mHasMore && status == kOk)) {
+        Break("CONFIG: daemon " + std::to_string(n) + " answers " + std::to_string(status) +
+              " 2 s after version " + std::to_string(aVersion) +
+              (mHasMore ? ", which has the route" : ", which has no such route"));
+      }
+    }
+  }
+
   /// Begins a trouble at a server that has none, and ends it later; false if all have one.
   bool Disturb(const ServerTrouble& aTrouble, bool aKeyed)
   {
@@ -423,6 +485,7 @@
     const unsigned lost = Draw(0, 1) * Draw(1, 5);
     Say("outage", "for " + Seconds(time) + ", " + std::to_string(lost) + " entries expire");
     mFleet.Store().SetDown(true);
+    mStoreTroubledAt = steady_clock::now() + time;
     const bool restores = mRestores && !mCopies.empty() && Draw(0, 2) > 0;
     After(time, [this, lost, restores] {
       if (restores) {
@@ -494,7 +557,7 @@
               << ledger.notRun << ", failed " << ledger.failed << ", closed " << ledger.closed
               << "; checks that saw a key shared " << mSharedChecks << "; old tokens in new lives "
               << ledger.oldTokens << "; keys held at the end " << mFleet.KeysHeld() << "/"
-              << kSampledKeys << "\ntroubles:";
+              << kSampledKeys << "; daemons asked for a new version " << mLooked << "\ntroubles:";
     for (const auto& [kind, count] : mPlayed) {
       std::cout << " " << kind << " " << count;
     }
@@ -516,6 +579,8 @@
 
   std::uint64_t mSeed;
   bool mRestores;
+  /// The last kind of trouble that is played.
+  unsigned mLastKind;
   std::mt19937_64 mRandom;
   unsigned mDaemons;
   PlatformFleet mFleet;
@@ -532,6 +597,13 @@
   /// By key: since when two servers have held it.
   std::vector<steady_clock::time_point> mSharedSince;
   unsigned mSharedChecks = 0;
+  /// When something last happened to each daemon, and to the store.
+  std::vector<steady_clock::time_point> mTroubledAt;
+  steady_clock::time_point mStoreTroubledAt = mBegan;
+  /// The configuration that was written last, and whether it has the route for /more/.
+  unsigned mVersion = 1;
+  bool mHasMore = false;
+  unsigned mLooked = 0;
   std::vector<std::string> mTold;
   std::map<std::string, unsigned> mPlayed;
   std::string mBroken;
@@ -551,7 +623,8 @@
     Soak soak(static_cast<std::uint64_t>(flags.Number("seed", 1)),
               static_cast<unsigned>(flags.Number("daemons", 8)),
               static_cast<unsigned>(flags.Number("servers", 27)),
-              flags.Number("restores", 0) != 0);
+              flags.Number("restores", 0) != 0,
+              flags.Number("storms", 0) != 0);
     return soak.Run(seconds(flags.Number("seconds", 40)));
   } catch (const std::exception& aError) {
     std::cout << "soak failed: " << aError.what() << std::endl;
