Readings of a stale replica: a list at once if the history is gone; asking is without side effects

It comes at once now; store_follower_test 'a refresh for which the store has no history any more lists at once' holds that.

ObjectExchange compares the latest change that a heartbeat states, without taking over its revision: statements do that.

--- a/runtime/object_exchange.cpp
+++ b/runtime/object_exchange.cpp
@@ -90,20 +90,17 @@
   return aEra != 0 ? aEra : mMirror.At(aKind).Era();
 }
 
-bool ObjectExchange::IsAhead(ObjectKind aKind, const MeshPeer& aPeer)
+bool ObjectExchange::IsAhead(ObjectKind aKind, const MeshPeer& aPeer) const
 {
   const auto n = static_cast<std::size_t>(aKind);
   if (n >= aPeer.mirrorRevisions.size()) {
     return false;
   }
-  const StoreRevision& stated = aPeer.mirrorRevisions[n];
-  const StoreRevision theirs(stated.Number(), EraOrOwn(aKind, stated.Era()));
-  if (n < aPeer.mirrorChanges.size()) {
-    // Revisions count the changes of all kinds: most readings are later, and show nothing new.
-    const StoreRevision changed(aPeer.mirrorChanges[n].Number(), theirs.Era());
-    mMirror.TakeUnchanged(aKind, changed, theirs);
-  }
-  return theirs > mMirror.At(aKind);
+  const StoreRevision own = mMirror.At(aKind);
+  // Revisions count the changes of all kinds: most readings are later, and show nothing new.
+  const bool statesChange = !own.IsNone() && n < aPeer.mirrorChanges.size();
+  const StoreRevision& stated = statesChange ? aPeer.mirrorChanges[n] : aPeer.mirrorRevisions[n];
+  return StoreRevision(stated.Number(), EraOrOwn(aKind, stated.Era())) > own;
 }
 
 void ObjectExchange::CatchUp(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow)
@@ -162,7 +159,7 @@
          aNow - aProgress.behindSince > kOwnDomainPatience;
 }
 
-const MeshPeer* ObjectExchange::NextToAsk(ObjectKind aKind, Instant aNow)
+const MeshPeer* ObjectExchange::NextToAsk(ObjectKind aKind, Instant aNow) const
 {
   const Progress& progress = ProgressOf(aKind);
   const MeshPeer* next = nullptr;
@@ -181,7 +178,7 @@
   return next;
 }
 
-bool ObjectExchange::IsBehind(ObjectKind aKind)
+bool ObjectExchange::IsBehind(ObjectKind aKind) const
 {
   const std::vector<const MeshPeer*>& peers = mMesh.LivePeers();
   return std::any_of(
--- a/runtime/object_exchange.h
+++ b/runtime/object_exchange.h
@@ -88,19 +88,24 @@
   };
 
   Progress& ProgressOf(ObjectKind aKind) { return mProgress.at(static_cast<std::size_t>(aKind)); }
+  const Progress& ProgressOf(ObjectKind aKind) const
+  {
+    return mProgress.at(static_cast<std::size_t>(aKind));
+  }
   /// The era that a daemon states, or this daemon's if it states none: daemons of earlier versions
   /// pass on numbers only.
   StoreEra EraOrOwn(ObjectKind aKind, StoreEra aEra) const;
   /// Whether another daemon has changes that this one lacks.
-  bool IsAhead(ObjectKind aKind, const MeshPeer& aPeer);
+  bool IsAhead(ObjectKind aKind, const MeshPeer& aPeer) const;
   void CatchUp(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow);
   void Ask(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow);
   /// Whether it is time for a question, also to another daemon than those that were asked.
   static bool IsQuestionDue(const Progress& aProgress, bool aIsLarge, Instant aNow);
   bool MayAsk(const MeshPeer& aPeer, const Progress& aProgress, Instant aNow) const;
   /// The live daemon to ask that has changes which this one lacks; null if there is none.
-  const MeshPeer* NextToAsk(ObjectKind aKind, Instant aNow);
-  bool IsBehind(ObjectKind aKind);
+  const MeshPeer* NextToAsk(ObjectKind aKind, Instant aNow) const;
+  /// Whether a live daemon has changes that this one lacks.
+  bool IsBehind(ObjectKind aKind) const;
   /// Drops questions that meet a condition, as ones that get no answer.
   static void DropQuestions(Progress& aProgress,
                             const std::function<bool(const Question&)>& aIsLost);
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -209,6 +209,12 @@
   Followed& followed = mFollowed.at(static_cast<std::size_t>(aKind));
   followed.busy = false;
   const bool done = aReading.result == StoreResult::kDone;
+  const bool wasWatch = followed.wait > Duration::zero();
+  if (aReading.result == StoreResult::kHistoryGone && IsRefresh(aKind) && wasWatch) {
+    followed.mustList = true;
+    Call(aKind, kNoWait, mTimers.Now());
+    return;
+  }
   if (done) {
     OnDone(aKind, aReading, aApply());
   } else {
--- a/tests/runtime/store_follower_test.cpp
+++ b/tests/runtime/store_follower_test.cpp
@@ -175,6 +175,22 @@
   CHECK(fixture.follower.HasListed(ObjectKind::kServer));
 }
 
+TEST_CASE("a refresh for which the store has no history any more lists at once", "[runtime][store]")
+{
+  Fixture fixture;
+  fixture.store.Complete(StoreResult::kDone);
+  REQUIRE(fixture.store.lists == 2);
+  std::vector<bool> ended;
+  REQUIRE(
+    fixture.follower.Refresh(ObjectKind::kServer, [&](bool aDone) { ended.push_back(aDone); }));
+  CHECK_FALSE(fixture.follower.Refresh(ObjectKind::kServer, nullptr));
+  fixture.store.Complete(StoreResult::kHistoryGone);
+  CHECK(ended.empty());
+  CHECK(fixture.store.lists == 3);
+  fixture.store.Complete(StoreResult::kDone);
+  CHECK(ended == std::vector<bool>{ true });
+}
+
 TEST_CASE("after changes that can't be parsed the kind is listed", "[runtime][store]")
 {
   Fixture fixture;
