News of the store: fewer calls and messages while all is well

The close watches end at multiples of 300 ms (servers) and 600 ms (configuration), so that one message states both, and only the daemon that watches closely, or has refreshed, states anything.

--- a/config/news_budget.h
+++ b/config/news_budget.h
@@ -18,9 +18,10 @@
 inline constexpr Duration kStoreCall = milliseconds(20);
 inline constexpr Duration kTransit = milliseconds(20);
 
-/// How long the watch of the daemon that watches closely waits for a change. Its answer tells all
-/// others that they have missed nothing until then.
-inline constexpr Duration kCloseWatchWait = milliseconds(280);
+/// The watches of the daemon that watches closely end when a change comes, or at the next multiple
+/// of this time. Their answers tell all others that they have missed nothing until then.
+inline constexpr Duration kCloseServersWait = milliseconds(300);
+inline constexpr Duration kCloseConfigurationWait = milliseconds(600);
 /// How long the other watches wait.
 inline constexpr Duration kWatchWait = milliseconds(1200);
 /// Domains are rarely taken out of service, and there is more time for it.
@@ -31,7 +32,7 @@
 inline constexpr Duration kServersPause = milliseconds(500);
 
 /// A daemon that has not heard for this long that it has missed nothing reads the store itself.
-inline constexpr Duration kCurrencyPatience = milliseconds(620);
+inline constexpr Duration kCurrencyPatience = milliseconds(700);
 inline constexpr Duration kDomainCurrencyPatience = milliseconds(3500);
 /// The daemons that are preferred as watchers read first, and tell the others; each step lets twice
 /// as many read as all before it.
@@ -49,13 +50,27 @@
   return kRefreshStep * std::bit_width(aRank);
 }
 
+constexpr Duration CloseWatchWait(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::kServer:
+      return kCloseServersWait;
+    case ObjectKind::kDomainOut:
+      return kDomainWatchWait;
+    default:
+      return kCloseConfigurationWait;
+  }
+}
+
 /// Longest time between two statements that a daemon has missed nothing, while a daemon watches
-/// closely. An answer with a change shows the state at the beginning of its call only.
+/// closely. An answer with a change shows the state at the beginning of its call only; a pause may
+/// last past the end of the next wait.
 constexpr Duration LongestStatementGap(ObjectKind aKind)
 {
-  const Duration wait = aKind == ObjectKind::kDomainOut ? kDomainWatchWait : kCloseWatchWait;
+  const Duration wait = CloseWatchWait(aKind);
   const Duration pause = aKind == ObjectKind::kServer ? kCloseServersPause : Duration::zero();
-  return wait + pause + 2 * kNewsTick + kStoreCall + kTransit;
+  const auto waits = 1 + (pause + wait - Duration(1)) / wait;
+  return waits * wait + 2 * kNewsTick + kStoreCall + kTransit;
 }
 
 /// Longest time from the confirmation of a change until it is in force at every live daemon that
--- a/runtime/currency_exchange.cpp
+++ b/runtime/currency_exchange.cpp
@@ -19,9 +19,12 @@
 {
 }
 
-void CurrencyExchange::OnReading(ObjectKind aKind, Instant aAsOf)
+void CurrencyExchange::OnReading(ObjectKind aKind, Instant aAsOf, bool aIsStated)
 {
   mCurrency.OnReading(aKind, aAsOf);
+  if (!aIsStated) {
+    return;
+  }
   Instant& readAsOf = mReadAsOf.at(static_cast<std::size_t>(aKind));
   readAsOf = std::max(readAsOf, aAsOf);
 }
--- a/runtime/currency_exchange.h
+++ b/runtime/currency_exchange.h
@@ -17,7 +17,8 @@
   CurrencyExchange(ObjectMirror& aMirror, Mesh& aMesh, Instant aStartedAt);
 
   /// A reading of the store that has been applied shows its state at @p aAsOf or later.
-  void OnReading(ObjectKind aKind, Instant aAsOf);
+  /// @p aIsStated: the other daemons are told.
+  void OnReading(ObjectKind aKind, Instant aAsOf, bool aIsStated);
   /// Something that another daemon has sent was applied.
   void OnApplied(ObjectKind aKind) { mCurrency.OnApplied(aKind); }
   /// Takes in a message of another daemon, and passes it on if others rely on this one for that.
@@ -33,7 +34,7 @@
 
   Mesh& mMesh;
   ReplicaCurrency mCurrency;
-  /// The state that this daemon's own readings show, by kind, and which of it has been stated.
+  /// The state that readings show that are stated, by kind, and which of it has been.
   std::array<Instant, kObjectKinds> mReadAsOf;
   std::array<Instant, kObjectKinds> mStatedAsOf;
 };
--- a/runtime/router_daemon.cpp
+++ b/runtime/router_daemon.cpp
@@ -89,7 +89,10 @@
       [this](ObjectKind aKind, const std::vector<StoredObject>& aObjects) {
         OnObjects(aKind, aObjects, { "store" });
       },
-      [this](ObjectKind aKind, Instant aAsOf) { mCurrency.OnReading(aKind, aAsOf); })
+      [this](ObjectKind aKind, Instant aAsOf) {
+        mCurrency.OnReading(
+          aKind, aAsOf, mStoreFollower.WatchesClosely() || mStoreFollower.IsRefresh(aKind));
+      })
   , mObjectExchange(
       mMirror,
       mMesh,
--- a/runtime/store_follower.cpp
+++ b/runtime/store_follower.cpp
@@ -143,9 +143,8 @@
   if (!mWatchesClosely) {
     return kWatchWait;
   }
-  // The last answer may have shown an older state than that at its time.
-  const Instant end = mFollowed.at(static_cast<std::size_t>(aKind)).asOf + kCloseWatchWait;
-  return std::clamp(end - aNow, kNoWait, kCloseWatchWait);
+  const Duration wait = CloseWatchWait(aKind);
+  return std::max(kNoWait, wait - aNow.time_since_epoch() % wait);
 }
 
 void StoreFollower::Start(ObjectKind aKind, Instant aNow)
@@ -251,8 +250,7 @@
   }
   // A watch without a change has seen its wait pass.
   const Duration waited = aReading.objects.empty() ? followed.wait : Duration::zero();
-  followed.asOf = std::max(followed.asOf, std::min(now, followed.startedAt + waited));
-  mOnCurrent(aKind, followed.asOf);
+  mOnCurrent(aKind, std::min(now, followed.startedAt + waited));
 }
 
 } // namespace hawthornlug
--- a/runtime/store_follower.h
+++ b/runtime/store_follower.h
@@ -62,6 +62,8 @@
   bool IsFailing() const;
   /// Whether this daemon watches the store itself.
   bool Watches() const { return mWatches; }
+  /// Whether its watches end soon, as those of one daemon do.
+  bool WatchesClosely() const { return mWatchesClosely; }
   /// Whether the store has not answered for several seconds.
   bool IsLost() const { return mLost; }
   /// Whether the watch of a daemon that reports this age can be relied on.
@@ -87,8 +89,6 @@
     Duration wait = Duration::zero();
     /// Set while a call of Refresh() is in progress.
     RefreshDone refreshDone;
-    /// The latest time of which a reading has shown the state.
-    Instant asOf;
   };
 
   void Start(ObjectKind aKind, Instant aNow);
