Statements of how current replicas are: one daemon of each other domain passes them on

A small fleet's statements went to every daemon of every other domain. Mesh::SendThrifty sends them to one of each domain, which passes them on; if it is lost, its domain's daemons read by themselves, as for any other cause.

--- a/runtime/currency_exchange.cpp
+++ b/runtime/currency_exchange.cpp
@@ -39,7 +39,7 @@
     return;
   }
   mStatedAsOf = mReadAsOf;
-  mMesh.SendToFleet(MakeStatements(aNow));
+  mMesh.SendThrifty(MakeStatements(aNow));
 }
 
 wire::Envelope CurrencyExchange::MakeStatements(Instant aNow) const
@@ -75,7 +75,7 @@
                             StoreRevision(it.changed_at(), it.era()),
                             aNow - age });
   }
-  mMesh.PassOn(aPeer, aMessage);
+  mMesh.PassOnThrifty(aPeer, aMessage);
 }
 
 } // namespace hawthornlug
--- a/runtime/mesh.cpp
+++ b/runtime/mesh.cpp
@@ -598,6 +598,33 @@
   SendSoon(receivers, WithSender(aMessage));
 }
 
+void Mesh::SendThrifty(const wire::Envelope& aMessage)
+{
+  if (mRelays.IsFleetRelayed()) {
+    SendToFleet(aMessage);
+    return;
+  }
+  std::set<std::string> toldDomains = { mDomain };
+  std::set<std::string> receivers;
+  for (const MeshPeer* it : mPeers.Live()) {
+    const bool isFirst =
+      mRelays.FirstRanked().contains(it->ref.id) && toldDomains.insert(it->domain).second;
+    if (it->domain == mDomain || isFirst) {
+      receivers.insert(it->ref.id);
+    }
+  }
+  SendSoon(receivers, WithSender(aMessage));
+}
+
+void Mesh::PassOnThrifty(const MeshPeer& aSender, const wire::Envelope& aMessage)
+{
+  if (mRelays.IsFleetRelayed()) {
+    PassOn(aSender, aMessage);
+  } else if (aSender.domain != mDomain) {
+    Broadcast(aMessage, Audience::kOwnDomain);
+  }
+}
+
 std::size_t Mesh::PeersIn(Audience aAudience) const
 {
   const std::vector<const MeshPeer*>& live = mPeers.Live();
--- a/runtime/mesh.h
+++ b/runtime/mesh.h
@@ -78,6 +78,11 @@
   void SendToFleet(const wire::Envelope& aMessage);
   /// Sends on what @p aSender has sent to the fleet, if daemons rely on this one for it.
   void PassOn(const MeshPeer& aSender, const wire::Envelope& aMessage);
+  /// As SendToFleet(), but in a small fleet, too, other failure domains get a message through one
+  /// daemon only: for what is sent often and may be missed. Receivers have to call PassOnThrifty().
+  void SendThrifty(const wire::Envelope& aMessage);
+  /// Sends on what @p aSender has sent with SendThrifty().
+  void PassOnThrifty(const MeshPeer& aSender, const wire::Envelope& aMessage);
   /// Number of live peers in the audience.
   std::size_t PeersIn(Audience aAudience) const;
 
