--- a/runtime/object_exchange.h
+++ b/runtime/object_exchange.h
@@ -69,6 +69,7 @@
   std::size_t ConfigurationBytes() const;
 
 private:
+  /// A question to another daemon.
   struct Question
   {
     std::string daemon;
@@ -100,7 +101,7 @@
   void CatchUp(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow);
   void Ask(ObjectKind aKind, const MeshPeer& aPeer, Instant aNow);
   /// Whether it is time for a question, also to another daemon than those that were asked.
-  static bool IsQuestionDue(const Progress& aProgress, bool aIsLarge, Instant aNow);
+  static bool IsQuestionDue(const Progress& aProgress, bool aIsLong, Instant aNow);
   bool MayAsk(const MeshPeer& aPeer, const Progress& aProgress, Instant aNow) const;
   /// The live daemon to ask that has changes which this one lacks; null if there is none.
   const MeshPeer* NextToAsk(ObjectKind aKind, Instant aNow) const;
