Logs: what a server's answer rests on, and whether a request may have run

H800 to H803 now have the ground of the last result (header, other instance, status alone, seal, unattributed), the server's status, whether the connection had been used before, and whether any attempt may have run.

--- a/ports/backend_port.h
+++ b/ports/backend_port.h
@@ -21,6 +21,8 @@
 struct ForwardOutcome
 {
   ForwardResult result = ForwardResult::kUnreachable;
+  /// What the result rests on if the server answered.
+  AnswerGround ground = AnswerGround::kNone;
   http::Response response;
   /// The server's load as the answer states it, if it does.
   std::optional<LoadReport> load;
--- a/routing/forward_result.h
+++ b/routing/forward_result.h
@@ -43,4 +43,18 @@
                                                       "unreachable", "refused-port", "not-accepted",
                                                       "broken",      "timed-out",    "too-large" };
 
+/// What in a server's answer decided the result of an attempt.
+enum class AnswerGround
+{
+  kNone,              ///< There was no complete answer.
+  kNotExecutedHeader, ///< The header by which servers state that they have not run a request.
+  kOtherInstance,     ///< The answer names another server process than the one that was meant.
+  kStatusAlone,       ///< The status, without any statement.
+  kSeal,              ///< The server's seal, with the id of the request.
+  kUnattributed,      ///< Seal or id are missing or wrong: it may be the answer to something else.
+};
+inline constexpr EnumNames<6> kAnswerGroundNames = { "none",           "not-executed-header",
+                                                     "other-instance", "status-alone",
+                                                     "seal",           "unattributed" };
+
 } // namespace hawthornlug
--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -554,6 +554,9 @@
   ended.slot.Release();
   const Instant now = mServices.timers.Now();
   request.lastResult = aOutcome.result;
+  request.lastGround = aOutcome.ground;
+  request.lastStatus = aOutcome.ground == AnswerGround::kNone ? 0 : aOutcome.response.status;
+  request.lastReused = aOutcome.reused;
   mSpans.RecordStep(
     request.trace, "server", ended.sentAt, now, NameOf(kForwardResultNames, aOutcome.result));
   mServices.metrics.Count("forwards_total{result=\"" +
@@ -639,6 +642,10 @@
                         { "service", request.service },
                         { "server", request.lastServer },
                         { "result", NameOf(kForwardResultNames, aResult) },
+                        { "ground", NameOf(kAnswerGroundNames, request.lastGround) },
+                        { "server-status", request.lastStatus },
+                        { "reused", request.lastReused },
+                        { "may-have-run", request.mayHaveRun },
                         { "elapsed-ms", Millis(aNow - request.receivedAt) } });
   request.waitingSince = aNow;
   Enqueue(aRequest);
@@ -694,6 +701,10 @@
       { "bar", NameOf(kServerUnavailabilityNames, request.unavailability) },
       { "last-result",
         request.attempts > 0 ? NameOf(kForwardResultNames, request.lastResult) : "none" },
+      { "ground", NameOf(kAnswerGroundNames, request.lastGround) },
+      { "server-status", request.lastStatus },
+      { "reused", request.lastReused },
+      { "may-have-run", request.mayHaveRun },
       { "status", aResponse.status },
       { "reason", aWhy } });
   mSpans.RecordRequest(request.trace, request.receivedAt, now, std::to_string(aResponse.status));
--- a/runtime/forwarder_request.h
+++ b/runtime/forwarder_request.h
@@ -70,6 +70,11 @@
   std::list<Attempt> openAttempts;
   bool hedged = false;
   ForwardResult lastResult = ForwardResult::kUnreachable;
+  /// What the last result rests on, for the log: ground and status of the answer (0 without one),
+  /// and whether it came over a connection that had carried earlier requests.
+  AnswerGround lastGround = AnswerGround::kNone;
+  int lastStatus = 0;
+  bool lastReused = false;
   /// Whether it has been counted as a request for a server that may be contended, and the owner of
   /// its key then.
   bool isCounted = false;
