--- a/http/promise.h
+++ b/http/promise.h
@@ -33,6 +33,7 @@
 {
 public:
   static constexpr int kBadGateway = 502;
+  static constexpr int kGatewayTimeout = 504;
 
   /// A status that is a promise is replaced by 502.
   explicit constexpr PlainStatus(int aStatus)
--- a/runtime/forwarder_request.h
+++ b/runtime/forwarder_request.h
@@ -13,6 +13,9 @@
 
 namespace hawthornlug {
 
+/// Answers of servers with this status or a higher one are failures.
+inline constexpr int kFirstFailureStatus = 500;
+
 /// One request at one server, until its outcome is known.
 struct Forwarder::Attempt
 {
