--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -494,7 +494,8 @@
   const bool unstated = aOutcome.result == ForwardResult::kUnstated;
   sample.result = unstated ? ForwardResult::kAnswered : aOutcome.result;
   const bool served = IsSuccess(aOutcome);
-  sample.failed = sample.result == ForwardResult::kAnswered && !served;
+  sample.failed = sample.result == ForwardResult::kAnswered &&
+                  aOutcome.response.status >= kFirstFailureStatus;
   sample.elapsed = aNow - aAttempt.sentAt;
   sample.work = request.work;
   sample.outstanding = aAttempt.outstanding;
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -149,6 +149,37 @@
   CHECK((fixture.backends.sent.size() < kRequests) == row.failed);
 }
 
+// Guards against a sound server that is left alone for what its application answers to some
+// callers.
+TEST_CASE("a status that can't be passed on is its server's failure only from 500 on",
+          "[runtime][forwarder][promises]")
+{
+  struct Row
+  {
+    int status;
+    bool failed;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 408, false },
+    { 421, false },
+    { 429, false },
+    { 503, true },
+  }));
+  INFO(row.status);
+  ForwarderFixture fixture;
+  fixture.selector.Remove("b", fixture.timers.now);
+  constexpr std::size_t kRequests = 10;
+  for (std::size_t n = 0; n < kRequests; ++n) {
+    const auto exchange = fixture.SendRequest("unsafe");
+    fixture.AdvanceTime(milliseconds(1));
+    if (fixture.backends.sent.size() == n + 1) {
+      fixture.backends.Complete(n, ForwardResult::kUnstated, row.status);
+      CHECK(StatusOf(exchange) == 502);
+    }
+  }
+  CHECK((fixture.backends.sent.size() < kRequests) == row.failed);
+}
+
 TEST_CASE("a request that may have run is answered with 502, not 503", "[runtime][forwarder]")
 {
   ForwarderFixture fixture;
