HTTP server: a response closes only when no request behind it has been passed on

While a closing response was being written, further requests were still read and passed on.

Change: once closing is decided (Drain() and a response begins to be written; a response that closes; Refuse(); a request that asks to close), what comes is discarded, no further request is passed on, and the connection is closed with the response to the last request that has been. One flag takes the place of two. Bytes that the reader holds are dropped then, so that no 408 or 503 is written for them.

--- a/http/message_reader.cpp
+++ b/http/message_reader.cpp
@@ -147,6 +147,12 @@
   mParser->isHeadResponse = true;
 }
 
+void MessageReader::Discard()
+{
+  mBuffer.clear();
+  Reset();
+}
+
 void MessageReader::Reset()
 {
   mParser = std::make_unique<Parser>();
--- a/http/message_reader.h
+++ b/http/message_reader.h
@@ -64,6 +64,8 @@
   /// Signals the end of the stream, which completes a response without a length. Returns kMalformed
   /// if the message is truncated.
   ReadState Finish();
+  /// Drops all bytes that have been received and not been taken.
+  void Discard();
 
   Request TakeRequest();
   Response TakeResponse();
--- a/http/server.cpp
+++ b/http/server.cpp
@@ -166,7 +166,6 @@
       : mConnection(std::move(aConnection))
       , mRequest(std::move(aRequest))
       , mIsHead(mRequest.method == "HEAD")
-      , mKeepAlive(mRequest.keepAlive)
     {
     }
 
@@ -191,8 +190,10 @@
         connection->mServer.mHandler.OnFalsePromise(aResponse.status);
         aResponse = MakeFailure(kBadGateway);
       }
-      aResponse.keepAlive = aResponse.keepAlive && mKeepAlive;
       mResponse = std::move(aResponse);
+      if (!mResponse.keepAlive) {
+        connection->BeginClosing();
+      }
       connection->WriteNextResponse();
       connection->UpdateBufferedBytes();
       connection->mServer.EnforceResponseLimit();
@@ -228,7 +229,6 @@
     Abandoned mOnAbandoned;
     bool mAnswered = false;
     bool mIsHead;
-    bool mKeepAlive;
   };
 
   std::size_t AnswersBehind(const PendingExchange* aExchange) const
@@ -263,7 +263,7 @@
       Close();
       return;
     }
-    if (mLingering) {
+    if (mLingering || mClosing) {
       Read();
       return;
     }
@@ -285,7 +285,7 @@
     RefuseIfOverMemoryLimit();
     // Backpressure: if the caller sends more than can be processed, reading pauses until a response
     // has been written.
-    if (!mRefused && mReader.Buffered() < mServer.mLimits.read.headerBytes + kReadBufferBytes) {
+    if (mClosing || mReader.Buffered() < mServer.mLimits.read.headerBytes + kReadBufferBytes) {
       Read();
     }
   }
@@ -335,7 +335,7 @@
 
   void ProcessRequests()
   {
-    while (!mClosed && !mRefused && !mCloseRequested && mPending.size() < kMaxPipelined) {
+    while (!mClosed && !mClosing && mPending.size() < kMaxPipelined) {
       const ReadState state = mReader.Advance();
       if (state == ReadState::kNeedsMore) {
         if (mReader.ExpectsContinue() && !mContinueSent && mPending.empty() && !mWriting) {
@@ -357,7 +357,9 @@
         std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - mMessageStartedAt);
       // What is buffered of the next request has come with the bytes that were read last.
       mMessageStartedAt = mReadAt;
-      mCloseRequested = !it->Received().keepAlive;
+      if (!it->Received().keepAlive) {
+        BeginClosing();
+      }
       mPending.push_back(it);
       PassToHandler(it);
       if (!mReader.IsInMessage()) {
@@ -388,14 +390,23 @@
     }
   }
 
+  /// Decides that the connection is closed behind its pending responses. No further request is read
+  /// or passed on: callers send those again that they sent behind the last response.
+  void BeginClosing()
+  {
+    mClosing = true;
+    mBodyUntil.reset();
+    mReader.Discard();
+  }
+
   /// Answers a request that can't be read or accepted with an error status, after the responses
   /// that are still pending, and closes the connection.
   void Refuse(int aStatus, ReadState aState)
   {
-    if (mRefused) {
+    if (mClosing) {
       return;
     }
-    mRefused = true;
+    BeginClosing();
     mServer.mHandler.OnBadRequest(aStatus, aState);
     auto it = std::make_shared<PendingExchange>(weak_from_this(), Request());
     mPending.push_back(it);
@@ -410,8 +421,11 @@
     }
     const std::shared_ptr<PendingExchange> it = mPending.front();
     mPending.pop_front();
+    if (mServer.mDraining && !mClosing) {
+      BeginClosing();
+    }
     Response& response = it->StoredResponse();
-    response.keepAlive = response.keepAlive && !mServer.mDraining;
+    response.keepAlive = !mClosing || !mPending.empty();
     WriteBytes(Serialize(response, it->IsHead()), !response.keepAlive);
   }
 
@@ -462,11 +476,6 @@
   void Linger()
   {
     mLingering = true;
-    std::deque<std::shared_ptr<PendingExchange>> pending;
-    pending.swap(mPending);
-    for (const auto& it : pending) {
-      it->Abandon();
-    }
     asio::error_code ec;
     mSocket.shutdown(Tcp::socket::shutdown_send, ec);
     Read();
@@ -494,9 +503,8 @@
   bool mWriting = false;
   bool mClosed = false;
   bool mLingering = false;
-  bool mRefused = false;
-  /// Set when a request asked to close the connection; no further requests are read.
-  bool mCloseRequested = false;
+  /// Whether the connection is closed behind its pending responses; what comes is discarded.
+  bool mClosing = false;
   bool mContinueSent = false;
 };
 
--- a/http/server.h
+++ b/http/server.h
@@ -96,7 +96,8 @@
 
   void SetLimits(const ServerLimits& aLimits) { mLimits = aLimits; }
   const ServerLimits& Limits() const { return mLimits; }
-  /// From now on, each connection is closed after its next response.
+  /// From now on, each connection passes on no further request once it begins to write a response,
+  /// and is closed behind the responses to those that it has passed on.
   void Drain() { mDraining = true; }
   bool IsDraining() const { return mDraining; }
   /// Closes the listening socket; existing connections are still served.
