serve: an order is "not run" only with the proof that no attempt may have run it

What callers saw: a request that may be repeated was sent to a server, got no answer, and was then refused while it waited for its next attempt (no-owner, deadline, not-mine, overloaded, domain-out, unreachable, server-refused, abandoned): its caller was told "not run" though it may have run. The same at the entry daemon, after an attempt at another daemon whose outcome is unknown.

Cause: each refusal made its own OrderAnswer, whose default said "not run", and none looked at earlier attempts.

Change: an order's outcome is a StatedOutcome, unknown by default; "not run" is made from a NotRunProof only. PendingOrder and EntryRequest have an ExecutionRecord each; all refusals close it (Refuse), and nothing is sent after that: ServerPort::Send takes a permit. EvidenceOf(SendResult) says what an attempt's end means; SendAnswer's default is no-answer. What another daemon states is one attempt that ended as refused. An attempt at the entry has a number, so that a late completion of an earlier one ends no later one (by reading: no test provokes that race). The format between daemons is unchanged.

--- a/adapters/http_callers.cpp
+++ b/adapters/http_callers.cpp
@@ -50,7 +50,7 @@
 void DescribeRefusal(const OrderAnswer& aAnswer, http::Response& aResponse)
 {
   aResponse.status = HttpStatusOf(aAnswer);
-  const std::string outcome(NameOf(kOutcomeNames, aAnswer.outcome));
+  const std::string outcome(NameOf(kOutcomeNames, aAnswer.outcome.Value()));
   const std::string reason(NameOf(kRefusalNames, aAnswer.refusal));
   aResponse.headers.Add("Hawthornlug-Reason", reason);
   if (aAnswer.outcome == Outcome::kNotRun && aResponse.status == kServiceUnavailable) {
@@ -64,7 +64,7 @@
 http::Response MakeResponse(const std::string& aRequestId, const OrderAnswer& aAnswer)
 {
   http::Response response;
-  response.headers.Add("Hawthornlug-Outcome", std::string(NameOf(kOutcomeNames, aAnswer.outcome)));
+  response.headers.Add("Hawthornlug-Outcome", std::string(NameOf(kOutcomeNames, aAnswer.outcome.Value())));
   response.headers.Add("Hawthornlug-Request-Id", aRequestId);
   if (!aAnswer.server.empty()) {
     response.headers.Add("Hawthornlug-Server", aAnswer.server);
@@ -221,7 +221,7 @@
   }
   const std::string id = order.requestId;
   if (!IsServedMethod(order.method) || !idFits || !ParseTarget(request, order)) {
-    aExchange->Respond(MakeResponse(id, OrderAnswer::NotRun(Refusal::kBadRequest)));
+    aExchange->Respond(MakeResponse(id, Refuse(aExchange->Execution(), Refusal::kBadRequest)));
     return;
   }
   const auto trace = TraceContext::Parse(std::string(request.headers.Get("traceparent")));
--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -260,6 +260,7 @@
 
 std::shared_ptr<http::Call> HttpServer::Send(const Order& aOrder,
                                              const SendTerms& aTerms,
+                                             [[maybe_unused]] AttemptPermit aPermit,
                                              SendDone aDone)
 {
   http::CallOptions options;
--- a/adapters/http_server.h
+++ b/adapters/http_server.h
@@ -20,6 +20,7 @@
   void Grant(const GrantServer& aCall, ReplyDone aDone) override;
   std::shared_ptr<http::Call> Send(const Order& aOrder,
                                    const SendTerms& aTerms,
+                                   AttemptPermit aPermit,
                                    SendDone aDone) override;
   void Cancel(const std::string& aRequestId) override;
 
--- a/ports/server_port.h
+++ b/ports/server_port.h
@@ -2,6 +2,7 @@
 /// Calls to one backend server that owns shards.
 #pragma once
 
+#include "core/execution_record.h"
 #include "http/call.h"
 #include "ownership/cell_actions.h"
 #include "routing/order.h"
@@ -26,6 +27,22 @@
                                                    "unreachable",
                                                    "no-answer" };
 
+/// What an attempt that ended like this says of whether its order has run.
+constexpr AttemptEvidence EvidenceOf(SendResult aResult)
+{
+  switch (aResult) {
+    case SendResult::kUnreachable:
+      return AttemptEvidence::kNothingWritten;
+    case SendResult::kRefused:
+    case SendResult::kShed:
+      return AttemptEvidence::kRefused;
+    case SendResult::kAnswered:
+    case SendResult::kNoAnswer:
+      break;
+  }
+  return AttemptEvidence::kMayHaveRun;
+}
+
 /// What an order is sent with: the grant that covers it, its deadline and its span.
 struct SendTerms
 {
@@ -43,7 +60,7 @@
 /// A server's answer to an order.
 struct SendAnswer
 {
-  SendResult result = SendResult::kUnreachable;
+  SendResult result = SendResult::kNoAnswer;
   int status = 0;
   HeaderFields headers;
   std::string body;
@@ -64,10 +81,11 @@
   virtual void Fence(const FenceServer& aCall, const DaemonRef& aDaemon, ReplyDone aDone) = 0;
   /// Renews the server's lease and changes the shards that are granted to it.
   virtual void Grant(const GrantServer& aCall, ReplyDone aDone) = 0;
-  /// Sends an order. Cancelling the returned call closes its connection and completes it with
-  /// SendResult::kNoAnswer.
+  /// Sends an order, once for each permit. Cancelling the returned call closes its connection and
+  /// completes it with SendResult::kNoAnswer.
   virtual std::shared_ptr<http::Call> Send(const Order& aOrder,
                                            const SendTerms& aTerms,
+                                           AttemptPermit aPermit,
                                            SendDone aDone) = 0;
   /// Notifies the server that the caller no longer waits for the answer to this request.
   virtual void Cancel(const std::string& aRequestId) = 0;
--- a/routing/order.h
+++ b/routing/order.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/enum_names.h"
+#include "core/execution_record.h"
 #include "core/ids.h"
 #include "core/instant.h"
 #include "core/trace_context.h"
@@ -75,10 +76,39 @@
   TraceContext trace;
 };
 
+/// An outcome that can be stated. That a request was not run takes a proof; without any statement
+/// the outcome is unknown.
+class StatedOutcome
+{
+public:
+  constexpr StatedOutcome() = default;
+  static constexpr StatedOutcome Done() { return StatedOutcome(Outcome::kDone); }
+  static constexpr StatedOutcome Unknown() { return StatedOutcome(Outcome::kUnknown); }
+  static constexpr StatedOutcome NotRun(const NotRunProof&)
+  {
+    return StatedOutcome(Outcome::kNotRun);
+  }
+
+  constexpr Outcome Value() const { return mValue; }
+  // Implicit, so that it can be compared like the enumeration.
+  constexpr operator Outcome() const { return mValue; } // NOLINT(google-explicit-constructor)
+
+private:
+  explicit constexpr StatedOutcome(Outcome aValue)
+    : mValue(aValue)
+  {
+  }
+
+  Outcome mValue = Outcome::kUnknown;
+};
+
+/// Time after which a caller may retry an order that was not run, unless something else is known.
+inline constexpr Duration kDefaultRetryAfter = milliseconds(200);
+
 /// The outcome of a request, with the server's answer if there is one.
 struct OrderAnswer
 {
-  Outcome outcome = Outcome::kNotRun;
+  StatedOutcome outcome;
   Refusal refusal = Refusal::kNone;
   /// HTTP status of the server's answer; 0 without one.
   int status = 0;
@@ -92,10 +122,22 @@
   DaemonRef redirect;
   Duration retryAfter = Duration::zero();
 
+  /// A server's answer with this status.
+  static OrderAnswer Done(int aStatus)
+  {
+    OrderAnswer answer;
+    answer.outcome = StatedOutcome::Done();
+    answer.status = aStatus;
+    return answer;
+  }
+
   /// An answer for a request that was not run; the caller may retry after @p aRetryAfter.
-  static OrderAnswer NotRun(Refusal aRefusal, Duration aRetryAfter = milliseconds(200))
+  static OrderAnswer NotRun(const NotRunProof& aProof,
+                            Refusal aRefusal,
+                            Duration aRetryAfter = kDefaultRetryAfter)
   {
     OrderAnswer answer;
+    answer.outcome = StatedOutcome::NotRun(aProof);
     answer.refusal = aRefusal;
     answer.retryAfter = aRetryAfter;
     return answer;
@@ -104,10 +146,28 @@
   static OrderAnswer Unknown(Refusal aRefusal)
   {
     OrderAnswer answer;
-    answer.outcome = Outcome::kUnknown;
+    answer.outcome = StatedOutcome::Unknown();
     answer.refusal = aRefusal;
     return answer;
   }
 };
 
+/// What the answer to an attempt says of whether the request has run.
+constexpr AttemptEvidence EvidenceOf(Outcome aOutcome)
+{
+  return aOutcome == Outcome::kNotRun ? AttemptEvidence::kRefused : AttemptEvidence::kMayHaveRun;
+}
+
+/// Closes a request's record and returns the answer to the request: it was not run for the reason
+/// @p aRefusal, or its outcome is unknown if an attempt may have run it.
+OrderAnswer Refuse(ExecutionRecord& aRecord,
+                   Refusal aRefusal,
+                   Duration aRetryAfter = kDefaultRetryAfter);
+/// Returns the answer to a request of which no attempt was made.
+OrderAnswer RefuseUnsent(Refusal aRefusal, Duration aRetryAfter = kDefaultRetryAfter);
+/// Returns the answer to a request whose only attempt ended with this evidence.
+OrderAnswer RefuseAfter(AttemptEvidence aEvidence,
+                        Refusal aRefusal,
+                        Duration aRetryAfter = kDefaultRetryAfter);
+
 } // namespace hawthornlug
--- a/runtime/attached.cpp
+++ b/runtime/attached.cpp
@@ -18,10 +18,12 @@
     case RequestState::kFinished:
       return *aEntry.answer;
     case RequestState::kTombstone:
-      return OrderAnswer::NotRun(Refusal::kTombstone);
-    default:
-      return OrderAnswer::Unknown(Refusal::kInProgress);
+      return RefuseUnsent(Refusal::kTombstone);
+    case RequestState::kUnseen:
+    case RequestState::kRunning:
+      break;
   }
+  return OrderAnswer::Unknown(Refusal::kInProgress);
 }
 
 /// Handle to an order that has been submitted to a cell.
@@ -82,14 +84,14 @@
   const auto config = mDaemonView.Config();
   const ServiceConfig* service = config->FindService(aOrder.service);
   if (service == nullptr) {
-    done(OrderAnswer::NotRun(Refusal::kUnknownService));
+    done(RefuseUnsent(Refusal::kUnknownService));
     return nullptr;
   }
   const ShardId shard = ShardOf(aOrder.key, service->shards);
   const auto route = mRoutes.Find(aOrder.service, shard);
   const auto cell = route ? mDaemonView.FindCell(route->cell) : nullptr;
   if (!cell) {
-    OrderAnswer answer = OrderAnswer::NotRun(route ? Refusal::kNotMine : Refusal::kNoRoute);
+    OrderAnswer answer = RefuseUnsent(route ? Refusal::kNotMine : Refusal::kNoRoute);
     answer.redirect = route ? route->attached : DaemonRef{};
     done(answer);
     return nullptr;
--- a/runtime/cell_runner.cpp
+++ b/runtime/cell_runner.cpp
@@ -3,6 +3,7 @@
 #include "core/hashing.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace hawthornlug {
 
@@ -82,6 +83,33 @@
   }
 }
 
+Refusal RefusalOf(SendResult aResult)
+{
+  switch (aResult) {
+    case SendResult::kShed:
+      return Refusal::kOverloaded;
+    case SendResult::kRefused:
+      return Refusal::kRefused;
+    case SendResult::kUnreachable:
+      return Refusal::kUnreachable;
+    case SendResult::kAnswered:
+    case SendResult::kNoAnswer:
+      break;
+  }
+  return Refusal::kNoAnswer;
+}
+
+/// The answer of the server that ran the order.
+OrderAnswer AnswerOf(SendAnswer aAnswer, const Admission& aAdmission)
+{
+  OrderAnswer answer = OrderAnswer::Done(aAnswer.status);
+  answer.headers = std::move(aAnswer.headers);
+  answer.body = std::move(aAnswer.body);
+  answer.server = aAdmission.server;
+  answer.epoch = aAdmission.epoch;
+  return answer;
+}
+
 } // namespace
 
 CellRunner::CellRunner(std::string aCell, DaemonRef aSelf, Services& aServices)
@@ -217,7 +245,7 @@
     for (auto& [id, server] : mServers) {
       for (const TicketId ticket : server.gate->Expire(aNow)) {
         const auto it = server.queued.find(ticket);
-        effects.answered.push_back({ it->second, OrderAnswer::NotRun(Refusal::kDeadline) });
+        RefuseOrder(it->second, Refusal::kDeadline, effects);
         server.queued.erase(it);
       }
     }
@@ -255,7 +283,7 @@
       server->second.queued.erase(aOrder->ticket);
     }
     if (waits || held) {
-      effects.answered.push_back({ aOrder, OrderAnswer::NotRun(Refusal::kAbandoned) });
+      RefuseOrder(aOrder, Refusal::kAbandoned, effects);
     } else if (aOrder->order.repeatable) {
       call = aOrder->call;
     }
@@ -269,28 +297,21 @@
 void CellRunner::RouteOrder(const PendingOrderPtr& aOrder, Effects& aEffects)
 {
   const Instant now = mServices.timers.Now();
-  const auto refuse = [&](const OrderAnswer& aAnswer) {
-    aEffects.answered.push_back({ aOrder, aAnswer });
-  };
   if (aOrder->order.deadline <= now) {
-    refuse(OrderAnswer::NotRun(Refusal::kDeadline));
+    RefuseOrder(aOrder, Refusal::kDeadline, aEffects);
     return;
   }
   if (mDomainOutSince && now - *mDomainOutSince >= kDomainOutGrace) {
-    OrderAnswer answer = OrderAnswer::NotRun(Refusal::kDomainOut);
-    const bool here = mMachine.PhaseOf(aOrder->shard).has_value();
-    if (!here) {
-      answer = OrderAnswer::NotRun(Refusal::kNotMine);
-      answer.redirect = mMachine.LastKnownObject().attached;
+    if (mMachine.PhaseOf(aOrder->shard)) {
+      RefuseOrder(aOrder, Refusal::kDomainOut, aEffects);
+    } else {
+      RedirectOrder(aOrder, aEffects);
     }
-    refuse(answer);
     return;
   }
   const Admission admission = mMachine.Admit(now, aOrder->shard);
   if (admission.kind == AdmissionKind::kNotMine) {
-    OrderAnswer answer = OrderAnswer::NotRun(Refusal::kNotMine);
-    answer.redirect = mMachine.LastKnownObject().attached;
-    refuse(answer);
+    RedirectOrder(aOrder, aEffects);
     return;
   }
   const auto it = mServers.find(admission.server);
@@ -314,15 +335,29 @@
       server.queued.emplace(aOrder->ticket, aOrder);
       return;
     case GateDecision::kRefuse:
-      refuse(OrderAnswer::NotRun(Refusal::kOverloaded, server.gate->ExpectedWait()));
+      RefuseOrder(aOrder, Refusal::kOverloaded, aEffects, server.gate->ExpectedWait());
       return;
   }
 }
 
+void CellRunner::RefuseOrder(const PendingOrderPtr& aOrder,
+                             Refusal aRefusal,
+                             Effects& aEffects,
+                             Duration aRetryAfter)
+{
+  aEffects.answered.push_back({ aOrder, Refuse(aOrder->execution, aRefusal, aRetryAfter) });
+}
+
+void CellRunner::RedirectOrder(const PendingOrderPtr& aOrder, Effects& aEffects) const
+{
+  RefuseOrder(aOrder, Refusal::kNotMine, aEffects);
+  aEffects.answered.back().answer.redirect = mMachine.LastKnownObject().attached;
+}
+
 void CellRunner::HoldOrder(const PendingOrderPtr& aOrder, Effects& aEffects)
 {
   if (mHeldOrders.size() >= kMaxHeldOrders) {
-    aEffects.answered.push_back({ aOrder, OrderAnswer::NotRun(Refusal::kNoOwner) });
+    RefuseOrder(aOrder, Refusal::kNoOwner, aEffects);
     return;
   }
   mHeldOrders.push_back(aOrder);
@@ -338,7 +373,7 @@
   held.swap(mHeldOrders);
   for (const PendingOrderPtr& it : held) {
     if (it->order.deadline <= now) {
-      aEffects.answered.push_back({ it, OrderAnswer::NotRun(Refusal::kNoOwner) });
+      RefuseOrder(it, Refusal::kNoOwner, aEffects);
     } else if (it->notBefore > now) {
       mHeldOrders.push_back(it);
     } else {
@@ -371,10 +406,29 @@
   }
 }
 
+std::optional<AttemptPermit> CellRunner::BeginAttempt(const PendingOrderPtr& aOrder)
+{
+  const std::lock_guard lock(mMutex);
+  return aOrder->execution.Begin();
+}
+
+void CellRunner::ReturnSlot(const AdmittedOrder& aAdmitted)
+{
+  Effects effects;
+  {
+    const std::lock_guard lock(mMutex);
+    ReleaseSlot(
+      aAdmitted, SendResult::kUnreachable, mServices.timers.Now(), Duration::zero(), effects);
+    CollectActions(effects);
+  }
+  Execute(effects);
+}
+
 void CellRunner::RunOrder(const AdmittedOrder& aAdmitted)
 {
   const PendingOrderPtr& pending = aAdmitted.order;
   const Instant now = mServices.timers.Now();
+  std::optional<AttemptPermit> permit = BeginAttempt(pending);
   const Admission& admission = aAdmitted.admission;
   SendTerms terms;
   terms.shard = pending->shard;
@@ -387,14 +441,22 @@
   if (now - pending->arrivedAt > milliseconds(1)) {
     RecordSpan(aAdmitted, "queue", pending->arrivedAt, now, true);
   }
+  if (!permit) {
+    // It has been answered; only its slot is given back.
+    ReturnSlot(aAdmitted);
+    return;
+  }
   if (pending->order.deadline <= now) {
-    FinishOrder(aAdmitted, {}, now);
+    SendAnswer unsent;
+    unsent.result = SendResult::kUnreachable;
+    FinishOrder(aAdmitted, std::move(unsent), now);
     return;
   }
   std::shared_ptr<http::Call> call =
     PortOf(admission.server)
       ->Send(pending->order,
              terms,
+             std::move(*permit),
              [self = shared_from_this(), aAdmitted, span = terms.span, now](SendAnswer aAnswer) {
                self->OnAnswer(aAdmitted, span, now, std::move(aAnswer));
              });
@@ -432,53 +494,50 @@
   FinishOrder(aAdmitted, std::move(aAnswer), aStartedAt);
 }
 
+void CellRunner::ReleaseSlot(const AdmittedOrder& aAdmitted,
+                             SendResult aResult,
+                             Instant aNow,
+                             Duration aLatency,
+                             Effects& aEffects)
+{
+  const PendingOrder& pending = *aAdmitted.order;
+  const std::string& id = aAdmitted.admission.server;
+  Server& server = mServers.at(id);
+  const bool mayStillStart = aResult == SendResult::kNoAnswer && !server.checksFencing;
+  if (mayStillStart && pending.order.deadline > aNow) {
+    mUnansweredOrders.push_back({ pending.order.deadline, pending.shard });
+  } else {
+    mMachine.OrderFinished(aNow, pending.shard);
+  }
+  if (aResult == SendResult::kAnswered) {
+    server.busyTime += aLatency;
+    ++server.answeredOrders;
+    mBusySeconds[pending.shard] += std::chrono::duration<double>(aLatency).count();
+  }
+  StartQueuedOrders(id, server.gate->Finish(aNow, aLatency, GateResultOf(aResult)), aEffects);
+}
+
 void CellRunner::FinishOrder(const AdmittedOrder& aAdmitted, SendAnswer aAnswer, Instant aStartedAt)
 {
   const PendingOrderPtr& pending = aAdmitted.order;
-  const std::string& id = aAdmitted.admission.server;
   Effects effects;
   {
     const std::lock_guard lock(mMutex);
     const Instant now = mServices.timers.Now();
-    Server& server = mServers.at(id);
-    const Duration latency = now - aStartedAt;
     pending->call.reset();
-    const bool mayStillStart = aAnswer.result == SendResult::kNoAnswer && !server.checksFencing;
-    if (mayStillStart && pending->order.deadline > now) {
-      mUnansweredOrders.push_back({ pending->order.deadline, pending->shard });
-    } else {
-      mMachine.OrderFinished(now, pending->shard);
-    }
-    if (aAnswer.result == SendResult::kAnswered) {
-      server.busyTime += latency;
-      ++server.answeredOrders;
-      mBusySeconds[pending->shard] += std::chrono::duration<double>(latency).count();
-    }
-    StartQueuedOrders(id, server.gate->Finish(now, latency, GateResultOf(aAnswer.result)), effects);
-    const bool repeatable = pending->order.repeatable;
+    pending->execution.End(EvidenceOf(aAnswer.result));
+    ReleaseSlot(aAdmitted, aAnswer.result, now, now - aStartedAt, effects);
+    const bool mayRepeat =
+      pending->order.repeatable || EvidenceOf(aAnswer.result) != AttemptEvidence::kMayHaveRun;
     if (aAnswer.result == SendResult::kAnswered) {
-      OrderAnswer answer;
-      answer.outcome = Outcome::kDone;
-      answer.status = aAnswer.status;
-      answer.headers = std::move(aAnswer.headers);
-      answer.body = std::move(aAnswer.body);
-      answer.server = id;
-      answer.epoch = aAdmitted.admission.epoch;
-      effects.answered.push_back({ pending, std::move(answer) });
-    } else if (aAnswer.result == SendResult::kNoAnswer && !repeatable) {
-      effects.answered.push_back({ pending, OrderAnswer::Unknown(Refusal::kNoAnswer) });
-    } else if (MayRetry(*pending, now, aAnswer.result)) {
+      std::ignore = pending->execution.Close();
+      effects.answered.push_back({ pending, AnswerOf(std::move(aAnswer), aAdmitted.admission) });
+    } else if (mayRepeat && MayRetry(*pending, now, aAnswer.result)) {
       ++pending->retries;
       pending->notBefore = now + kRetryDelay;
       HoldOrder(pending, effects);
     } else {
-      const Refusal refusal = aAnswer.result == SendResult::kShed      ? Refusal::kOverloaded
-                              : aAnswer.result == SendResult::kRefused ? Refusal::kRefused
-                                                                       : Refusal::kUnreachable;
-      OrderAnswer answer = aAnswer.result == SendResult::kNoAnswer
-                             ? OrderAnswer::Unknown(Refusal::kNoAnswer)
-                             : OrderAnswer::NotRun(refusal);
-      effects.answered.push_back({ pending, std::move(answer) });
+      RefuseOrder(pending, RefusalOf(aAnswer.result), effects);
     }
     CollectActions(effects);
   }
--- a/runtime/cell_runner.h
+++ b/runtime/cell_runner.h
@@ -38,6 +38,8 @@
   std::shared_ptr<http::Call> call;
   /// The caller no longer waits for the answer.
   bool abandoned = false;
+  /// The attempts to have a server run it; guarded by the cell's lock.
+  ExecutionRecord execution;
 };
 using PendingOrderPtr = std::shared_ptr<PendingOrder>;
 
@@ -185,6 +187,14 @@
   void Dispatch(Input aInput);
   /// Admits the order to its server's gate, holds it, or refuses it.
   void RouteOrder(const PendingOrderPtr& aOrder, Effects& aEffects);
+  /// Ends the order without a server's answer: it is not run for the reason @p aRefusal, or its
+  /// outcome is unknown if it was sent and may have run.
+  static void RefuseOrder(const PendingOrderPtr& aOrder,
+                          Refusal aRefusal,
+                          Effects& aEffects,
+                          Duration aRetryAfter = kDefaultRetryAfter);
+  /// As above; the answer names the daemon that is attached to the cell.
+  void RedirectOrder(const PendingOrderPtr& aOrder, Effects& aEffects) const;
   /// Routes the held orders again and ends those that are past their deadline.
   void RouteHeldOrders(Effects& aEffects);
   /// Keeps the order until its shard is served; refuses it if too many are held.
@@ -206,11 +216,21 @@
   void OnGranted(const std::string& aServer, const ServerReply& aReply);
   void Log(const ReportCellEvent& aNote);
   void RunOrder(const AdmittedOrder& aAdmitted);
+  /// Begins an attempt. Returns nothing if the order has been answered.
+  std::optional<AttemptPermit> BeginAttempt(const PendingOrderPtr& aOrder);
   void OnAnswer(const AdmittedOrder& aAdmitted,
                 const TraceContext& aSpan,
                 Instant aStartedAt,
                 SendAnswer aAnswer);
   void FinishOrder(const AdmittedOrder& aAdmitted, SendAnswer aAnswer, Instant aStartedAt);
+  /// Gives back the slot of an order that was not sent.
+  void ReturnSlot(const AdmittedOrder& aAdmitted);
+  /// Gives back the server's slot and counts what the attempt took.
+  void ReleaseSlot(const AdmittedOrder& aAdmitted,
+                   SendResult aResult,
+                   Instant aNow,
+                   Duration aLatency,
+                   Effects& aEffects);
   /// Whether a failed order is tried again; takes a credit of the retry budget where one is due.
   bool MayRetry(const PendingOrder& aOrder, Instant aNow, SendResult aResult);
   void RecordSpan(const AdmittedOrder& aAdmitted,
--- a/runtime/entry.cpp
+++ b/runtime/entry.cpp
@@ -35,7 +35,7 @@
   const auto config = mContext.daemonView.Config();
   const ServiceConfig* service = config->FindService(aOrder.service);
   if (service == nullptr) {
-    aDone(OrderAnswer::NotRun(Refusal::kUnknownService));
+    aDone(RefuseUnsent(Refusal::kUnknownService));
     return std::make_shared<RefusedOrder>();
   }
   aOrder.deadline = start + service->deadline;
@@ -80,9 +80,10 @@
   const Instant now = mContext.services.timers.Now();
   RecordOrderSpan(
     mContext.services.spans, aOrder, aOrder.trace, aParent, "entry", aStart, now, aAnswer);
-  mContext.services.metrics.Count(LabelledName(
-    "requests_total",
-    { { "service", aOrder.service }, { "outcome", NameOf(kOutcomeNames, aAnswer.outcome) } }));
+  mContext.services.metrics.Count(
+    LabelledName("requests_total",
+                 { { "service", aOrder.service },
+                   { "outcome", NameOf(kOutcomeNames, aAnswer.outcome.Value()) } }));
   mContext.services.metrics.Observe("request_seconds", now - aStart);
   --mInProgress;
 }
--- a/runtime/entry_request.cpp
+++ b/runtime/entry_request.cpp
@@ -46,29 +46,44 @@
     return;
   }
   if (route && mContext.daemonView.IsIsolated(route->domain)) {
-    EndAttempt(OrderAnswer::NotRun(Refusal::kDomainIsolated, seconds(1)));
+    EndWithoutRoute(Refusal::kDomainIsolated, seconds(1));
     return;
   }
   if (!route || !mContext.daemonView.IsLive(route->attached)) {
-    EndAttempt(OrderAnswer::NotRun(Refusal::kNoRoute));
+    EndWithoutRoute(Refusal::kNoRoute);
     return;
   }
   Forward(route->attached);
 }
 
+std::optional<EntryRequest::AttemptNumber> EntryRequest::BeginAttempt()
+{
+  const std::lock_guard lock(mMutex);
+  if (!mExecution.Begin()) {
+    return std::nullopt;
+  }
+  return ++mAttempt;
+}
+
 void EntryRequest::RunLocally()
 {
+  const auto attempt = BeginAttempt();
+  if (!attempt) {
+    return;
+  }
   if (const auto answer = mContext.attached.Accept(mOrder.requestId, mOrder.repeatable)) {
-    EndAttempt(*answer);
+    EndAttempt(*attempt, *answer);
     return;
   }
   std::shared_ptr<OrderInProgress> localOrder = mContext.attached.Run(
-    mOrder, [self = shared_from_this()](const OrderAnswer& aAnswer) { self->EndAttempt(aAnswer); });
+    mOrder, [self = shared_from_this(), n = *attempt](const OrderAnswer& aAnswer) {
+      self->EndAttempt(n, aAnswer);
+    });
   bool abandoned = false;
   {
     const std::lock_guard lock(mMutex);
     abandoned = mAbandoned;
-    if (mPhase == Phase::kAttempting) {
+    if (mPhase == Phase::kAttempting && mAttempt == *attempt) {
       mLocalOrder = localOrder;
     }
   }
@@ -92,13 +107,19 @@
 {
   const auto endpoint = mContext.daemonView.EndpointOf(aPeer.id);
   if (!endpoint) {
-    EndAttempt(OrderAnswer::NotRun(Refusal::kNoRoute));
+    EndWithoutRoute(Refusal::kNoRoute);
+    return;
+  }
+  const auto attempt = BeginAttempt();
+  if (!attempt) {
     return;
   }
   const std::uint64_t call = mContext.calls.Begin(
-    [self = shared_from_this()](CallResult aResult, const OrderAnswer& aAnswer) {
+    [self = shared_from_this(), n = *attempt](CallResult aResult, const OrderAnswer& aAnswer) {
       const bool answered = aResult == CallResult::kAnswered;
-      self->EndAttempt(answered ? aAnswer : OrderAnswer::NotRun(Refusal::kUnreachable));
+      self->EndAttempt(
+        n,
+        answered ? aAnswer : RefuseAfter(AttemptEvidence::kNothingWritten, Refusal::kUnreachable));
     });
   Order order = mOrder;
   order.trace = mOrder.trace.Child();
@@ -123,15 +144,20 @@
 
 void EntryRequest::QueryOutcome()
 {
+  AttemptNumber attempt = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    attempt = mAttempt;
+  }
   const std::uint64_t queryCall = mContext.calls.Begin(
-    [self = shared_from_this()](CallResult aResult, const OrderAnswer& aAnswer) {
-      self->OnOutcomeReply(aResult, aAnswer);
+    [self = shared_from_this(), attempt](CallResult aResult, const OrderAnswer& aAnswer) {
+      self->OnOutcomeReply(attempt, aResult, aAnswer);
     });
   wire::Envelope envelope;
   std::string endpoint;
   {
     const std::lock_guard lock(mMutex);
-    if (mPhase != Phase::kForwarded) {
+    if (mPhase != Phase::kForwarded || mAttempt != attempt) {
       mContext.calls.Cancel(queryCall);
       return;
     }
@@ -149,23 +175,25 @@
                                [&calls = mContext.calls, queryCall] { calls.OnUnsent(queryCall); });
 }
 
-void EntryRequest::OnOutcomeReply(CallResult aResult, const OrderAnswer& aAnswer)
+void EntryRequest::OnOutcomeReply(AttemptNumber aAttempt,
+                                  CallResult aResult,
+                                  const OrderAnswer& aAnswer)
 {
+  const Instant now = mContext.services.timers.Now();
   if (aResult == CallResult::kUnsent) {
-    EndAttempt(OrderAnswer::Unknown(Refusal::kNoAnswer));
+    EndAttempt(aAttempt, OrderAnswer::Unknown(Refusal::kNoAnswer));
     return;
   }
   const bool inProgress =
     aAnswer.outcome == Outcome::kUnknown && aAnswer.refusal == Refusal::kInProgress;
-  const Instant now = mContext.services.timers.Now();
   if (!inProgress || now >= mOrder.deadline + kAnswerGrace) {
-    EndAttempt(aAnswer);
+    EndAttempt(aAttempt, aAnswer);
     return;
   }
   // The daemon replied that the order is in progress, so it is running even if heartbeats were
   // missed. Go back to waiting for its answer.
   const std::lock_guard lock(mMutex);
-  if (mPhase == Phase::kQueryingOutcome) {
+  if (mPhase == Phase::kQueryingOutcome && mAttempt == aAttempt) {
     mPhase = Phase::kForwarded;
   }
 }
@@ -198,8 +226,10 @@
   }
   const bool peerLost = !peer.id.empty() && !mContext.daemonView.IsLive(peer);
   DueAction due = DueAction::kNothing;
+  AttemptNumber attempt = 0;
   {
     const std::lock_guard lock(mMutex);
+    attempt = mAttempt;
     due = FindDueAction(aNow, peerLost);
     if (due == DueAction::kRetry) {
       mPhase = Phase::kAttempting;
@@ -211,7 +241,7 @@
       break;
     case DueAction::kGiveUpForward:
     case DueAction::kGiveUpQuery:
-      EndAttempt(OrderAnswer::Unknown(Refusal::kNoAnswer));
+      EndAttempt(attempt, OrderAnswer::Unknown(Refusal::kNoAnswer));
       break;
     case DueAction::kQueryOutcome:
       QueryOutcome();
@@ -247,12 +277,58 @@
                   aAnswer);
 }
 
-void EntryRequest::EndAttempt(const OrderAnswer& aAnswer)
+bool EntryRequest::ScheduleRetry()
 {
   const Instant now = mContext.services.timers.Now();
+  if (mAbandoned || now + kRetryDelay >= mOrder.deadline) {
+    return false;
+  }
+  mPhase = Phase::kWaitingToRetry;
+  mPhaseDeadline = now + kRetryDelay;
+  return true;
+}
+
+OrderAnswer EntryRequest::Close(const OrderAnswer& aAnswer)
+{
+  mPhase = Phase::kDone;
+  OrderAnswer refusal = Refuse(mExecution, aAnswer.refusal, aAnswer.retryAfter);
+  if (aAnswer.outcome != Outcome::kNotRun) {
+    return aAnswer;
+  }
+  refusal.redirect = aAnswer.redirect;
+  return refusal;
+}
+
+void EntryRequest::Report(const OrderAnswer& aAnswer)
+{
+  const RequestHandler::Done done = std::move(mDone);
+  mDone = nullptr;
+  done(aAnswer);
+}
+
+void EntryRequest::EndWithoutRoute(Refusal aRefusal, Duration aRetryAfter)
+{
+  OrderAnswer answer;
+  {
+    const std::lock_guard lock(mMutex);
+    if (mPhase != Phase::kAttempting) {
+      return;
+    }
+    if (aRefusal == Refusal::kNoRoute && ScheduleRetry()) {
+      return;
+    }
+    answer = Close(RefuseUnsent(aRefusal, aRetryAfter));
+  }
+  Report(answer);
+}
+
+void EntryRequest::EndAttempt(AttemptNumber aAttempt, const OrderAnswer& aAnswer)
+{
+  OrderAnswer answer;
   {
     const std::lock_guard lock(mMutex);
-    if (mPhase == Phase::kDone || mPhase == Phase::kWaitingToRetry) {
+    const bool ended = mPhase == Phase::kDone || mPhase == Phase::kWaitingToRetry;
+    if (ended || aAttempt != mAttempt) {
       return;
     }
     if (mForwardCall != 0) {
@@ -260,19 +336,15 @@
     }
     CancelCalls();
     mLocalOrder.reset();
+    mExecution.End(EvidenceOf(aAnswer.outcome));
     const bool repeatAfterLoss = aAnswer.outcome == Outcome::kUnknown && mOrder.repeatable &&
                                  aAnswer.refusal != Refusal::kInProgress;
-    const bool retry = !mAbandoned && (IsRoutingFailure(aAnswer) || repeatAfterLoss);
-    if (retry && now + kRetryDelay < mOrder.deadline) {
-      mPhase = Phase::kWaitingToRetry;
-      mPhaseDeadline = now + kRetryDelay;
+    if ((IsRoutingFailure(aAnswer) || repeatAfterLoss) && ScheduleRetry()) {
       return;
     }
-    mPhase = Phase::kDone;
+    answer = Close(aAnswer);
   }
-  const RequestHandler::Done done = std::move(mDone);
-  mDone = nullptr;
-  done(aAnswer);
+  Report(answer);
 }
 
 void EntryRequest::Abandon()
@@ -318,7 +390,7 @@
   span.end = aEnd;
   span.service = aOrder.service;
   span.requestId = aOrder.requestId;
-  span.outcome = NameOf(kOutcomeNames, aAnswer.outcome);
+  span.outcome = NameOf(kOutcomeNames, aAnswer.outcome.Value());
   aSpans.Record(span);
 }
 
--- a/runtime/entry_request.h
+++ b/runtime/entry_request.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace hawthornlug {
@@ -61,15 +62,30 @@
     kGiveUpQuery,
   };
 
+  /// Number of an attempt; what belongs to an earlier one is ignored.
+  using AttemptNumber = std::uint64_t;
+
   void StartAttempt();
+  /// Begins an attempt to have the order run. Returns nothing if the request has been answered.
+  std::optional<AttemptNumber> BeginAttempt();
   void RunLocally();
   void Forward(const DaemonRef& aPeer);
   void QueryOutcome();
   DueAction FindDueAction(Instant aNow, bool aPeerLost) const;
-  /// Handles the answer of an attempt: schedules another attempt, or passes the answer to mDone.
-  void EndAttempt(const OrderAnswer& aAnswer);
+  /// Handles that there is no way to a daemon: schedules another attempt, or ends the request.
+  void EndWithoutRoute(Refusal aRefusal, Duration aRetryAfter = kDefaultRetryAfter);
+  /// Handles the answer of an attempt, which is also what is known of the attempt: schedules
+  /// another attempt, or ends the request.
+  void EndAttempt(AttemptNumber aAttempt, const OrderAnswer& aAnswer);
   /// Handles the other daemon's reply about the outcome of the order.
-  void OnOutcomeReply(CallResult aResult, const OrderAnswer& aAnswer);
+  void OnOutcomeReply(AttemptNumber aAttempt, CallResult aResult, const OrderAnswer& aAnswer);
+  /// Goes into the wait for another attempt if there is time for one. The lock must be held.
+  bool ScheduleRetry();
+  /// Ends the request, with the lock held; returns the answer for the caller. Nothing is said to be
+  /// not run if an attempt may have run it.
+  OrderAnswer Close(const OrderAnswer& aAnswer);
+  /// Passes the answer to mDone.
+  void Report(const OrderAnswer& aAnswer);
   void CancelCalls();
   wire::Envelope MakeEnvelope() const;
   void RecordForward(const OrderAnswer& aAnswer) const;
@@ -82,6 +98,9 @@
 
   mutable std::mutex mMutex;
   Phase mPhase = Phase::kAttempting;
+  /// All attempts, here and at other daemons.
+  ExecutionRecord mExecution;
+  AttemptNumber mAttempt = 0;
   /// When the next attempt starts (kWaitingToRetry) or the query times out (kQueryingOutcome).
   Instant mPhaseDeadline;
   /// Set while the order runs in this daemon.
--- a/runtime/wire_codec.cpp
+++ b/runtime/wire_codec.cpp
@@ -44,6 +44,18 @@
   return soundFields && soundStatus && http::IsText(aAnswer.server);
 }
 
+/// An answer with the outcome that another daemon states for the attempt that was sent to it.
+OrderAnswer StatedAnswer(Outcome aOutcome, Refusal aRefusal)
+{
+  if (aOutcome == Outcome::kNotRun) {
+    return RefuseAfter(AttemptEvidence::kRefused, aRefusal);
+  }
+  OrderAnswer answer;
+  answer.outcome = aOutcome == Outcome::kDone ? StatedOutcome::Done() : StatedOutcome::Unknown();
+  answer.refusal = aRefusal;
+  return answer;
+}
+
 } // namespace
 
 DaemonRef DecodeRef(const wire::Ref& aMessage)
@@ -91,7 +103,7 @@
 
 void EncodeAnswer(const OrderAnswer& aAnswer, wire::OrderAnswer& aMessage)
 {
-  aMessage.set_outcome(static_cast<std::uint32_t>(aAnswer.outcome));
+  aMessage.set_outcome(static_cast<std::uint32_t>(aAnswer.outcome.Value()));
   aMessage.set_reason(static_cast<std::uint32_t>(aAnswer.refusal));
   aMessage.set_status(static_cast<std::uint32_t>(aAnswer.status));
   for (const HeaderField& it : aAnswer.headers) {
@@ -116,9 +128,8 @@
   if (!readable) {
     return OrderAnswer::Unknown(Refusal::kNoAnswer);
   }
-  OrderAnswer answer;
-  answer.outcome = static_cast<Outcome>(aMessage.outcome());
-  answer.refusal = static_cast<Refusal>(aMessage.reason());
+  OrderAnswer answer =
+    StatedAnswer(static_cast<Outcome>(aMessage.outcome()), static_cast<Refusal>(aMessage.reason()));
   answer.status = static_cast<int>(aMessage.status());
   for (const wire::Header& it : aMessage.headers()) {
     answer.headers.push_back({ it.name(), it.value() });
--- a/tests/adapters/broken_answers_test.cpp
+++ b/tests/adapters/broken_answers_test.cpp
@@ -5,6 +5,7 @@
 #include "adapters/http_server.h"
 #include "tests/support/answer_forms.h"
 #include "tests/support/loopback.h"
+#include "tests/support/permits.h"
 #include "tests/support/server_on_thread.h"
 
 #include <catch2/catch.hpp>
@@ -46,7 +47,7 @@
     order.target = "/x";
     SendTerms terms;
     terms.timeout = kTimeout;
-    aServer.Send(order, terms, aDone);
+    aServer.Send(order, terms, test::MakePermit(), aDone);
   });
 }
 
--- a/tests/adapters/http_callers_test.cpp
+++ b/tests/adapters/http_callers_test.cpp
@@ -206,7 +206,7 @@
   CHECK(has("X-Kept"));
   CHECK_FALSE(has("X-Hop"));
   CHECK_FALSE(has("Host"));
-  fixture.requests.Answer(OrderAnswer::NotRun(Refusal::kNoOwner));
+  fixture.requests.Answer(RefuseUnsent(Refusal::kNoOwner));
 }
 
 TEST_CASE("each outcome of an order has its HTTP status", "[adapters]")
@@ -219,14 +219,14 @@
     std::string part;
   };
   OrderAnswer done;
-  done.outcome = Outcome::kDone;
+  done.outcome = StatedOutcome::Done();
   done.status = 201;
   done.server = "srv";
   done.body = "made";
   const auto row = GENERATE_COPY(values<Row>({
     { done, "201", "made" },
-    { OrderAnswer::NotRun(Refusal::kOverloaded, milliseconds(1200)), "503", "Retry-After: 2" },
-    { OrderAnswer::NotRun(Refusal::kUnknownService), "404", "not-run" },
+    { RefuseUnsent(Refusal::kOverloaded, milliseconds(1200)), "503", "Retry-After: 2" },
+    { RefuseUnsent(Refusal::kUnknownService), "404", "not-run" },
     { OrderAnswer::Unknown(Refusal::kNoAnswer), "504", "unknown" },
   }));
   const auto socket = fixture.Connect();
@@ -273,7 +273,7 @@
   fixture.callers.Drain();
   std::thread stop([&] { fixture.callers.Stop(kLongest); });
   OrderAnswer done;
-  done.outcome = Outcome::kDone;
+  done.outcome = StatedOutcome::Done();
   done.status = 200;
   done.body = "late";
   fixture.requests.Answer(done);
--- a/tests/adapters/http_server_test.cpp
+++ b/tests/adapters/http_server_test.cpp
@@ -3,12 +3,14 @@
 
 #include "adapters/http_server.h"
 #include "tests/support/byte_server.h"
+#include "tests/support/permits.h"
 
 #include <catch2/catch.hpp>
 
 #include <future>
 
 using namespace hawthornlug;
+using namespace hawthornlug::test;
 using namespace hawthornlug::testing;
 
 namespace {
@@ -26,8 +28,9 @@
   terms.timeout = seconds(2);
   auto answered = std::make_shared<std::promise<SendAnswer>>();
   std::future<SendAnswer> answer = answered->get_future();
-  aServer.Send(
-    order, terms, [answered](const SendAnswer& aAnswer) { answered->set_value(aAnswer); });
+  aServer.Send(order, terms, MakePermit(), [answered](const SendAnswer& aAnswer) {
+    answered->set_value(aAnswer);
+  });
   REQUIRE(answer.wait_for(kLongest) == std::future_status::ready);
   return answer.get();
 }
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -17,7 +17,7 @@
 OrderAnswer Done()
 {
   OrderAnswer answer;
-  answer.outcome = Outcome::kDone;
+  answer.outcome = StatedOutcome::Done();
   answer.status = 200;
   return answer;
 }
@@ -55,7 +55,7 @@
 {
   RequestTable table(seconds(30), 100);
   table.Begin(kNow, "r");
-  table.Finish(kNow, "r", OrderAnswer::NotRun(Refusal::kOverloaded));
+  table.Finish(kNow, "r", RefuseUnsent(Refusal::kOverloaded));
   CHECK(table.Begin(kNow, "r").state == RequestState::kUnseen);
 }
 
--- a/tests/runtime/wire_codec_test.cpp
+++ b/tests/runtime/wire_codec_test.cpp
@@ -38,7 +38,7 @@
 TEST_CASE("an answer whose headers are not valid UTF-8 arrives unchanged", "[runtime]")
 {
   OrderAnswer answer;
-  answer.outcome = Outcome::kDone;
+  answer.outcome = StatedOutcome::Done();
   answer.status = 200;
   answer.headers = { { "X-Name", "Mure\xba" } };
   wire::Envelope sent;
@@ -75,7 +75,7 @@
   }));
   INFO(row.name);
   OrderAnswer answer;
-  answer.outcome = Outcome::kDone;
+  answer.outcome = StatedOutcome::Done();
   answer.status = row.status;
   answer.headers = { row.field };
   answer.server = row.server;
@@ -83,7 +83,7 @@
   wire::OrderAnswer message;
   EncodeAnswer(answer, message);
   const OrderAnswer decoded = DecodeAnswer(message);
-  CHECK(NameOf(kOutcomeNames, decoded.outcome) == "unknown");
+  CHECK(NameOf(kOutcomeNames, decoded.outcome.Value()) == "unknown");
   CHECK(decoded.headers.empty());
   CHECK(decoded.server.empty());
   CHECK(decoded.body.empty());
@@ -92,8 +92,8 @@
 TEST_CASE("a rejection by another daemon, which has no status, arrives as it is", "[runtime]")
 {
   wire::OrderAnswer message;
-  EncodeAnswer(OrderAnswer::NotRun(Refusal::kOverloaded), message);
+  EncodeAnswer(RefuseUnsent(Refusal::kOverloaded), message);
   const OrderAnswer decoded = DecodeAnswer(message);
-  CHECK(NameOf(kOutcomeNames, decoded.outcome) == "not-run");
+  CHECK(NameOf(kOutcomeNames, decoded.outcome.Value()) == "not-run");
   CHECK(decoded.refusal == Refusal::kOverloaded);
 }
