Request table: what may have run and was forgotten is not said to be not run

What callers saw: an entry daemon whose answer was overdue asked about an order; the attached daemon had run it, but had dropped its id early, because of more than 16384 expiry records or because the record of its beginning removed it up to 30 s too soon, and answered "not run" (a tombstone). And a tombstone could be dropped early, so that an order that had been said to be not run was run when it came.

Change: only finished requests and tombstones have expiry records, each in its own list. If a finished request was evicted early, a question about an unseen id gets RequestState::kForgotten, which is unknown, until that request would have expired. Tombstones are never evicted early; when there are too many, a question gets kForgotten and adds none, so the table stays bounded.

--- a/routing/request_table.cpp
+++ b/routing/request_table.cpp
@@ -1,10 +1,12 @@
 #include "routing/request_table.h"
 
+#include <algorithm>
+
 namespace hawthornlug {
 
-RequestTable::RequestTable(Duration aRetention, std::size_t aMaxExpiries)
+RequestTable::RequestTable(Duration aRetention, std::size_t aMaxEntries)
   : mRetention(aRetention)
-  , mMaxExpiries(aMaxExpiries)
+  , mMaxEntries(aMaxEntries)
 {
 }
 
@@ -17,7 +19,6 @@
     return it->second;
   }
   it->second.state = RequestState::kRunning;
-  mExpiries.push_back({ aNow + mRetention, aRequestId });
   return {};
 }
 
@@ -34,19 +35,28 @@
   }
   it->second.state = RequestState::kFinished;
   it->second.answer = std::make_shared<const OrderAnswer>(aAnswer);
-  mExpiries.push_back({ aNow + mRetention, aRequestId });
+  mFinished.push_back({ aNow + mRetention, aRequestId });
+  if (mFinished.size() > mMaxEntries) {
+    mForgottenUntil = std::max(mForgottenUntil, mFinished.front().at);
+    RemoveOldest(mFinished);
+  }
 }
 
 RequestTable::Entry RequestTable::Ask(Instant aNow, const std::string& aRequestId)
 {
   const std::lock_guard lock(mMutex);
   RemoveExpired(aNow);
-  const auto [it, inserted] = mEntries.try_emplace(aRequestId);
-  if (inserted || it->second.state == RequestState::kUnseen) {
-    it->second.state = RequestState::kTombstone;
-    mExpiries.push_back({ aNow + mRetention, aRequestId });
+  const auto it = mEntries.find(aRequestId);
+  if (it != mEntries.end()) {
+    return it->second;
   }
-  return it->second;
+  if (aNow < mForgottenUntil || mTombstones.size() >= mMaxEntries) {
+    return { RequestState::kForgotten, nullptr };
+  }
+  mTombstones.push_back({ aNow + mRetention, aRequestId });
+  Entry tombstone{ RequestState::kTombstone, nullptr };
+  mEntries.emplace(aRequestId, tombstone);
+  return tombstone;
 }
 
 std::size_t RequestTable::Size() const
@@ -57,14 +67,17 @@
 
 void RequestTable::RemoveExpired(Instant aNow)
 {
-  while (!mExpiries.empty() && (mExpiries.front().at <= aNow || mExpiries.size() > mMaxExpiries)) {
-    const auto it = mEntries.find(mExpiries.front().requestId);
-    // A running request is never removed; Finish() adds a new expiry record for it.
-    if (it != mEntries.end() && it->second.state != RequestState::kRunning) {
-      mEntries.erase(it);
+  for (Expiries* it : { &mFinished, &mTombstones }) {
+    while (!it->empty() && it->front().at <= aNow) {
+      RemoveOldest(*it);
     }
-    mExpiries.pop_front();
   }
 }
 
+void RequestTable::RemoveOldest(Expiries& aExpiries)
+{
+  mEntries.erase(aExpiries.front().requestId);
+  aExpiries.pop_front();
+}
+
 } // namespace hawthornlug
--- a/runtime/attached.cpp
+++ b/runtime/attached.cpp
@@ -19,6 +19,8 @@
       return *aEntry.answer;
     case RequestState::kTombstone:
       return RefuseUnsent(Refusal::kTombstone);
+    case RequestState::kForgotten:
+      return OrderAnswer::Unknown(Refusal::kNoAnswer);
     case RequestState::kUnseen:
     case RequestState::kRunning:
       break;
--- a/runtime/attached.h
+++ b/runtime/attached.h
@@ -26,7 +26,8 @@
   /// Runs an accepted order. Returns null if it was refused at once; @p aDone has been called then.
   std::shared_ptr<OrderInProgress> Run(Order aOrder, const Done& aDone);
   /// Returns the outcome of a request. An unknown request id is recorded as not run, and a
-  /// non-repeatable request that arrives with it later is refused.
+  /// non-repeatable request that arrives with it later is refused; the outcome is unknown instead
+  /// if the request may have been forgotten.
   OrderAnswer Ask(const std::string& aRequestId);
 
 private:
