Entry: a daemon is believed that an order is not run only while it remembers all orders

What callers would see: an entry daemon forwards an order that may run once, is stopped (SIGSTOP) for longer than the other daemon keeps ids (30 s), goes on and asks. The other daemon has run the order and forgotten it in due time, and says "not run" (tombstone).

Change: "not run" in reply to a question counts only within 25 s of the forwarding.

--- a/runtime/attached.cpp
+++ b/runtime/attached.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// How long, and for how many requests, the state of a non-repeatable request is kept.
-constexpr Duration kRequestRetention = seconds(30);
+/// For how many requests the state of a non-repeatable request is kept.
 constexpr std::size_t kMaxRetainedRequests = 16384;
 
 /// Returns the answer to a request id that was received before: the stored answer, or why there is
--- a/runtime/attached.h
+++ b/runtime/attached.h
@@ -15,6 +15,10 @@
 class Attached
 {
 public:
+  /// How long it surely remembers a non-repeatable request from its arrival, unless it says that it
+  /// may have forgotten it.
+  static constexpr Duration kRequestRetention = seconds(30);
+
   using Done = RequestHandler::Done;
 
   Attached(Services& aServices, const DaemonView& aDaemonView, const ShardRoutingTable& aRoutes);
--- a/runtime/entry_request.cpp
+++ b/runtime/entry_request.cpp
@@ -13,6 +13,9 @@
 /// How long to wait for a daemon's reply to the question of what the outcome of an order is.
 constexpr Duration kOutcomeQueryTimeout = milliseconds(300);
 
+/// How much shorter the other daemon's memory is taken to be than it is, since clocks differ.
+constexpr Duration kMemoryMargin = seconds(5);
+
 /// Whether the attempt failed before the order was sent to a server, for a reason that another
 /// attempt may not meet, so that it is safe and useful to try again.
 bool IsRoutingFailure(const OrderAnswer& aAnswer)
@@ -175,12 +178,21 @@
                                [&calls = mContext.calls, queryCall] { calls.OnUnsent(queryCall); });
 }
 
+bool EntryRequest::IsRemembered(Instant aNow) const
+{
+  const std::lock_guard lock(mMutex);
+  return aNow - mForwardedAt < Attached::kRequestRetention - kMemoryMargin;
+}
+
 void EntryRequest::OnOutcomeReply(AttemptNumber aAttempt,
                                   CallResult aResult,
                                   const OrderAnswer& aAnswer)
 {
   const Instant now = mContext.services.timers.Now();
-  if (aResult == CallResult::kUnsent) {
+  // A daemon that has not seen the order says that it is not run, and so does one that has
+  // forgotten it: this daemon may have been stopped for so long.
+  const bool believed = aAnswer.outcome != Outcome::kNotRun || IsRemembered(now);
+  if (aResult == CallResult::kUnsent || !believed) {
     EndAttempt(aAttempt, OrderAnswer::Unknown(Refusal::kNoAnswer));
     return;
   }
--- a/runtime/entry_request.h
+++ b/runtime/entry_request.h
@@ -79,6 +79,8 @@
   void EndAttempt(AttemptNumber aAttempt, const OrderAnswer& aAnswer);
   /// Handles the other daemon's reply about the outcome of the order.
   void OnOutcomeReply(AttemptNumber aAttempt, CallResult aResult, const OrderAnswer& aAnswer);
+  /// Whether the other daemon surely remembers an order that was forwarded to it.
+  bool IsRemembered(Instant aNow) const;
   /// Goes into the wait for another attempt if there is time for one. The lock must be held.
   bool ScheduleRetry();
   /// Ends the request, with the lock held; returns the answer for the caller. Nothing is said to be
--- a/tests/promises/serve_entry_test.cpp
+++ b/tests/promises/serve_entry_test.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// How long a daemon surely remembers an order that it has received.
+constexpr Duration kMemory = seconds(30);
+
 /// What the other daemon does with the first attempt.
 enum class First
 {
@@ -157,3 +160,31 @@
   CHECK(told->outcome == Outcome::kNotRun);
   CHECK(told->refusal == Refusal::kUnknownService);
 }
+
+// A daemon that was stopped for longer than the other one remembers asks about what has run.
+TEST_CASE("a daemon's word that it has not seen an order counts only while it remembers all orders",
+          "[serve][entry]")
+{
+  using trompeloeil::_;
+  struct Row
+  {
+    Duration pause;
+    Outcome outcome;
+  };
+  const auto row = GENERATE(values<Row>({
+    { Duration::zero(), Outcome::kNotRun },
+    { kMemory / 2, Outcome::kNotRun },
+    { kMemory, Outcome::kUnknown },
+    { kMemory * 2, Outcome::kUnknown },
+  }));
+  INFO(Millis(row.pause));
+  EntryFixture fixture;
+  ALLOW_CALL(fixture.peers, Send(_, _, _, _)).WITH(_2.has_order()).LR_SIDE_EFFECT({
+    fixture.timers.Advance(row.pause);
+    fixture.peerLive = false;
+  });
+  ALLOW_CALL(fixture.peers, Send(_, _, _, _)).WITH(_2.has_question()).LR_SIDE_EFFECT({
+    fixture.calls.OnAnswer(_2.question().call(), DecodeAnswer(NotRunMessage(Refusal::kTombstone)));
+  });
+  CHECK(fixture.Handle("POST").outcome == row.outcome);
+}
