serve: no status or field of a server says to a caller that its request has not run

What callers saw: a server ran a request and answered 408, 421, 429 or 503; the caller got that status, with Retry-After, beside Hawthornlug-Outcome: done. And a server's own field Hawthornlug-Outcome: not-run was passed on beside ours.

Change: the caller gets 502 with Hawthornlug-Outcome: done, Hawthornlug-Reason: server-status, the server's status in Hawthornlug-Server-Status, its body and its other fields, without Retry-After. Fields of a server that have our names are left out. The order's attempt is noted in the exchange's record, so that http::Server's check of promises holds for serve too.

--- a/adapters/http_callers.cpp
+++ b/adapters/http_callers.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_callers.h"
 
+#include "http/promise.h"
 #include "http/syntax.h"
 #include "http/target.h"
 
@@ -18,6 +19,17 @@
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr const char* kOutcomeHeader = "Hawthornlug-Outcome";
+constexpr const char* kReasonHeader = "Hawthornlug-Reason";
+constexpr const char* kRequestIdHeader = "Hawthornlug-Request-Id";
+constexpr const char* kServerHeader = "Hawthornlug-Server";
+constexpr const char* kEpochHeader = "Hawthornlug-Epoch";
+constexpr const char* kServerStatusHeader = "Hawthornlug-Server-Status";
+/// Why a server's answer has another status than the server's.
+constexpr const char* kServerStatusReason = "server-status";
+/// What callers take for our own statements; a server's fields of these names are not passed on.
+constexpr std::array kOwnHeaders = { kOutcomeHeader, kReasonHeader, kRequestIdHeader,
+                                     kServerHeader,  kEpochHeader,  kServerStatusHeader };
 
 bool IsServedMethod(const std::string& aMethod)
 {
@@ -52,7 +64,7 @@
   aResponse.status = HttpStatusOf(aAnswer);
   const std::string outcome(NameOf(kOutcomeNames, aAnswer.outcome.Value()));
   const std::string reason(NameOf(kRefusalNames, aAnswer.refusal));
-  aResponse.headers.Add("Hawthornlug-Reason", reason);
+  aResponse.headers.Add(kReasonHeader, reason);
   if (aAnswer.outcome == Outcome::kNotRun && aResponse.status == kServiceUnavailable) {
     const auto wait = std::chrono::ceil<std::chrono::seconds>(aAnswer.retryAfter).count();
     aResponse.headers.Add("Retry-After", std::to_string(std::max<std::int64_t>(wait, 1)));
@@ -61,24 +73,40 @@
   aResponse.body = R"({"outcome":")" + outcome + R"(","reason":")" + reason + "\"}\n";
 }
 
+/// Fills @p aResponse with the answer of the server that ran the order. A status by which callers
+/// would be told that it has not run is replaced.
+void PassOnAnswer(const OrderAnswer& aAnswer, http::Response& aResponse)
+{
+  aResponse.status = http::PlainStatus(aAnswer.status).Value();
+  const bool replaced = aResponse.status != aAnswer.status;
+  for (const HeaderField& it : aAnswer.headers) {
+    aResponse.headers.Add(it.name, it.value);
+  }
+  for (const char* it : kOwnHeaders) {
+    aResponse.headers.Remove(it);
+  }
+  if (replaced) {
+    aResponse.headers.Remove("Retry-After");
+    aResponse.headers.Add(kReasonHeader, kServerStatusReason);
+    aResponse.headers.Add(kServerStatusHeader, std::to_string(aAnswer.status));
+  }
+  aResponse.body = aAnswer.body;
+}
+
 http::Response MakeResponse(const std::string& aRequestId, const OrderAnswer& aAnswer)
 {
   http::Response response;
-  response.headers.Add("Hawthornlug-Outcome", std::string(NameOf(kOutcomeNames, aAnswer.outcome.Value())));
-  response.headers.Add("Hawthornlug-Request-Id", aRequestId);
-  if (!aAnswer.server.empty()) {
-    response.headers.Add("Hawthornlug-Server", aAnswer.server);
-    response.headers.Add("Hawthornlug-Epoch", std::to_string(aAnswer.epoch));
-  }
-  if (aAnswer.outcome != Outcome::kDone) {
+  if (aAnswer.outcome == Outcome::kDone) {
+    PassOnAnswer(aAnswer, response);
+  } else {
     DescribeRefusal(aAnswer, response);
-    return response;
   }
-  response.status = aAnswer.status;
-  for (const HeaderField& it : aAnswer.headers) {
-    response.headers.Add(it.name, it.value);
+  response.headers.Add(kOutcomeHeader, std::string(NameOf(kOutcomeNames, aAnswer.outcome.Value())));
+  response.headers.Add(kRequestIdHeader, aRequestId);
+  if (!aAnswer.server.empty()) {
+    response.headers.Add(kServerHeader, aAnswer.server);
+    response.headers.Add(kEpochHeader, std::to_string(aAnswer.epoch));
   }
-  response.body = aAnswer.body;
   return response;
 }
 
@@ -234,10 +262,16 @@
     order.headers.push_back({ it.name, it.value });
   }
   order.body = std::move(request.body);
+  if (!aExchange->Execution().Begin()) {
+    return;
+  }
   const auto progress =
     mRequests.Handle(std::move(order), [&loop = mLoop, aExchange, id](const OrderAnswer& aAnswer) {
       loop.Dispatch(
-        [aExchange, response = MakeResponse(id, aAnswer)] { aExchange->Respond(response); });
+        [aExchange, evidence = EvidenceOf(aAnswer.outcome), response = MakeResponse(id, aAnswer)] {
+          aExchange->Execution().End(evidence);
+          aExchange->Respond(response);
+        });
     });
   aExchange->SetAbandoned([progress] { progress->Abandon(); });
 }
