serve: a server's refusal counts only with a status of failure

What callers saw: a server's answer with a status of success and Hawthornlug-Refused was taken for a refusal, though it says both that the order ran and that it didn't.

Change: with a status below 400 it is no answer.

--- a/adapters/http_server.cpp
+++ b/adapters/http_server.cpp
@@ -17,6 +17,7 @@
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kPreconditionFailed = 412;
+constexpr int kLowestFailure = 400;
 constexpr std::string_view kHttpScheme = "http://";
 constexpr const char* kRefusedHeader = "Hawthornlug-Refused";
 constexpr const char* kRequestIdHeader = "Hawthornlug-Request-Id";
@@ -77,6 +78,11 @@
     answer.result = SendResult::kNoAnswer;
     return answer;
   }
+  if (refused && aResponse.status < kLowestFailure) {
+    // It says both that the order ran and that it didn't.
+    answer.result = SendResult::kNoAnswer;
+    return answer;
+  }
   if (refused) {
     answer.result = *refused == "shed" ? SendResult::kShed : SendResult::kRefused;
     return answer;
--- a/tests/promises/serve_answers_test.cpp
+++ b/tests/promises/serve_answers_test.cpp
@@ -125,6 +125,47 @@
 
 } // namespace
 
+TEST_CASE("a server's refusal counts only with a status of failure", "[serve][answers]")
+{
+  struct Row
+  {
+    int status;
+    std::string fields;
+    SendResult result;
+  };
+  const std::string id = "Hawthornlug-Request-Id: r1\r\n";
+  const std::string refused = "Hawthornlug-Refused: token\r\n";
+  const std::string shed = "Hawthornlug-Refused: shed\r\n";
+  const auto row = GENERATE_COPY(values<Row>({
+    { 409, id + refused, SendResult::kRefused },
+    { 400, id + refused, SendResult::kRefused },
+    { 421, id + refused, SendResult::kRefused },
+    { 500, id + refused, SendResult::kRefused },
+    { 503, id + shed, SendResult::kShed },
+    { 429, id + shed, SendResult::kShed },
+    { 409, refused, SendResult::kRefused },
+    { 409, "Hawthornlug-Request-Id: r0\r\n" + refused, SendResult::kNoAnswer },
+    { 200, id + refused, SendResult::kNoAnswer },
+    { 201, id + shed, SendResult::kNoAnswer },
+    { 204, id + refused, SendResult::kNoAnswer },
+    { 302, id + refused, SendResult::kNoAnswer },
+    { 399, id + shed, SendResult::kNoAnswer },
+    { 200, refused, SendResult::kNoAnswer },
+    // Without the statement the server has run the order, whatever its status.
+    { 408, id, SendResult::kAnswered },
+    { 421, id, SendResult::kAnswered },
+    { 429, id, SendResult::kAnswered },
+    { 503, id, SendResult::kAnswered },
+    { 503, "", SendResult::kNoAnswer },
+  }));
+  INFO(row.status << " " << row.fields);
+  const ServerOnThread server({ "one",
+                                "HTTP/1.1 " + std::to_string(row.status) + " X\r\n" + row.fields +
+                                  (row.status == 204 ? "\r\n" : "Content-Length: 0\r\n\r\n") });
+  const SendAnswer answer = SendOrderTo(server.Url());
+  CHECK(NameOf(kSendResultNames, answer.result) == NameOf(kSendResultNames, row.result));
+}
+
 TEST_CASE("an order to an address at which nothing listens is unreachable", "[serve][answers]")
 {
   asio::io_context context;
