--- a/runtime/entry.cpp
+++ b/runtime/entry.cpp
@@ -84,6 +84,12 @@
     LabelledName("requests_total",
                  { { "service", aOrder.service },
                    { "outcome", NameOf(kOutcomeNames, aAnswer.outcome.Value()) } }));
+  if (aAnswer.outcome != Outcome::kDone) {
+    mContext.services.metrics.Count(
+      LabelledName("refusals_total",
+                   { { "outcome", NameOf(kOutcomeNames, aAnswer.outcome.Value()) },
+                     { "reason", NameOf(kRefusalNames, aAnswer.refusal) } }));
+  }
   mContext.services.metrics.Observe("request_seconds", now - aStart);
   --mInProgress;
 }
--- a/tests/promises/serve_entry_test.cpp
+++ b/tests/promises/serve_entry_test.cpp
@@ -188,3 +188,16 @@
   });
   CHECK(fixture.Handle("POST").outcome == row.outcome);
 }
+
+TEST_CASE("metrics count refusals by outcome and reason", "[serve][entry][metrics]")
+{
+  using trompeloeil::_;
+  EntryFixture fixture;
+  ALLOW_CALL(fixture.peers, Send(_, _, _, _)).LR_SIDE_EFFECT({
+    fixture.calls.OnAnswer(_2.order().call(), DecodeAnswer(NotRunMessage(Refusal::kNoOwner)));
+  });
+  fixture.Handle("GET");
+  const std::string text = fixture.metrics.Text();
+  CHECK(text.find("refusals_total{outcome=\"not-run\",reason=\"no-owner\"} 1") !=
+        std::string::npos);
+}
