Soak: odd servers, callers that keep their connections, and all promises against all runs

- ToldLedger takes the place of FleetLedger's runs and refused: 408, 421, 429 and 503 against runs before and after, and a request that may run once runs once, at whichever servers and lives.
The comparison goes on for 2 s after the load, while all daemons get SIGTERM and their callers use the connections they have, and for 1 s after the last daemon.
- OddConduct: servers of both kinds that treat requests for some seconds in one odd way or several in turn (promise statuses without a statement, with one in an interim answer or a trailer, without seal or id; a statement with 200 and 500; copies of refusals, at once or later; late refusals; refusals of ids that run when they come again; resets).
A server may restart while requests wait.
- FleetCallers: callers that use a connection until it is closed, that pipeline, that send long bodies in pieces, that leave.
- The fleet has a route /keywrite/ (unsafe, with keys), and the load requests for it.
- Requests that were sent behind a response that closes and ran are counted and printed; kBehindCloseIsRule makes a rule of it for those that may run once.
- The tables of troubles, the odd entries and the check of holds have files of their own.

--- a/tests/soak/route_soak.cpp
+++ b/tests/soak/route_soak.cpp
@@ -3,13 +3,19 @@
 /// and the backend servers, troubles of all kinds in series, rules checked while it runs.
 ///
 /// usage: route_soak --seed N --seconds S [--daemons 8] [--servers 27] [--restores 1] [--storms 1]
+///                   [--quotas 1]
 /// With --restores 1 the store comes back from an older copy after two of three outages. With
 /// --storms 1 configurations come in series, at times while half of the daemons are killed, and all
 /// daemons that nothing has happened to must follow in time.
+/// With --quotas 1 all requests are of organisations, one of which is over its quota.
 /// The seed chooses the troubles; what the processes make of them differs from run to run. Exits
 /// with 1 if a rule was broken (the daemons' logs are kept then), with 2 if the soak did not start.
 
+#include "tests/soak/holds_check.h"
+#include "tests/soak/odd_entries.h"
+#include "tests/soak/troubles.h"
 #include "tests/standins/flags.h"
+#include "tests/support/fleet_callers.h"
 #include "tests/support/platform_fleet.h"
 
 #include <array>
@@ -28,12 +34,10 @@
 using std::chrono::seconds;
 using std::chrono::steady_clock;
 
-constexpr unsigned kKeys = 65536;
 /// Of 16 keys, KeysHeld() counts how many are held.
 constexpr unsigned kSampledKeys = 16;
 constexpr milliseconds kCheckInterval{ 50 };
 constexpr milliseconds kHeartbeatInterval{ 1000 };
-constexpr milliseconds kLongestSharing{ 500 };
 /// Copies of the store that are kept, and how often one is made: a copy is up to 10 s old.
 constexpr std::size_t kCopies = 20;
 constexpr milliseconds kCopyInterval{ 500 };
@@ -50,6 +54,8 @@
 /// the store, nothing has happened for some time.
 constexpr milliseconds kInForceBound{ 2000 };
 constexpr milliseconds kCalmTime{ 3000 };
+/// The key of the organisation without a quota.
+constexpr const char* kLargeKey = "large-key";
 constexpr int kNotFound = 404;
 constexpr int kOk = 200;
 
@@ -60,53 +66,39 @@
   gStopped = 1;
 }
 
-/// A trouble of one server, from one action to another.
-struct ServerTrouble
-{
-  const char* name;
-  unsigned fromMs;
-  unsigned toMs;
-  void (*begin)(StandInServer&);
-  void (*end)(StandInServer&);
-};
-
-void Ready(StandInServer& aServer)
-{
-  aServer.Register("ready");
-}
-
-/// A restart in place: the server registers when the trouble ends.
-constexpr std::array<ServerTrouble, 5> kServerTroubles = {
-  { { "restart", 0, 2000, [](StandInServer& aServer) { aServer.Restart(); }, Ready },
-    { "restart", 0, 2000, [](StandInServer& aServer) { aServer.Restart(); }, Ready },
-    { "drain", 1000, 6000, [](StandInServer& aServer) { aServer.Register("draining"); }, Ready },
-    { "silent",
-      1000,
-      6000,
-      [](StandInServer& aServer) { aServer.SetSilent(true); },
-      [](StandInServer& aServer) { aServer.SetSilent(false); } },
-    { "twice",
-      0,
-      0,
-      [](StandInServer& aServer) { aServer.AnswerTwice(); },
-      [](StandInServer&) {} } }
-};
+/// At once, most servers that treat requests in odd ways for one trouble.
+constexpr unsigned kMostOddServers = 3;
+/// How long requests are compared with runs after the load has ended, and after the last daemon.
+constexpr milliseconds kAfterLoad{ 2000 };
+constexpr milliseconds kAfterDaemons{ 1000 };
 
 /// Objects on a page of the store's lists: each list has several.
 constexpr std::size_t kPageSize = 3;
 
+/// What the flags say.
+struct SoakOptions
+{
+  std::uint64_t seed = 1;
+  unsigned daemons = 8;
+  unsigned servers = 27;
+  bool restores = false;
+  bool storms = false;
+  bool quotas = false;
+};
+
 class Soak
 {
 public:
-  Soak(std::uint64_t aSeed, unsigned aDaemons, unsigned aServers, bool aRestores, bool aStorms)
-    : mSeed(aSeed)
-    , mRestores(aRestores)
-    , mLastKind(aStorms ? 15 : 12)
-    , mRandom(aSeed)
-    , mDaemons(aDaemons)
-    , mFleet(aDaemons, aServers / 4, aServers - aServers / 4)
-    , mSharedSince(kKeys)
-    , mTroubledAt(aDaemons, steady_clock::now())
+  explicit Soak(const SoakOptions& aOptions)
+    : mSeed(aOptions.seed)
+    , mRestores(aOptions.restores)
+    , mQuotas(aOptions.quotas)
+    , mKinds(aOptions.storms ? kTroubleKinds.size() : kKindsWithoutStorms)
+    , mRandom(mSeed)
+    , mDaemons(aOptions.daemons)
+    , mFleet(mDaemons, aOptions.servers / 4, aOptions.servers - aOptions.servers / 4)
+    , mCallers(mFleet, mDaemons, mSeed)
+    , mTroubledAt(mDaemons, steady_clock::now())
   {
   }
 
@@ -128,9 +120,11 @@
            !(mActions.empty() && mFleet.KeysHeld() == kSampledKeys)) {
       RunUntil(std::min(limit, steady_clock::now() + kPoll));
     }
+    mKeysAtEnd = mFleet.KeysHeld();
     if (Goes()) {
       mFleet.SetLoad(false);
-      FindBroken();
+      RunUntil(steady_clock::now() + kAfterLoad);
+      EndDaemons();
     }
     return Report();
   }
@@ -152,11 +146,28 @@
         return mFleet.KeysHeld() == kSampledKeys;
       },
       kStart);
+    if (up && mQuotas) {
+      BeginQuotas();
+    }
     mFleet.SetLoadInterval(kLoadInterval);
     mFleet.SetLoad(up);
+    if (up) {
+      mCallers.Start();
+    }
     return up;
   }
 
+  /// A third of the requests are of an organisation that has less than it sends.
+  void BeginQuotas()
+  {
+    mFleet.SetTenants({ { "small", { { "ApiKeys", { "small-key" } }, { "RatePerS", 60 } } },
+                        { "large", { { "ApiKeys", { kLargeKey } } } } },
+                      false);
+    mFleet.SetApiKeys({ "small-key", kLargeKey, kLargeKey });
+    mFleet.Configure(++mVersion, mHasMore);
+    mFleet.RunFor(kInForceBound);
+  }
+
   bool Goes() const { return mBroken.empty() && gStopped == 0; }
 
   void RunUntil(steady_clock::time_point aEnd)
@@ -180,6 +191,37 @@
     }
   }
 
+  /// All daemons get SIGTERM while their callers go on with the connections that they have.
+  void EndDaemons()
+  {
+    mActions.clear();
+    for (unsigned n = 0; n < mDaemons; ++n) {
+      if (mFleet.IsUp(n)) {
+        mFleet.Signal(n, SIGTERM);
+      }
+    }
+    const auto limit = steady_clock::now() + kGrace;
+    const auto anyLeft = [this] {
+      bool left = false;
+      for (unsigned n = 0; n < mDaemons; ++n) {
+        left = !mFleet.HasEnded(n) || left;
+      }
+      return left;
+    };
+    while (Goes() && anyLeft() && steady_clock::now() < limit) {
+      RunUntil(std::min(limit, steady_clock::now() + kPoll));
+    }
+    for (unsigned n = 0; n < mDaemons; ++n) {
+      if (!mFleet.HasEnded(n)) {
+        Say("end-of-grace", "daemon " + std::to_string(n) + " is killed");
+        mFleet.Signal(n, SIGKILL);
+      }
+    }
+    mCallers.Stop();
+    RunUntil(steady_clock::now() + kAfterDaemons);
+    FindBroken();
+  }
+
   void MakeCopies(steady_clock::time_point aNow)
   {
     if (!mRestores || aNow < mNextCopy || mFleet.Store().IsDown()) {
@@ -206,50 +248,12 @@
 
   void CheckHolds(steady_clock::time_point aNow)
   {
-    std::vector<std::uint8_t> holders(kKeys);
-    for (unsigned n = 0; n < mFleet.Servers(); ++n) {
-      for (const StandInServer::Hold& it : mFleet.Server(n).AllHolds()) {
-        if (it.until > aNow && !it.excused) {
-          std::for_each(
-            holders.begin() + it.from, holders.begin() + it.to + 1, [](auto& aCount) { ++aCount; });
-        }
-      }
-    }
-    bool shared = false;
-    for (unsigned key = 0; key < kKeys; ++key) {
-      if (holders[key] < 2) {
-        mSharedSince[key] = {};
-        continue;
-      }
-      shared = true;
-      if (mSharedSince[key] == steady_clock::time_point()) {
-        mSharedSince[key] = aNow;
-      } else if (aNow - mSharedSince[key] > kLongestSharing) {
-        Break("OWNER: two servers held key " + std::to_string(key) +
-              " for over 500 ms:" + HoldersOf(key));
-        return;
-      }
-    }
-    mSharedChecks += shared ? 1 : 0;
-    if (!shared) {
-      mFleet.ForgetSharedRuns();
+    const std::string found = mHolds.Check(mFleet, aNow);
+    if (!found.empty()) {
+      Break(found);
     }
   }
 
-  std::string HoldersOf(unsigned aKey)
-  {
-    std::ostringstream text;
-    for (unsigned n = 0; n < mFleet.Servers(); ++n) {
-      const StandInServer::Hold* const hold = mFleet.Server(n).FindHold(aKey);
-      if (hold != nullptr) {
-        text << " " << mFleet.Server(n).Id() << " (life " << mFleet.Server(n).Life() << ") "
-             << hold->from << "-" << hold->to << " token " << hold->token << " for another "
-             << Seconds(hold->until - steady_clock::now()) << " s;";
-      }
-    }
-    return text.str();
-  }
-
   void CheckProcesses()
   {
     for (unsigned n = 0; n < mDaemons; ++n) {
@@ -259,11 +263,17 @@
     }
   }
 
+  /// Whether a finding of the fleet is a broken rule. That two servers hold a key is one only after
+  /// some time, which CheckHolds() looks at.
+  static bool Counts(const std::string& aFinding)
+  {
+    return !aFinding.starts_with("two servers hold key");
+  }
+
   void FindBroken()
   {
     for (const std::string& it : mFleet.Ledger().broken) {
-      // Without regard to time, which CheckHolds() has.
-      if (!it.starts_with("two servers hold key")) {
+      if (Counts(it)) {
         Break(it);
       }
     }
@@ -292,13 +302,6 @@
     mActions.emplace(steady_clock::now() + aTime, std::move(aAction));
   }
 
-  static std::string Seconds(steady_clock::duration aTime)
-  {
-    std::ostringstream text;
-    text << std::fixed << std::setprecision(3) << std::chrono::duration<double>(aTime).count();
-    return text.str();
-  }
-
   void Say(const std::string& aKind, const std::string& aText)
   {
     ++mPlayed[aKind];
@@ -311,7 +314,7 @@
   {
     milliseconds at(0);
     for (unsigned left = Draw(2, 8); left > 0; --left) {
-      After(at, [this, kind = Draw(0, mLastKind)] {
+      After(at, [this, kind = kTroubleKinds.at(Draw(0, mKinds - 1))] {
         if (!mEnding) {
           Play(kind);
         }
@@ -325,28 +328,73 @@
     });
   }
 
-  void Play(unsigned aKind)
+  void Play(TroubleKind aKind)
   {
     static constexpr std::array<int, 5> kSignals = { SIGSTOP, SIGSTOP, SIGKILL, SIGTERM, SIGHUP };
-    if (aKind < kSignals.size()) {
-      StopDaemon(FreeDaemon(), kSignals.at(aKind));
-    } else if (aKind < kSignals.size() + kServerTroubles.size()) {
-      Disturb(kServerTroubles.at(aKind - kSignals.size()), Draw(0, 3) > 0);
-    } else if (aKind == 10) {
-      Outage();
-    } else if (aKind == 11) {
-      if (Draw(0, 2) == 0) {
-        WriteUnreadable();
-      } else {
-        WriteOdd();
+    switch (aKind) {
+      case TroubleKind::kSignal:
+        StopDaemon(FreeDaemon(), kSignals.at(Draw(0, kSignals.size() - 1)));
+        return;
+      case TroubleKind::kServer:
+        Disturb(kServerTroubles.at(Draw(0, kServerTroubles.size() - 1)), Draw(0, 3) > 0);
+        return;
+      case TroubleKind::kOddServers:
+        MakeOdd(Draw(0, 1) == 0);
+        return;
+      case TroubleKind::kOutage:
+        Outage();
+        return;
+      case TroubleKind::kEntry:
+        if (Draw(0, 2) == 0) {
+          WriteUnreadable();
+        } else {
+          WriteOdd();
+        }
+        return;
+      case TroubleKind::kGranter:
+        StopGranter();
+        return;
+      case TroubleKind::kStorm:
+        BeginStorm(Draw(0, 2) == 0);
+        return;
+    }
+  }
+
+  /// The granter of a server that has just restarted stops.
+  void StopGranter()
+  {
+    if (!Disturb(kServerTroubles[0], true)) {
+      return;
+    }
+    After(DrawTime(0, 300), [this, signal = Draw(0, 1) == 0 ? SIGKILL : SIGSTOP] {
+      Say("granter", "stops");
+      StopDaemon(mBusyDaemons.contains(mFleet.Granter()) ? -1 : mFleet.Granter(), signal);
+    });
+  }
+
+  /// Some servers treat requests in one odd way, or in some of them in turn.
+  void MakeOdd(bool aKeyed)
+  {
+    std::vector<const OddConduct*> conducts;
+    for (unsigned left = Draw(0, 1) == 0 ? 1 : Draw(2, 6); left > 0; --left) {
+      conducts.push_back(&OddConducts()[Draw(0, OddConducts().size() - 1)]);
+    }
+    for (unsigned left = Draw(1, kMostOddServers); left > 0; --left) {
+      StandInServer* const server = FreeServer(aKeyed);
+      if (server == nullptr) {
+        return;
       }
-    } else if (aKind > 12) {
-      BeginStorm(aKind == 13);
-    } else if (Disturb(kServerTroubles[0], true)) {
-      // The granter of the server that has just restarted stops.
-      After(DrawTime(0, 300), [this, signal = Draw(0, 1) == 0 ? SIGKILL : SIGSTOP] {
-        Say("granter", "stops");
-        StopDaemon(mBusyDaemons.contains(mFleet.Granter()) ? -1 : mFleet.Granter(), signal);
+      const milliseconds time = DrawTime(1000, 6000);
+      std::string names;
+      for (const OddConduct* const it : conducts) {
+        names += " " + it->name;
+      }
+      Say("odd-server", server->Id() + " for " + Seconds(time) + ":" + names);
+      mBusyServers.insert(server);
+      server->SetOdd(conducts);
+      After(time, [this, server] {
+        server->SetOdd({});
+        mBusyServers.erase(server);
       });
     }
   }
@@ -440,7 +488,8 @@
       if (aVersion != mVersion || !calm || mBusyDaemons.contains(n) || mFleet.Store().IsDown()) {
         continue;
       }
-      const int status = mFleet.Ask(n, "/more/x", -1);
+      const HeaderList headers = { { "X-Hawthornlug-Key", kLargeKey } };
+      const int status = mFleet.AskWith(n, "/more/x", headers).response.status;
       ++mLooked;
       if ((mHasMore && status == kNotFound) || (!mHasMore && status == kOk)) {
         Break("CONFIG: daemon " + std::to_string(n) + " answers " + std::to_string(status) +
@@ -450,8 +499,8 @@
     }
   }
 
-  /// Begins a trouble at a server that has none, and ends it later; false if all have one.
-  bool Disturb(const ServerTrouble& aTrouble, bool aKeyed)
+  /// A server without a trouble, or nullptr.
+  StandInServer* FreeServer(bool aKeyed)
   {
     std::vector<StandInServer*> free;
     for (unsigned n = 0; n < mFleet.Servers(); ++n) {
@@ -460,10 +509,16 @@
         free.push_back(server);
       }
     }
-    if (free.empty()) {
+    return free.empty() ? nullptr : free[Draw(0, free.size() - 1)];
+  }
+
+  /// Begins a trouble at a server that has none, and ends it later; false if all have one.
+  bool Disturb(const ServerTrouble& aTrouble, bool aKeyed)
+  {
+    StandInServer* const server = FreeServer(aKeyed);
+    if (server == nullptr) {
       return false;
     }
-    StandInServer* const server = free[Draw(0, free.size() - 1)];
     const milliseconds time = DrawTime(aTrouble.fromMs, aTrouble.toMs);
     Say(aTrouble.name, server->Id() + " for " + Seconds(time));
     mBusyServers.insert(server);
@@ -510,16 +565,8 @@
   /// Another writer's entry, of its own or in place of a server's, whose heartbeat puts it right.
   void WriteOdd()
   {
-    const std::array<Json, 6> specs = {
-      Json("no entry at all"),
-      Json{ { "Service", "keyed" }, { "State", "ready" } },
-      Json{ { "Service", "keyed" }, { "State", "odd" }, { "Address", 7 }, { "born", "x" } },
-      Json{ { "Service", "keyed" }, { "State", "ready" }, { "Address", "127.0.0.1:70000" } },
-      Json{ { "Service", Json::array({ 1 }) }, { "born", -1.5 }, { "Seq", nullptr } },
-      Json(nullptr)
-    };
-    const std::array<std::string, 6> names = { "i-odd-1",   "i-1&Watch=1", "i-2+3 4",
-                                               "i-3#%41?/", "i-4\r\nX: y", "i-5\xC3\xA4" };
+    const auto specs = OddSpecs();
+    const auto names = OddNames();
     const unsigned kind = Draw(0, specs.size() - 1);
     const bool own = Draw(0, 1) == 0;
     const std::string name =
@@ -534,10 +581,7 @@
   /// An entry that can't be read, not even its name.
   void WriteUnreadable()
   {
-    const std::array<const char*, 4> texts = { "null",
-                                               "\xFF",
-                                               R"({"Metadata":{"Revision":5},"Spec":{}})",
-                                               "{\"Metadata\":{\"Name\":\"\xFF\"}}" };
+    const auto texts = UnreadableObjects();
     const unsigned kind = Draw(0, texts.size() - 1);
     const std::string place = "i-3-unreadable";
     Say("unreadable", "entry " + std::to_string(kind));
@@ -550,14 +594,31 @@
     After(DrawTime(1000, 5000), [this, aName] { mFleet.Store().Remove("servers", aName); });
   }
 
+  void ReportTold()
+  {
+    const ToldLedger& told = mFleet.Ledger().told;
+    std::cout << "callers of their own: sent " << mCallers.Sent() << ", answered "
+              << mCallers.Answered() << "; promises";
+    for (const auto& [how, count] : told.PromisesByKind()) {
+      std::cout << " " << how << " " << count;
+    }
+    std::cout << "; sent behind a response that closes " << told.SentBehindClose() << " ("
+              << mCallers.SentAfterClose() << " after it), of which ran "
+              << told.RanBehindClose(false) << ", once-only " << told.RanBehindClose(true) << " "
+              << told.ExampleBehindClose() << "\n";
+  }
+
   int Report()
   {
     const FleetLedger& ledger = mFleet.Ledger();
     std::cout << "asked " << ledger.asked << ", served " << ledger.served << ", not run "
               << ledger.notRun << ", failed " << ledger.failed << ", closed " << ledger.closed
-              << "; checks that saw a key shared " << mSharedChecks << "; old tokens in new lives "
-              << ledger.oldTokens << "; keys held at the end " << mFleet.KeysHeld() << "/"
-              << kSampledKeys << "; daemons asked for a new version " << mLooked << "\ntroubles:";
+              << "; checks that saw a key shared " << mHolds.SharedChecks()
+              << "; old tokens in new lives " << ledger.oldTokens << "; keys held at the end "
+              << mKeysAtEnd << "/" << kSampledKeys << "; daemons asked for a new version "
+              << mLooked << "\n";
+    ReportTold();
+    std::cout << "troubles:";
     for (const auto& [kind, count] : mPlayed) {
       std::cout << " " << kind << " " << count;
     }
@@ -568,7 +629,11 @@
       return 0;
     }
     std::cout << "seed " << mSeed << ", at " << Seconds(mBrokenAt) << " s: BROKEN: " << mBroken
-              << "\nlogs: " << mFleet.KeepFolder() << "\nlast troubles:\n";
+              << "\nlogs: " << mFleet.KeepFolder() << "\nall that was found:\n";
+    for (const std::string& it : mFleet.Ledger().broken) {
+      std::cout << (Counts(it) ? "  " + it + "\n" : "");
+    }
+    std::cout << "last troubles:\n";
     const std::size_t skipped = mTold.size() - std::min(mTold.size(), kTroublesShown);
     for (std::size_t n = skipped; n < mTold.size(); ++n) {
       std::cout << "  " << mTold[n] << "\n";
@@ -579,11 +644,13 @@
 
   std::uint64_t mSeed;
   bool mRestores;
-  /// The last kind of trouble that is played.
-  unsigned mLastKind;
+  bool mQuotas;
+  /// How many of the kinds of troubles are played.
+  std::size_t mKinds;
   std::mt19937_64 mRandom;
   unsigned mDaemons;
   PlatformFleet mFleet;
+  FleetCallers mCallers;
   steady_clock::time_point mBegan = steady_clock::now();
   steady_clock::time_point mNextCheck = mBegan;
   steady_clock::time_point mNextHeartbeat = mBegan;
@@ -594,9 +661,7 @@
   std::multimap<steady_clock::time_point, std::function<void()>> mActions;
   std::set<unsigned> mBusyDaemons;
   std::set<const StandInServer*> mBusyServers;
-  /// By key: since when two servers have held it.
-  std::vector<steady_clock::time_point> mSharedSince;
-  unsigned mSharedChecks = 0;
+  HoldsCheck mHolds;
   /// When something last happened to each daemon, and to the store.
   std::vector<steady_clock::time_point> mTroubledAt;
   steady_clock::time_point mStoreTroubledAt = mBegan;
@@ -604,6 +669,7 @@
   unsigned mVersion = 1;
   bool mHasMore = false;
   unsigned mLooked = 0;
+  unsigned mKeysAtEnd = 0;
   std::vector<std::string> mTold;
   std::map<std::string, unsigned> mPlayed;
   std::string mBroken;
@@ -620,11 +686,12 @@
     std::signal(it, OnSignal);
   }
   try {
-    Soak soak(static_cast<std::uint64_t>(flags.Number("seed", 1)),
-              static_cast<unsigned>(flags.Number("daemons", 8)),
-              static_cast<unsigned>(flags.Number("servers", 27)),
-              flags.Number("restores", 0) != 0,
-              flags.Number("storms", 0) != 0);
+    Soak soak({ .seed = static_cast<std::uint64_t>(flags.Number("seed", 1)),
+                .daemons = static_cast<unsigned>(flags.Number("daemons", 8)),
+                .servers = static_cast<unsigned>(flags.Number("servers", 27)),
+                .restores = flags.Number("restores", 0) != 0,
+                .storms = flags.Number("storms", 0) != 0,
+                .quotas = flags.Number("quotas", 0) != 0 });
     return soak.Run(seconds(flags.Number("seconds", 40)));
   } catch (const std::exception& aError) {
     std::cout << "soak failed: " << aError.what() << std::endl;
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -104,7 +104,8 @@
   };
   Json routes = { { "read", route("/read/", "safe", "plain") },
                   { "write", route("/write/", "unsafe", "plain") },
-                  { "key", route("/key/", "safe", "keyed") } };
+                  { "key", route("/key/", "safe", "keyed") },
+                  { "keywrite", route("/keywrite/", "unsafe", "keyed") } };
   if (aMore) {
     routes["more"] = route("/more/", "safe", "plain");
   }
@@ -307,6 +308,8 @@
 
 void PlatformFleet::Check()
 {
+  const std::vector<std::string>& falsehoods = mLedger.told.Falsehoods();
+  mLedger.broken.insert(falsehoods.begin(), falsehoods.end());
   for (unsigned key = 0; key < kKeys; key += kKeyStep) {
     unsigned holders = 0;
     for (const auto& it : mServers) {
@@ -362,7 +365,9 @@
     for (unsigned n = 0; n < mDaemons.size(); ++n) {
       const unsigned daemon = (mSent + n) % mDaemons.size();
       if (mDaemons[daemon].up) {
-        Send(daemon, mSent % 3 == 0, mSent % 3 == 1);
+        const bool keyed = mSent % 3 == 0;
+        // Every second request with a key may run only once.
+        Send(daemon, keyed, mSent % 3 == 1 || (keyed && mSent % 2 == 0));
         break;
       }
     }
@@ -370,23 +375,40 @@
   });
 }
 
-void PlatformFleet::Send(unsigned aDaemon, bool aKeyed, bool aUnsafe)
+http::Request PlatformFleet::MakeRequest(const std::string& aId,
+                                         bool aKeyed,
+                                         bool aUnsafe,
+                                         unsigned aKey)
 {
-  const std::string id = "r" + std::to_string(mSent);
   http::Request request;
   request.method = aUnsafe ? "POST" : "GET";
-  request.target = std::string(aKeyed ? "/key/" : aUnsafe ? "/write/" : "/read/") + id;
+  request.target =
+    std::string(aKeyed ? (aUnsafe ? "/keywrite/" : "/key/") : (aUnsafe ? "/write/" : "/read/")) +
+    aId;
   request.headers.Add("Host", "h.example");
-  request.headers.Add("X-Hawthornlug-Attempt-Id", id);
+  request.headers.Add("X-Hawthornlug-Attempt-Id", aId);
   request.headers.Add("X-Hawthornlug-Deadline-Ms", std::to_string(kPatience.count()));
   if (aKeyed) {
-    request.headers.Add("X-Hawthornlug-Shard-Key", std::to_string(mSent * 7919 % kKeys));
+    request.headers.Add("X-Hawthornlug-Shard-Key", std::to_string(aKey));
+  }
+  if (!mApiKeys.empty()) {
+    request.headers.Add("X-Hawthornlug-Key", mApiKeys[++mMade % mApiKeys.size()]);
   }
   if (aUnsafe) {
     request.body = "x";
   }
+  return request;
+}
+
+void PlatformFleet::Send(unsigned aDaemon, bool aKeyed, bool aUnsafe)
+{
+  const std::string id = "r" + std::to_string(mSent);
+  const http::Request request = MakeRequest(id, aKeyed, aUnsafe, mSent * 7919 % kKeys);
   ++mLedger.asked;
   mLedger.safeAsked += aUnsafe ? 0 : 1;
+  if (aUnsafe) {
+    mLedger.told.NoteOnce(id);
+  }
   ++mUnderWay;
   http::CallOptions options;
   options.timeout = kPatience + mWaitBeyondDeadline;
@@ -398,41 +420,37 @@
                  const bool served = aOutcome.result == http::CallResult::kAnswered &&
                                      aOutcome.response.status == 200;
                  mLedger.safeUnserved += !aUnsafe && !served ? 1 : 0;
-                 if (aOutcome.result != http::CallResult::kAnswered) {
-                   ++mLedger.closed;
-                   return;
-                 }
-                 const http::Response& response = aOutcome.response;
-                 const std::set<int> promises = { 408, 421, 429, 503 };
-                 if (promises.contains(response.status)) {
-                   mLedger.refused.insert(id);
-                 }
-                 if (response.status == 200) {
-                   const bool whole =
-                     response.body == "answer to " + id &&
-                     response.headers.Find("X-Hawthornlug-Server-Seal").has_value();
-                   if (!whole) {
-                     mLedger.broken.insert("an answer that is not the server's whole answer");
-                   }
-                   ++mLedger.served;
-                 } else if (response.status == 503) {
-                   ++mLedger.notRun;
-                   if (mLedger.runs.contains(id)) {
-                     mLedger.broken.insert("a request that was refused as not run had run");
-                   }
+                 if (aOutcome.result == http::CallResult::kAnswered) {
+                   NoteAnswer(id, aOutcome.response);
                  } else {
-                   ++mLedger.failed;
-                   if (response.status == 504) {
-                     const auto it = mLedger.runAt.find(id);
-                     mLedger.timedOut[id] =
-                       it == mLedger.runAt.end()
-                         ? milliseconds::max()
-                         : std::chrono::ceil<milliseconds>(steady_clock::now() - it->second);
-                   }
+                   ++mLedger.closed;
                  }
                });
 }
 
+void PlatformFleet::NoteAnswer(const std::string& aId, const http::Response& aResponse)
+{
+  mLedger.told.NoteStatus(aId, aResponse.status);
+  if (aResponse.status == 200) {
+    const bool whole = aResponse.body == "answer to " + aId &&
+                       aResponse.headers.Find("X-Hawthornlug-Server-Seal").has_value();
+    if (!whole) {
+      mLedger.broken.insert("an answer that is not the server's whole answer");
+    }
+    ++mLedger.served;
+  } else if (aResponse.status == 503) {
+    ++mLedger.notRun;
+  } else {
+    ++mLedger.failed;
+    if (aResponse.status == 504) {
+      const auto it = mLedger.runAt.find(aId);
+      mLedger.timedOut[aId] = it == mLedger.runAt.end()
+                                ? milliseconds::max()
+                                : std::chrono::ceil<milliseconds>(steady_clock::now() - it->second);
+    }
+  }
+}
+
 int PlatformFleet::Ask(unsigned aDaemon, const std::string& aTarget, int aKey)
 {
   HeaderList headers;
@@ -459,7 +477,11 @@
   }
   http::CallOptions options;
   options.timeout = kPatience;
-  return Await(mDaemons[aDaemon].callers, request, options);
+  http::CallOutcome outcome = Await(mDaemons[aDaemon].callers, request, options);
+  if (outcome.result == http::CallResult::kAnswered) {
+    mLedger.told.NoteStatus(id, outcome.response.status);
+  }
+  return outcome;
 }
 
 http::CallOutcome PlatformFleet::Await(const std::string& aAddress,
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -5,9 +5,11 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "tests/support/odd_conduct.h"
 #include "tests/support/port_range.h"
 #include "tests/support/raw_server.h"
 #include "tests/support/standin_store.h"
+#include "tests/support/told_ledger.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,15 +40,13 @@
   unsigned safeUnserved = 0;
   /// Headers of the request that a server began to run last.
   http::Headers lastRun;
-  /// Runs by request id.
-  std::map<std::string, unsigned> runs;
+  /// What callers were told of their requests, against what servers ran.
+  ToldLedger told;
   /// When a server last began to run a request, by request id.
   std::map<std::string, std::chrono::steady_clock::time_point> runAt;
   /// For how long the requests that were answered 504 had run by then; the longest of all times if
   /// no server had them. They count as failed, too.
   std::map<std::string, std::chrono::milliseconds> timedOut;
-  /// Ids of requests that were answered with the promise that they never run.
-  std::set<std::string> refused;
   /// Rules that were broken.
   std::set<std::string> broken;
   /// Grants with the token of an earlier life of the same server.
@@ -97,6 +97,8 @@
   void SetSilent(bool aSilent);
   /// The next answer to an order is written twice.
   void AnswerTwice() { mAnswersTwice = true; }
+  /// Treats requests in odd ways, in turn; in none: as a sound server does.
+  void SetOdd(std::vector<const OddConduct*> aConducts);
   /// The clock that measures holds runs 2% slow.
   void SlowClock() { mSecond = std::chrono::milliseconds(1020); }
   bool Holds(unsigned aKey) const { return FindHold(aKey) != nullptr; }
@@ -113,7 +115,14 @@
 
   void Handle(const std::shared_ptr<http::Exchange>& aExchange, Time aArrival);
   http::Response Order(const http::Request& aRequest, Time aArrival);
-  void Run(const std::shared_ptr<http::Exchange>& aExchange);
+  /// Treats a request in an odd way.
+  void HandleOddly(const std::shared_ptr<http::Exchange>& aExchange, const OddConduct& aConduct);
+  /// Refuses a request, also with copies, as @p aConduct has it.
+  void RefuseOddly(const std::shared_ptr<http::Exchange>& aExchange, const OddConduct& aConduct);
+  /// Notes that a request begins to run.
+  void NoteRun(const http::Request& aRequest);
+  /// Runs a request and answers it, in an odd form if there is one.
+  void Run(const std::shared_ptr<http::Exchange>& aExchange, const OddConduct* aConduct);
 
   PlatformFleet& mFleet;
   std::string mId;
@@ -131,6 +140,11 @@
   std::string mState;
   bool mSilent = false;
   bool mAnswersTwice = false;
+  /// Odd ways, and how many requests were treated in them.
+  std::vector<const OddConduct*> mOdd;
+  unsigned mOddly = 0;
+  /// Ids that were refused and are run when they come again.
+  std::set<std::string> mRefusedOnce;
   std::chrono::milliseconds mSecond{ 1000 };
   std::vector<std::pair<std::shared_ptr<http::Exchange>, Time>> mWaiting;
 };
@@ -163,6 +177,8 @@
   /// Lists these organisations in the configurations that follow; /read/ becomes an open route with
   /// @p aOpenRead.
   void SetTenants(const Json& aTenants, bool aOpenRead);
+  /// The load's requests bear these keys of organisations, in turn.
+  void SetApiKeys(std::vector<std::string> aKeys) { mApiKeys = std::move(aKeys); }
   void StartDaemon(unsigned aDaemon);
   /// Starts a daemon whose log goes to a small pipe that nobody reads.
   void StartUnreadDaemon(unsigned aDaemon);
@@ -192,6 +208,10 @@
   void ForgetSharedRuns() { mSharedRuns.clear(); }
   /// Whether grants don't count now, since a daemon has just been thawed.
   bool JustThawed() const;
+  /// A request of the load, to which a server answers "answer to ID".
+  http::Request MakeRequest(const std::string& aId, bool aKeyed, bool aUnsafe, unsigned aKey);
+  /// A caller got an answer to a request of the load.
+  void NoteAnswer(const std::string& aId, const http::Response& aResponse);
   /// Leaves the folder with the daemons' logs, and returns it.
   const std::string& KeepFolder();
   /// Sends one request to one daemon and returns its status, 0 for no answer.
@@ -259,6 +279,8 @@
   std::string mFolder;
   Json mTenants;
   bool mOpenRead = false;
+  std::vector<std::string> mApiKeys;
+  unsigned mMade = 0;
   unsigned mMaxAttempts = 2;
   unsigned mMemoryMb;
   /// Ends of pipes that are not read.
--- a/tests/support/platform_standins.cpp
+++ b/tests/support/platform_standins.cpp
@@ -13,6 +13,9 @@
 
 constexpr milliseconds kWork{ 30 };
 constexpr unsigned kSlots = 3;
+/// How late a late refusal is, and a late copy of one.
+constexpr milliseconds kLateRefusal{ 400 };
+constexpr milliseconds kLateCopy{ 20 };
 
 http::Response Status(int aStatus)
 {
@@ -21,6 +24,11 @@
   return response;
 }
 
+bool ResetsNew(const OddConduct* aConduct)
+{
+  return aConduct->action == OddAction::kResetNew;
+}
+
 } // namespace
 
 Json ServerObject(const std::string& aService,
@@ -68,8 +76,10 @@
   mServer->Stop();
   mServer =
     std::make_unique<testing::RawServer>(mFleet.Context(), *http::ParseEndpoint(mAddress), *this);
+  mServer->SetResetsNew(std::any_of(mOdd.begin(), mOdd.end(), ResetsNew));
   mHolds.clear();
   mWaiting.clear();
+  mRefusedOnce.clear();
   mState.clear();
   mRunning = 0;
   mSeq = 0;
@@ -92,6 +102,12 @@
   }
 }
 
+void StandInServer::SetOdd(std::vector<const OddConduct*> aConducts)
+{
+  mOdd = std::move(aConducts);
+  mServer->SetResetsNew(std::any_of(mOdd.begin(), mOdd.end(), ResetsNew));
+}
+
 const StandInServer::Hold* StandInServer::FindHold(unsigned aKey) const
 {
   const auto it = std::find_if(mHolds.begin(), mHolds.end(), [&](const Hold& aHold) {
@@ -187,35 +203,95 @@
     refuse(503);
     return;
   }
-  Run(aExchange);
+  if (mOdd.empty()) {
+    Run(aExchange, nullptr);
+  } else {
+    HandleOddly(aExchange, *mOdd[mOddly++ % mOdd.size()]);
+  }
 }
 
-void StandInServer::Run(const std::shared_ptr<http::Exchange>& aExchange)
+void StandInServer::HandleOddly(const std::shared_ptr<http::Exchange>& aExchange,
+                                const OddConduct& aConduct)
 {
-  const http::Request& request = aExchange->Received();
-  const std::string id(request.headers.Get("X-Hawthornlug-Attempt-Id"));
-  const unsigned count = ++mFleet.Ledger().runs[id];
-  mFleet.Ledger().runAt[id] = steady_clock::now();
-  if (request.method == "POST" && count > 1) {
-    mFleet.Ledger().broken.insert("a request that may not be repeated ran twice");
+  const std::string id(aExchange->Received().headers.Get("X-Hawthornlug-Attempt-Id"));
+  switch (aConduct.action) {
+    case OddAction::kRunAndAnswer:
+      Run(aExchange, &aConduct);
+      return;
+    case OddAction::kRunAndReset:
+      NoteRun(aExchange->Received());
+      testing::RawServer::Reset(*aExchange);
+      return;
+    case OddAction::kReset:
+    case OddAction::kResetNew:
+      testing::RawServer::Reset(*aExchange);
+      return;
+    case OddAction::kRefuse:
+      RefuseOddly(aExchange, aConduct);
+      return;
+    case OddAction::kRefuseLate: {
+      auto timer = std::make_shared<asio::steady_timer>(mFleet.Context(), kLateRefusal);
+      timer->async_wait([this, aExchange, timer, &aConduct](const asio::error_code&) {
+        RefuseOddly(aExchange, aConduct);
+      });
+      return;
+    }
+    case OddAction::kRefuseAndRun:
+      if (mRefusedOnce.insert(id).second) {
+        RefuseOddly(aExchange, aConduct);
+      } else {
+        Run(aExchange, nullptr);
+      }
+      return;
+  }
+}
+
+void StandInServer::RefuseOddly(const std::shared_ptr<http::Exchange>& aExchange,
+                                const OddConduct& aConduct)
+{
+  const std::string id(aExchange->Received().headers.Get("X-Hawthornlug-Attempt-Id"));
+  const std::string answer = OddAnswer(aConduct, id, mId);
+  if (aConduct.copyLater) {
+    testing::RawServer::WriteLater(*aExchange, answer, kLateCopy);
   }
-  if (mFleet.Ledger().refused.contains(id)) {
-    mFleet.Ledger().broken.insert("a request ran after it was refused as not run");
+  testing::RawServer::Write(*aExchange, aConduct.copyAtOnce ? answer + answer : answer, false);
+}
+
+void StandInServer::NoteRun(const http::Request& aRequest)
+{
+  const std::string id(aRequest.headers.Get("X-Hawthornlug-Attempt-Id"));
+  FleetLedger& ledger = mFleet.Ledger();
+  if (aRequest.method == "POST") {
+    ledger.told.NoteOnce(id);
   }
+  ledger.told.NoteRun(id, mId + " life " + std::to_string(mLife));
+  ledger.runAt[id] = steady_clock::now();
+  ledger.lastRun = aRequest.headers;
   if (mKeyed) {
     mFleet.NoteRun(*this,
                    static_cast<unsigned>(
-                     std::stoul(std::string(request.headers.Get("X-Hawthornlug-Shard-Key")))));
+                     std::stoul(std::string(aRequest.headers.Get("X-Hawthornlug-Shard-Key")))));
   }
-  mFleet.Ledger().lastRun = request.headers;
   ++mRuns;
+}
+
+void StandInServer::Run(const std::shared_ptr<http::Exchange>& aExchange,
+                        const OddConduct* aConduct)
+{
+  const http::Request& request = aExchange->Received();
+  const std::string id(request.headers.Get("X-Hawthornlug-Attempt-Id"));
+  NoteRun(request);
   ++mRunning;
   auto timer = std::make_shared<asio::steady_timer>(mFleet.Context(), kWork);
-  timer->async_wait([this, aExchange, timer, id, life = mLife](const asio::error_code&) {
+  timer->async_wait([this, aExchange, timer, id, aConduct, life = mLife](const asio::error_code&) {
     if (life != mLife) {
       return;
     }
     --mRunning;
+    if (aConduct != nullptr) {
+      testing::RawServer::Write(*aExchange, OddAnswer(*aConduct, id, mId), false);
+      return;
+    }
     http::Response response = Status(200);
     response.headers.Add("X-Hawthornlug-Attempt-Id", id);
     response.headers.Add("X-Hawthornlug-Server-Seal", "seal-" + mId);
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -50,6 +50,23 @@
       });
   }
 
+  void WriteLater(std::string aBytes, std::chrono::milliseconds aDelay)
+  {
+    auto timer = std::make_shared<asio::steady_timer>(mSocket.get_executor(), aDelay);
+    timer->async_wait(
+      [self = shared_from_this(), timer, bytes = std::move(aBytes)](const asio::error_code&) {
+        asio::error_code ec;
+        asio::write(self->mSocket, asio::buffer(bytes), ec);
+      });
+  }
+
+  void Reset()
+  {
+    asio::error_code ec;
+    mSocket.set_option(asio::socket_base::linger(true, 0), ec);
+    Close();
+  }
+
   void Close()
   {
     asio::error_code ec;
@@ -97,6 +114,21 @@
     }
   }
 
+  void WriteLater(std::string aBytes, std::chrono::milliseconds aDelay)
+  {
+    if (const auto connection = mConnection.lock()) {
+      connection->WriteLater(std::move(aBytes), aDelay);
+    }
+  }
+
+  void Reset()
+  {
+    if (const auto connection = mConnection.lock()) {
+      mConnection.reset();
+      connection->Reset();
+    }
+  }
+
 private:
   std::weak_ptr<Connection> mConnection;
   http::Request mRequest;
@@ -137,6 +169,18 @@
   dynamic_cast<RawExchange&>(aExchange).Write(std::move(aBytes), aEnds);
 }
 
+void RawServer::Reset(http::Exchange& aExchange)
+{
+  dynamic_cast<RawExchange&>(aExchange).Reset();
+}
+
+void RawServer::WriteLater(http::Exchange& aExchange,
+                           std::string aBytes,
+                           std::chrono::milliseconds aDelay)
+{
+  dynamic_cast<RawExchange&>(aExchange).WriteLater(std::move(aBytes), aDelay);
+}
+
 std::string RawServer::Address() const
 {
   return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
@@ -162,7 +206,11 @@
       ++mAccepted;
       const auto it = std::make_shared<Connection>(*this, std::move(aSocket));
       mConnections.insert(it);
-      it->Read();
+      if (mResetsNew) {
+        it->Reset();
+      } else {
+        it->Read();
+      }
       Accept();
     });
 }
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -6,6 +6,7 @@
 
 #include <asio.hpp>
 
+#include <chrono>
 #include <memory>
 #include <set>
 #include <string>
@@ -27,6 +28,14 @@
   /// Answers a request that a raw server has received with @p aBytes, whatever they are; ends the
   /// connection afterwards if @p aEnds is set.
   static void Write(http::Exchange& aExchange, std::string aBytes, bool aEnds);
+  /// Resets the connection of a request that a raw server has received.
+  static void Reset(http::Exchange& aExchange);
+  /// Writes bytes on the connection of a request some time later, whatever else is written there.
+  static void WriteLater(http::Exchange& aExchange,
+                         std::string aBytes,
+                         std::chrono::milliseconds aDelay);
+  /// New connections are reset as soon as they are accepted.
+  void SetResetsNew(bool aResets) { mResetsNew = aResets; }
   /// Address and port, such as "127.0.0.1:80".
   std::string Address() const;
   std::size_t Accepted() const { return mAccepted; }
@@ -45,6 +54,7 @@
   http::Handler& mHandler;
   std::set<std::shared_ptr<Connection>> mConnections;
   std::size_t mAccepted = 0;
+  bool mResetsNew = false;
   /// False once the server is destroyed. Shared with the pending handlers, which may run later.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/tests/support/told_ledger.h
+++ b/tests/support/told_ledger.h
@@ -4,6 +4,7 @@
 
 #include "http/promise.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -11,20 +12,27 @@
 
 namespace hawthornlug::test {
 
+/// Whether it breaks a rule that a request which may run once is run though it was sent behind a
+/// response that closes its connection. Until the server's part of it is in, such runs are only
+/// counted.
+inline constexpr bool kBehindCloseIsRule = false;
+
 /// Notes runs and promises by request id, in whichever order they come.
 class ToldLedger
 {
 public:
-  /// A server begins to run a request.
-  void NoteRun(const std::string& aId)
+  /// A server begins to run a request; @p aWhere names the server in what is found.
+  void NoteRun(const std::string& aId, const std::string& aWhere = "")
   {
     const unsigned runs = ++mRuns[aId];
+    mPlaces[aId] += " " + aWhere;
     if (mPromised.contains(aId)) {
-      mFalse.push_back(aId + " ran after " + mPromised.at(aId));
+      AddFalsehood(aId, "ran after " + mPromised.at(aId));
     }
     if (runs > 1 && mOnce.contains(aId)) {
-      mFalse.push_back(aId + " may run once and ran again");
+      AddFalsehood(aId, "may run once and ran again");
     }
+    CheckBehindClose(aId);
   }
   /// A request that may run once is about to be sent.
   void NoteOnce(const std::string& aId) { mOnce.insert(aId); }
@@ -33,9 +41,15 @@
   {
     mPromised[aId] = aHow;
     if (mRuns.contains(aId)) {
-      mFalse.push_back(aId + " had run and its caller got " + aHow);
+      AddFalsehood(aId, "had run and its caller got " + aHow);
     }
   }
+  /// A request was sent behind a response that closes its connection: it counts as not read.
+  void NoteBehindClose(const std::string& aId)
+  {
+    mBehindClose.insert(aId);
+    CheckBehindClose(aId);
+  }
   /// A caller got an answer with this status.
   void NoteStatus(const std::string& aId, int aStatus)
   {
@@ -51,14 +65,57 @@
     return it == mRuns.end() ? 0 : it->second;
   }
   std::size_t Promises() const { return mPromised.size(); }
+  /// Number of promises by how callers got them.
+  std::map<std::string, unsigned> PromisesByKind() const
+  {
+    std::map<std::string, unsigned> counts;
+    for (const auto& [id, how] : mPromised) {
+      ++counts[how];
+    }
+    return counts;
+  }
+  std::size_t SentBehindClose() const { return mBehindClose.size(); }
+  /// Those of them that have run; only those that may run once with @p aOnce.
+  std::size_t RanBehindClose(bool aOnce) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mBehindClose.begin(), mBehindClose.end(), [&](const std::string& aId) {
+        return mRuns.contains(aId) && (!aOnce || mOnce.contains(aId));
+      }));
+  }
+  /// One that may run once and was run behind such a response, or nothing.
+  std::string ExampleBehindClose() const
+  {
+    for (const std::string& it : mBehindClose) {
+      if (mRuns.contains(it) && mOnce.contains(it)) {
+        return it + " at" + mPlaces.at(it);
+      }
+    }
+    return "";
+  }
   /// What callers were told that is not true.
   const std::vector<std::string>& Falsehoods() const { return mFalse; }
 
 private:
+  void AddFalsehood(const std::string& aId, const std::string& aWhat)
+  {
+    mFalse.push_back(aId + " " + aWhat + "; run at" + mPlaces[aId]);
+  }
+  void CheckBehindClose(const std::string& aId)
+  {
+    if (kBehindCloseIsRule && mBehindClose.contains(aId) && mRuns.contains(aId) &&
+        mOnce.contains(aId)) {
+      AddFalsehood(aId, "ran though it was sent behind a response that closes");
+    }
+  }
+
   std::map<std::string, unsigned> mRuns;
+  /// By request id: where it ran.
+  std::map<std::string, std::string> mPlaces;
   /// By request id: what its caller got.
   std::map<std::string, std::string> mPromised;
   std::set<std::string> mOnce;
+  std::set<std::string> mBehindClose;
   std::vector<std::string> mFalse;
 };
 
