--- a/runtime/forwarder_answers.cpp
+++ b/runtime/forwarder_answers.cpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace hawthornlug {
@@ -98,6 +99,8 @@
 {
   RoutedRequest& request = *aRequest;
   request.done = true;
+  // From here on the request can't be sent any more.
+  std::ignore = request.exchange->Execution().Close();
   CancelAttempts(request);
   request.quota.Release();
   const Instant now = mServices.timers.Now();
@@ -125,7 +128,7 @@
       { "elapsed-ms", Millis(elapsed) },
       { "bar", NameOf(kServerUnavailabilityNames, request.unavailability) },
       { "last-result",
-        request.attempts > 0 ? NameOf(kForwardResultNames, request.lastResult) : "none" },
+        request.lastServer.empty() ? "none" : NameOf(kForwardResultNames, request.lastResult) },
       { "ground", NameOf(kAnswerGroundNames, request.lastGround) },
       { "server-status", request.lastStatus },
       { "reused", request.lastReused },
@@ -143,6 +146,7 @@
     return;
   }
   request.done = true;
+  std::ignore = request.exchange->Execution().Close();
   mServices.metrics.Count("abandoned_total");
   mServices.log.Write(EventId::kRequestAbandoned,
                       { { "request", request.terms.requestId },
--- a/tests/promises/route_fleet_test.cpp
+++ b/tests/promises/route_fleet_test.cpp
@@ -19,22 +19,27 @@
 
 constexpr seconds kStart{ 12 };
 constexpr unsigned kDaemons = 3;
-constexpr unsigned kSoundServers = 3;
-/// How many requests the odd server runs in each form before the next one, unless it is left alone.
-constexpr std::size_t kRunsWanted = 2;
-constexpr unsigned kMostRequests = 400;
-constexpr milliseconds kPause{ 5 };
+/// Requests until the daemons know a new server.
+constexpr unsigned kMostRequests = 300;
+constexpr milliseconds kPause{ 10 };
 /// How long a server may still run what its caller was told of.
 constexpr milliseconds kAfterwards{ 300 };
 
 constexpr std::string_view kLineEnd = "\r\n";
 
+std::string IdOf(unsigned aNumber)
+{
+  return "t" + std::to_string(aNumber);
+}
+
 /// An answer of a server that has run its request. At the ends of lines, ID stands for the id of
 /// the request and SELF for that of the server.
 struct OddForm
 {
   std::string name;
   std::string answer;
+  /// What the caller gets.
+  int told = 502;
 };
 
 constexpr std::string_view kRun =
@@ -69,13 +74,14 @@
       return;
     }
     mLedger.NoteRun(id);
-    ++runs;
+    ran.insert(id);
     RawServer::Write(*aExchange, WithNames(mAnswer, id), false);
   }
   void OnBadRequest(int, http::ReadState) override {}
   std::string Address() const { return mServer.Address(); }
 
-  std::size_t runs = 0;
+  /// Ids of the requests that it has run.
+  std::set<std::string> ran;
 
 private:
   std::string WithNames(std::string aText, const std::string& aRequestId) const
@@ -94,63 +100,34 @@
   RawServer mServer;
 };
 
-/// A sound server, which notes what it runs.
-class SoundServer : public http::Handler
+/// Sends one request, waits for its answer, notes what its caller is told, and returns the status;
+/// 0 if the connection ended without an answer.
+int Ask(PlatformFleet& aFleet,
+        http::Client& aClient,
+        ToldLedger& aLedger,
+        unsigned aNumber,
+        bool aOnce)
 {
-public:
-  SoundServer(asio::io_context& aContext, ToldLedger& aLedger)
-    : mLedger(aLedger)
-    , mServer(aContext, FreeEndpoint(aContext), *this)
-  {
-  }
-
-  void OnRequest(std::shared_ptr<http::Exchange> aExchange) override
-  {
-    http::Response response;
-    response.status = 200;
-    const std::string id(aExchange->Received().headers.Get("X-Hawthornlug-Attempt-Id"));
-    if (!id.empty()) {
-      mLedger.NoteRun(id);
-      response.headers.Add("X-Hawthornlug-Attempt-Id", id);
-      response.headers.Add("X-Hawthornlug-Server-Seal", "seal");
-    }
-    aExchange->Respond(std::move(response));
-  }
-  void OnBadRequest(int, http::ReadState) override {}
-  std::string Address() const { return mServer.Address(); }
-
-private:
-  ToldLedger& mLedger;
-  RawServer mServer;
-};
-
-/// Sends one request, waits for its answer and notes what its caller is told.
-void Ask(PlatformFleet& aFleet, http::Client& aClient, ToldLedger& aLedger, unsigned aNumber)
-{
-  const bool isUnsafe = aNumber % 2 == 0;
-  const std::string id = "t" + std::to_string(aNumber);
+  const std::string id = IdOf(aNumber);
   http::Request request;
-  request.method = isUnsafe ? "POST" : "GET";
-  request.target = isUnsafe ? "/write/x" : "/read/x";
+  request.method = aOnce ? "POST" : "GET";
+  request.target = aOnce ? "/write/x" : "/read/x";
   request.headers.Add("Host", "h.example");
   request.headers.Add("X-Hawthornlug-Attempt-Id", id);
   request.headers.Add("X-Hawthornlug-Deadline-Ms", "1000");
-  if (isUnsafe) {
+  if (aOnce) {
     aLedger.NoteOnce(id);
   }
   http::CallOptions options;
   options.timeout = seconds(3);
-  bool ended = false;
-  aClient.Send(aFleet.CallersAddress(aNumber % kDaemons),
-               request,
-               options,
-               [&](const http::CallOutcome& aOutcome) {
-                 ended = true;
-                 if (aOutcome.result == http::CallResult::kAnswered) {
-                   aLedger.NoteStatus(id, aOutcome.response.status);
-                 }
-               });
-  REQUIRE(RunUntil(aFleet.Context(), [&] { return ended; }));
+  std::optional<int> status;
+  const auto done = [&](const http::CallOutcome& aOutcome) {
+    status = aOutcome.result == http::CallResult::kAnswered ? aOutcome.response.status : 0;
+  };
+  aClient.Send(aFleet.CallersAddress(aNumber % kDaemons), request, options, done);
+  REQUIRE(RunUntil(aFleet.Context(), [&] { return status.has_value(); }));
+  aLedger.NoteStatus(id, *status);
+  return *status;
 }
 
 std::vector<OddForm> OddForms()
@@ -173,14 +150,18 @@
       { std::string(status) + ", stated by a field of the body",
         Head(status, "Content-Length: 31\r\n\r\nX-Hawthornlug-Not-Executed: 1\r\n") });
   }
+  for (const char* const status : { "400", "408", "421", "429", "503" }) {
+    forms.push_back({ std::string(status) + ", with the statement and the seal",
+                      Head(status, "X-Hawthornlug-Not-Executed: 1\r\n" + empty) });
+  }
   forms.push_back({ "421, of the instance that was meant",
                     Head("421", "X-Hawthornlug-Instance-Id: SELF\r\n" + empty) });
   forms.push_back(
     { "200, with the statement", Head("200", "X-Hawthornlug-Not-Executed: 1\r\n" + empty) });
   forms.push_back(
     { "500, with the statement", Head("500", "X-Hawthornlug-Not-Executed: 1\r\n" + empty) });
-  forms.push_back({ "500", Head("500", empty) });
-  forms.push_back({ "504", Head("504", empty) });
+  forms.push_back({ "500", Head("500", empty), 500 });
+  forms.push_back({ "504", Head("504", empty), 504 });
   return forms;
 }
 
@@ -194,30 +175,30 @@
   PlatformFleet fleet(kDaemons, 0, 0);
   ToldLedger ledger;
   http::Client client(fleet.Context());
-  std::vector<std::unique_ptr<SoundServer>> sound;
-  for (unsigned n = 0; n < kSoundServers; ++n) {
-    sound.push_back(std::make_unique<SoundServer>(fleet.Context(), ledger));
-    fleet.RegisterOther("sound-" + std::to_string(n), "plain", sound.back()->Address());
-  }
   for (unsigned n = 0; n < kDaemons; ++n) {
     REQUIRE(fleet.RunUntil([&] { return fleet.IsReady(n); }, kStart));
   }
   unsigned asked = 0;
   std::size_t known = 0;
   for (const OddForm& it : OddForms()) {
-    INFO(it.name);
-    const std::string id = "odd-" + std::to_string(asked);
-    OddServer odd(fleet.Context(), ledger, id, it.answer);
-    fleet.RegisterOther(id, "plain", odd.Address());
-    for (unsigned n = 0; n < kMostRequests && odd.runs < kRunsWanted; ++n) {
-      Ask(fleet, client, ledger, ++asked);
-      fleet.RunFor(kPause);
-    }
-    fleet.Store().Remove("servers", id);
-    fleet.RunFor(kAfterwards);
-    CHECK(odd.runs > 0);
-    for (; known < ledger.Falsehoods().size(); ++known) {
-      FAIL_CHECK(ledger.Falsehoods()[known]);
+    for (const bool once : { true, false }) {
+      INFO(it.name << (once ? ", runs once" : ", idempotent"));
+      // The only one, and a new one each time: none is left alone for how it answered before.
+      const std::string id = "odd-" + std::to_string(asked);
+      OddServer odd(fleet.Context(), ledger, id, it.answer);
+      fleet.RegisterOther(id, "plain", odd.Address());
+      int status = 0;
+      for (unsigned n = 0; n < kMostRequests && !odd.ran.contains(IdOf(asked)); ++n) {
+        fleet.RunFor(kPause);
+        status = Ask(fleet, client, ledger, ++asked, once);
+      }
+      CHECK(odd.ran.contains(IdOf(asked)));
+      CHECK(status == it.told);
+      fleet.Store().Remove("servers", id);
+      fleet.RunFor(kAfterwards);
+      for (; known < ledger.Falsehoods().size(); ++known) {
+        FAIL_CHECK(ledger.Falsehoods()[known]);
+      }
     }
   }
 }
