Requests: an application that limits its callers is not asked elsewhere

Since it can't be handed on, an idempotent request was sent to further servers of the same application, which would limit its caller as well, at the cost of the retry budget. It is answered 502 at once now. Found by the review; the rows with 408 and 429 of the forwarder's test failed before.

--- a/runtime/forwarder.cpp
+++ b/runtime/forwarder.cpp
@@ -42,6 +42,15 @@
   return EvidenceOf(aResult) == AttemptEvidence::kMayHaveRun;
 }
 
+/// Whether a server's application limits this caller: what runs the request elsewhere would do so,
+/// too.
+bool IsLimitOfCaller(ForwardResult aResult, int aStatus)
+{
+  return aResult == ForwardResult::kUnstated &&
+         (aStatus == static_cast<int>(http::PromiseStatus::kRequestTimeout) ||
+          aStatus == static_cast<int>(http::PromiseStatus::kTooManyRequests));
+}
+
 /// The status of a request that may have run, if its attempt ended like this.
 http::PlainStatus FailureStatusOf(ForwardResult aResult)
 {
@@ -494,8 +503,8 @@
   const bool unstated = aOutcome.result == ForwardResult::kUnstated;
   sample.result = unstated ? ForwardResult::kAnswered : aOutcome.result;
   const bool served = IsSuccess(aOutcome);
-  sample.failed = sample.result == ForwardResult::kAnswered &&
-                  aOutcome.response.status >= kFirstFailureStatus;
+  sample.failed =
+    sample.result == ForwardResult::kAnswered && aOutcome.response.status >= kFirstFailureStatus;
   sample.elapsed = aNow - aAttempt.sentAt;
   sample.work = request.work;
   sample.outstanding = aAttempt.outstanding;
@@ -602,6 +611,9 @@
     if (!notRun && !request.route.idempotent) {
       return false;
     }
+    if (IsLimitOfCaller(aResult, request.lastStatus)) {
+      return false;
+    }
     if (nothingSent) {
       --request.attempts;
     }
--- a/tests/runtime/forwarder_test.cpp
+++ b/tests/runtime/forwarder_test.cpp
@@ -77,6 +77,8 @@
 {
   std::string route;
   ForwardResult result;
+  /// The status of the server's answer.
+  int serverStatus;
   /// Whether it is sent to a second server.
   bool retried;
   /// The caller's status code if it is not; 0 for no answer yet.
@@ -89,20 +91,27 @@
           "[runtime][forwarder]")
 {
   const auto row = GENERATE(values<RetryCase>({
-    { "safe", ForwardResult::kBroken, true, 0 },
-    { "safe", ForwardResult::kNotRun, true, 0 },
-    { "safe", ForwardResult::kConnectionRefused, true, 0 },
-    { "unsafe", ForwardResult::kBroken, false, 502 },
-    { "unsafe", ForwardResult::kTimedOut, false, 504 },
-    { "unsafe", ForwardResult::kNotRun, true, 0 },
-    { "unsafe", ForwardResult::kUnreachable, true, 0 },
-    { "unsafe", ForwardResult::kNotAccepted, true, 0 },
+    { "safe", ForwardResult::kBroken, 200, true, 0 },
+    { "safe", ForwardResult::kNotRun, 503, true, 0 },
+    { "safe", ForwardResult::kConnectionRefused, 200, true, 0 },
+    { "safe", ForwardResult::kUnstated, 503, true, 0 },
+    { "safe", ForwardResult::kUnstated, 421, true, 0 },
+    // Another server of the application would limit the caller, too.
+    { "safe", ForwardResult::kUnstated, 429, false, 502 },
+    { "safe", ForwardResult::kUnstated, 408, false, 502 },
+    { "unsafe", ForwardResult::kBroken, 200, false, 502 },
+    { "unsafe", ForwardResult::kTimedOut, 200, false, 504 },
+    { "unsafe", ForwardResult::kNotRun, 503, true, 0 },
+    { "unsafe", ForwardResult::kUnreachable, 200, true, 0 },
+    { "unsafe", ForwardResult::kNotAccepted, 200, true, 0 },
+    { "unsafe", ForwardResult::kUnstated, 503, false, 502 },
+    { "unsafe", ForwardResult::kUnstated, 421, false, 502 },
   }));
   INFO(row.route << " " << NameOf(kForwardResultNames, row.result));
   ForwarderFixture fixture;
   const auto exchange = fixture.SendRequest(row.route);
   REQUIRE(fixture.backends.sent.size() == 1);
-  fixture.backends.Complete(0, row.result);
+  fixture.backends.Complete(0, row.result, row.serverStatus);
   fixture.AdvanceTime(milliseconds(1));
   CHECK(StatusOf(exchange) == row.status);
   REQUIRE(fixture.backends.sent.size() == (row.retried ? 2 : 1));
--- a/tests/support/fake_backends.h
+++ b/tests/support/fake_backends.h
@@ -63,12 +63,29 @@
   {
     ForwardOutcome outcome;
     outcome.result = aResult;
+    outcome.ground = GroundOf(aResult);
     outcome.response.status = aStatus;
     outcome.notice = aNotice;
     sent.at(aIndex)->done(std::move(outcome));
   }
 
   std::vector<std::shared_ptr<SentRequest>> sent;
+
+private:
+  /// What a server of the platform would base this result on.
+  static AnswerGround GroundOf(ForwardResult aResult)
+  {
+    switch (aResult) {
+      case ForwardResult::kAnswered:
+      case ForwardResult::kUnstated:
+        return AnswerGround::kSeal;
+      case ForwardResult::kNotRun:
+      case ForwardResult::kNotOwner:
+        return AnswerGround::kNotExecutedHeader;
+      default:
+        return AnswerGround::kNone;
+    }
+  }
 };
 
 } // namespace hawthornlug::test
