--- a/tests/promises/route_attempts_test.cpp
+++ b/tests/promises/route_attempts_test.cpp
@@ -55,15 +55,6 @@
   return aStep;
 }
 
-/// What no caller may be told otherwise than it is.
-void CheckTold(PromiseFixture& aFixture)
-{
-  for (const std::string& it : aFixture.servers.Falsehoods()) {
-    FAIL_CHECK(it);
-  }
-  CHECK(aFixture.metrics.Text().find("false_promises_total") == std::string::npos);
-}
-
 struct AttemptRow
 {
   std::string name;
--- a/tests/support/promise_fixture.h
+++ b/tests/support/promise_fixture.h
@@ -11,7 +11,8 @@
 #include "tests/support/loopback.h"
 #include "tests/support/scripted_server.h"
 
-#include <algorithm>
+#include <catch2/catch.hpp>
+
 #include <array>
 #include <chrono>
 #include <deque>
@@ -148,6 +149,7 @@
     }
     config.services["s"].name = "s";
     routes.Apply(config);
+    noticeTimers.now = timers.Now();
     for (unsigned n = 0; n < aServers; ++n) {
       Register(ScriptedServers::IdOf(n), servers.Address(n));
     }
@@ -167,6 +169,7 @@
     it.slots = aSlots;
     selector.Put(it, timers.Now());
   }
+  void Unregister(const std::string& aId) { selector.Remove(aId, timers.Now()); }
   /// From now on, callers need the key of an organisation, which theirs state; see quotas.
   void RequireKeys()
   {
@@ -230,6 +233,7 @@
   platform::BackendCalls backends;
   platform::PlatformCallerHeaders headers;
   NoRanges ranges;
+  /// The time at which notices are put into effect.
   ManualTimers noticeTimers;
   RecordingNotices notices{ selector, noticeTimers };
   RecordingSpans spans;
@@ -252,4 +256,13 @@
   }
 };
 
+/// Checks that no caller was told what isn't true, and that no promise had to be held back.
+inline void CheckTold(const PromiseFixture& aFixture)
+{
+  for (const std::string& it : aFixture.servers.Falsehoods()) {
+    FAIL_CHECK(it);
+  }
+  CHECK(aFixture.metrics.Text().find("false_promises_total") == std::string::npos);
+}
+
 } // namespace hawthornlug::test
