--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -51,6 +51,7 @@
   kServe,
   kReset,    ///< Resets each at once.
   kEnd,      ///< Ends each at once.
+  kEndSoon,  ///< Ends each about when a client stops waiting for that.
   kEndLate,  ///< Ends each a moment after it was accepted.
   kResetIdle ///< Serves one request on each, keeps it, and resets it a moment later.
 };
