--- a/tests/support/promise_fixture.h
+++ b/tests/support/promise_fixture.h
@@ -74,9 +74,9 @@
       mServers.NoteOnce(aRequest.id);
     }
   }
-  void Write(std::string aBytes)
+  void Write(const std::string& aBytes)
   {
-    mUnwritten += std::move(aBytes);
+    mUnwritten += aBytes;
     Poll();
   }
   void Send(const CallerRequest& aRequest)
