--- a/tests/promises/route_refusals_test.cpp
+++ b/tests/promises/route_refusals_test.cpp
@@ -95,13 +95,6 @@
   return IsOfBody(aCause) ? bytes.substr(0, bytes.size() - kBodyBytes / 2) : bytes;
 }
 
-void OccupyServer(PromiseFixture& aFixture)
-{
-  aFixture.Register(ScriptedServers::IdOf(0), aFixture.servers.Address(0), 1);
-  aFixture.NewCaller().Send({ false, "other" });
-  REQUIRE(aFixture.Until([&] { return aFixture.servers.Arrived() == 1; }));
-}
-
 /// Brings the daemon into the state in which it refuses; what must come after the request has been
 /// received is done by Follow().
 void Arrange(PromiseFixture& aFixture, Cause aCause)
@@ -121,7 +114,7 @@
     case Cause::kFull:
     case Cause::kFullAndShort:
     case Cause::kBlocksAnswers:
-      OccupyServer(aFixture);
+      aFixture.OccupyServer();
       break;
     case Cause::kPaused:
       REQUIRE(aFixture.Ask({ false, "other" }) == 503);
@@ -227,7 +220,7 @@
     { "too-late: the deadline is over on arrival", Cause::kNoTimeLeft, 503 },
     { "no-server", Cause::kNoServer, 503 },
     { "overload: it waits too long", Cause::kFull, 503 },
-    { "too-late: the server stays full until the deadline", Cause::kFullAndShort, 503 },
+    { "overload: the server stays full until the deadline", Cause::kFullAndShort, 503 },
     { "holds-back: it blocks another answer", Cause::kBlocksAnswers, 503 },
     { "paused", Cause::kPaused, 503 },
     { "quota exceeded", Cause::kQuotaExceeded, 429 },
