Wire: a daemon that says "not run" for a reason that denies it is not believed

"Not run" with the reason none, no-answer or in-progress contradicts itself; its outcome is unknown now. Found by reading: no daemon of ours writes it. Evidence: its test failed in 3 checks before, passes.

--- a/runtime/wire_codec.cpp
+++ b/runtime/wire_codec.cpp
@@ -44,11 +44,19 @@
   return soundFields && soundStatus && http::IsText(aAnswer.server);
 }
 
+/// Whether this can be the reason why an order was not run.
+bool IsReasonNotToRun(Refusal aRefusal)
+{
+  return aRefusal != Refusal::kNone && aRefusal != Refusal::kNoAnswer &&
+         aRefusal != Refusal::kInProgress;
+}
+
 /// An answer with the outcome that another daemon states for the attempt that was sent to it.
 OrderAnswer StatedAnswer(Outcome aOutcome, Refusal aRefusal)
 {
   if (aOutcome == Outcome::kNotRun) {
-    return RefuseAfter(AttemptEvidence::kRefused, aRefusal);
+    return IsReasonNotToRun(aRefusal) ? RefuseAfter(AttemptEvidence::kRefused, aRefusal)
+                                      : OrderAnswer::Unknown(Refusal::kNoAnswer);
   }
   OrderAnswer answer;
   answer.outcome = aOutcome == Outcome::kDone ? StatedOutcome::Done() : StatedOutcome::Unknown();
--- a/tests/promises/serve_entry_test.cpp
+++ b/tests/promises/serve_entry_test.cpp
@@ -149,6 +149,16 @@
   CHECK(answer.refusal == (MayHaveRun(first) ? Refusal::kNoAnswer : row.refusal));
 }
 
+TEST_CASE("a daemon that contradicts itself does not say that an order is not run",
+          "[serve][entry]")
+{
+  const auto reason =
+    GENERATE(Refusal::kNone, Refusal::kNoAnswer, Refusal::kInProgress, Refusal::kNoOwner);
+  INFO(NameOf(kRefusalNames, reason));
+  const OrderAnswer answer = DecodeAnswer(NotRunMessage(reason));
+  CHECK((answer.outcome == Outcome::kNotRun) == (reason == Refusal::kNoOwner));
+}
+
 TEST_CASE("an order of an unknown service is not run", "[serve][entry]")
 {
   EntryFixture fixture;
