Process tests: outcomes under a daemon that freezes and wakes

One daemon of serve is stopped (SIGSTOP) three times, for 0.3, 1 and 2.5 s, under load on the others; the ledgers agree with what callers were told.

--- a/tests/process/loss_test.cpp
+++ b/tests/process/loss_test.cpp
@@ -163,6 +163,33 @@
   CHECK_THAT(fleet.CheckLedger(fleet.LoadLog("kills")), Catch::Equals(std::string()));
 }
 
+TEST_CASE("outcomes are true when a daemon freezes and wakes", "[process]")
+{
+  Fleet fleet(FleetShape{});
+  std::vector<std::string> targets;
+  for (std::size_t n = 1; n < fleet.Daemons().size(); ++n) {
+    targets.push_back(fleet.Daemons()[n].url);
+  }
+  auto load = fleet.StartLoad({ .rate = 200,
+                                .seconds = 7,
+                                .keys = 200,
+                                .writes = 0.7,
+                                .threads = 32,
+                                .log = "frozen",
+                                .targets = targets });
+  for (const milliseconds it : { milliseconds(300), milliseconds(1000), milliseconds(2500) }) {
+    load.wait_for(milliseconds(500));
+    fleet.Signal(fleet.Daemons()[0], SIGSTOP);
+    load.wait_for(it);
+    fleet.Signal(fleet.Daemons()[0], SIGCONT);
+  }
+  const auto result = load.get();
+  INFO(result.dump());
+  CHECK(result["wrong_answers"] == 0);
+  CHECK(result["outcomes"].value("done", 0) > 0);
+  CHECK_THAT(fleet.CheckLedger(fleet.LoadLog("frozen")), Catch::Equals(std::string()));
+}
+
 TEST_CASE("a domain that is cut off from the platform goes on with its shards", "[process]")
 {
   Fleet fleet(FleetShape{});
