--- a/tests/soak/route_soak.cpp
+++ b/tests/soak/route_soak.cpp
@@ -258,7 +258,7 @@
   {
     for (unsigned n = 0; n < mDaemons; ++n) {
       if (mFleet.IsUp(n) && mFleet.HasEnded(n)) {
-        Break("Fault: daemon " + std::to_string(n) + " ended by itself");
+        Break("Fault: daemon " + std::to_string(n) + " ended by itself, " + mFleet.EndOf(n));
       }
     }
   }
--- a/tests/support/platform_fleet.cpp
+++ b/tests/support/platform_fleet.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <system_error>
 #include <unistd.h>
 #include <utility>
 
@@ -175,8 +176,12 @@
   ::posix_spawn_file_actions_adddup2(&actions, aOutput, STDOUT_FILENO);
   // A daemon that had our sockets would keep ports and connections open.
   ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  ::posix_spawn(&daemon.pid, program.c_str(), &actions, nullptr, args.data(), environ);
+  const int error =
+    ::posix_spawn(&daemon.pid, program.c_str(), &actions, nullptr, args.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    throw std::system_error(error, std::generic_category(), "can't start " + program);
+  }
   daemon.up = true;
 }
 
@@ -197,13 +202,20 @@
 bool PlatformFleet::HasEnded(unsigned aDaemon)
 {
   Daemon& daemon = mDaemons[aDaemon];
-  if (daemon.pid > 0 && ::waitpid(daemon.pid, nullptr, WNOHANG) == daemon.pid) {
+  if (daemon.pid > 0 && ::waitpid(daemon.pid, &daemon.endStatus, WNOHANG) == daemon.pid) {
     daemon.pid = 0;
     daemon.up = false;
   }
   return daemon.pid == 0;
 }
 
+std::string PlatformFleet::EndOf(unsigned aDaemon) const
+{
+  const int status = mDaemons.at(aDaemon).endStatus;
+  return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                             : "status " + std::to_string(WEXITSTATUS(status));
+}
+
 bool PlatformFleet::JustThawed() const
 {
   return steady_clock::now() - mThawedAt < kUnfreezeSlack;
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -186,6 +186,10 @@
   bool IsUp(unsigned aDaemon) const { return mDaemons.at(aDaemon).up; }
   /// Whether a daemon's process has ended; it is reaped then.
   bool HasEnded(unsigned aDaemon);
+  /// The file with a daemon's settings.
+  const std::string& SettingsOf(unsigned aDaemon) const { return mDaemons.at(aDaemon).settings; }
+  /// How a daemon's process that HasEnded() reaped ended: "status N" or "signal N".
+  std::string EndOf(unsigned aDaemon) const;
   /// The most memory that a daemon's process has had, in bytes; 0 if it has ended.
   std::size_t PeakMemory(unsigned aDaemon) const;
   /// Waits for a daemon's process; its exit status, or -1 if it did not end in time.
@@ -244,6 +248,8 @@
   {
     pid_t pid = 0;
     bool up = false;
+    /// As waitpid() has it.
+    int endStatus = 0;
     std::string callers;
     std::string readiness;
     std::string mesh;
