Route: a SIGHUP that arrives before its handler is set does not end the daemon

SIGHUP says that the settings file has changed, and may come at any time.

The signals are blocked from the beginning of the command until the handlers are set; what came meanwhile is handled then.

The new test of platform_test failed on (the daemon had ended) and passes.

--- a/main/route_command.cpp
+++ b/main/route_command.cpp
@@ -113,6 +113,17 @@
   return settings;
 }
 
+/// Blocks or unblocks the signals that the daemon handles, for this thread and those it starts.
+void BlockHandledSignals(bool aBlocked)
+{
+  sigset_t handled;
+  ::sigemptyset(&handled);
+  for (const int it : { SIGTERM, SIGINT, SIGHUP }) {
+    ::sigaddset(&handled, it);
+  }
+  ::pthread_sigmask(aBlocked ? SIG_BLOCK : SIG_UNBLOCK, &handled, nullptr);
+}
+
 /// The daemon and everything around it, for as long as the process runs.
 class RouteProcess
 {
@@ -128,6 +139,7 @@
     , mBackends(mContext, mLog, mMetrics, AnswerLimitsFor(mHost.memoryBytes))
     , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
   {
+    BlockHandledSignals(false);
   }
 
   int Run()
@@ -324,6 +336,8 @@
 
 int RunRoute(const std::vector<std::string>& aArgs)
 {
+  // A SIGHUP that arrives before its handler is set would end the process.
+  BlockHandledSignals(true);
   RouteSettings settings;
   switch (ParseRoute(aArgs, settings)) {
     case ParseResult::kHelpShown:
--- a/tests/process/platform_test.cpp
+++ b/tests/process/platform_test.cpp
@@ -5,6 +5,12 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
 
 using namespace hawthornlug::test;
 using std::chrono::milliseconds;
@@ -178,6 +184,38 @@
   CheckNothingBroken(fleet);
 }
 
+// Guards against a daemon that ended by a SIGHUP soon after its start. The settings come by a named
+// pipe here, so that it is certain what the daemon is doing.
+TEST_CASE("a daemon that gets SIGHUP while it reads its settings goes on", "[process][platform]")
+{
+  PlatformFleet fleet(1, 1);
+  AwaitStart(fleet, 1);
+  fleet.Signal(0, SIGKILL);
+  const std::string path = fleet.SettingsOf(0);
+  const std::string kept = path + ".kept";
+  std::filesystem::rename(path, kept);
+  REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+  fleet.StartDaemon(0);
+  int pipe = -1;
+  const auto isRead = [&] {
+    pipe = ::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    return pipe >= 0;
+  };
+  REQUIRE(fleet.RunUntil(isRead, kStart));
+  fleet.Signal(0, SIGHUP);
+  fleet.RunFor(milliseconds(200));
+  REQUIRE_FALSE(fleet.HasEnded(0));
+  std::ostringstream text;
+  text << std::ifstream(kept).rdbuf();
+  // For the reading that the signal asks for.
+  std::filesystem::rename(kept, path);
+  CHECK(::write(pipe, text.str().data(), text.str().size()) ==
+        static_cast<ssize_t>(text.str().size()));
+  ::close(pipe);
+  CHECK(fleet.RunUntil([&] { return fleet.IsReady(0); }, kStart));
+  CHECK_FALSE(fleet.HasEnded(0));
+}
+
 TEST_CASE("everything is killed and started again: owners are kept", "[process][platform]")
 {
   PlatformFleet fleet(3, 3);
