HTTP client: a call avoids kept connections that have carried its id before

If a faulty server wrote the first refusal once more on the kept connection, the copy was taken for the answer to the second request: its caller was told 503 while it ran.

Cause: ids don't tell attempts of one id apart. AttemptHistory takes a new connection only within one routed request; the pool of the client did not know what a connection had carried.

Change: each connection remembers the echo values of its last kRememberedCalls (64) calls as hashes; Client passes over idle connections that have carried the call's value. These stay open for other calls. Calls without an echo header are as before. It holds for `route` and `serve`.

--- a/http/client.cpp
+++ b/http/client.cpp
@@ -34,6 +34,9 @@
 /// to other calls take no memory, but must have an end, too.
 constexpr std::size_t kMaxBytesPerBodyByte = 2;
 
+/// Number of the last calls of a connection whose values in the echo header are remembered.
+constexpr std::size_t kRememberedCalls = 64;
+
 CallResult ResultOfConnecting(const asio::error_code& aError)
 {
   if (aError == asio::error::connection_refused) {
@@ -63,6 +66,33 @@
   return Tcp::endpoint(ip, port);
 }
 
+/// The values in the echo header of the last calls of one connection, as hashes.
+class CarriedCalls
+{
+public:
+  void Add(const std::string& aEchoValue)
+  {
+    if (mHashes.size() < kRememberedCalls) {
+      mHashes.push_back(HashOf(aEchoValue));
+      return;
+    }
+    mHashes[mOldest] = HashOf(aEchoValue);
+    mOldest = (mOldest + 1) % kRememberedCalls;
+  }
+  /// Whether a call with this value is among them. May be true of another value, by chance.
+  bool Contains(const std::string& aEchoValue) const
+  {
+    return std::find(mHashes.begin(), mHashes.end(), HashOf(aEchoValue)) != mHashes.end();
+  }
+
+private:
+  static std::size_t HashOf(const std::string& aText) { return std::hash<std::string>()(aText); }
+
+  std::vector<std::size_t> mHashes;
+  /// The place that is used again next, once there are kRememberedCalls.
+  std::size_t mOldest = 0;
+};
+
 /// One connection to one address, and the call in progress on it, if any.
 class Client::Connection
   : public Call
@@ -82,6 +112,9 @@
   void Start(const Request& aRequest, const CallOptions& aOptions, Completion aDone)
   {
     mOptions = aOptions;
+    if (!aOptions.echoHeader.empty()) {
+      mCarried.Add(aOptions.echoValue);
+    }
     mCompletion = std::move(aDone);
     mRequestBytes = Serialize(aRequest);
     if (aRequest.method == "HEAD") {
@@ -119,6 +152,13 @@
     return !mClosed && aNow - mIdleSince <= aMaxIdle && aNow < mReusableUntil;
   }
 
+  /// Whether a copy of an answer that came on this connection could be taken for the answer to a
+  /// call with these options.
+  bool HasCarried(const CallOptions& aOptions) const
+  {
+    return !aOptions.echoHeader.empty() && mCarried.Contains(aOptions.echoValue);
+  }
+
   void Close()
   {
     if (mClosed) {
@@ -445,6 +485,7 @@
   asio::steady_timer mTimer;
   MessageReader mReader;
   CallOptions mOptions;
+  CarriedCalls mCarried;
   Completion mCompletion;
   std::string mRequestBytes;
   std::array<char, kReadBufferBytes> mBuffer{};
@@ -503,21 +544,26 @@
   }
 }
 
-std::shared_ptr<Client::Connection> Client::TakeIdle(const std::string& aAddress, Duration aMaxIdle)
+std::shared_ptr<Client::Connection> Client::TakeIdle(const std::string& aAddress,
+                                                     const CallOptions& aOptions)
 {
   const auto found = mIdle.find(aAddress);
   if (found == mIdle.end()) {
     return nullptr;
   }
+  std::vector<std::shared_ptr<Connection>>& idle = found->second;
   const SteadyPoint now = std::chrono::steady_clock::now();
-  while (!found->second.empty()) {
-    // The most recently used connection is the least likely to have been closed by the server.
-    std::shared_ptr<Connection> it = found->second.back();
-    found->second.pop_back();
-    if (it->IsUsable(now, aMaxIdle)) {
+  // The most recently used connection is the least likely to have been closed by the server.
+  for (std::size_t n = idle.size(); n > 0; --n) {
+    std::shared_ptr<Connection> it = idle[n - 1];
+    if (!it->IsUsable(now, aOptions.maxIdle)) {
+      it->Close();
+      continue;
+    }
+    if (!it->HasCarried(aOptions)) {
+      std::erase(idle, it);
       return it;
     }
-    it->Close();
   }
   return nullptr;
 }
@@ -533,7 +579,7 @@
     return it;
   }
   std::shared_ptr<Connection> it =
-    aOptions.freshConnection ? nullptr : TakeIdle(aAddress, aOptions.maxIdle);
+    aOptions.freshConnection ? nullptr : TakeIdle(aAddress, aOptions);
   if (!it) {
     it = std::make_shared<Connection>(*this, aAddress);
   }
--- a/http/client.h
+++ b/http/client.h
@@ -60,7 +60,9 @@
   /// Maximum number of idle connections to the address that are kept for reuse.
   std::size_t keep = 16;
   /// If set: a response that has this header with a value other than echoValue belongs to another
-  /// call and is skipped. A response without the header is accepted.
+  /// call and is skipped. A response without the header is accepted. The call is not sent on a
+  /// connection that has carried an earlier one with this value: a copy of the answer to that one
+  /// could not be told from the answer to this one.
   std::string echoHeader;
   std::string echoValue;
   /// If set: the connection is not reused after a response that has this header.
@@ -99,7 +101,8 @@
   class Connection;
 
 private:
-  std::shared_ptr<Connection> TakeIdle(const std::string& aAddress, Duration aMaxIdle);
+  /// Takes an idle connection that may carry a call with these options; nullptr if there is none.
+  std::shared_ptr<Connection> TakeIdle(const std::string& aAddress, const CallOptions& aOptions);
   /// Maximum number of bytes that one call may receive.
   std::size_t MaxReceivedBytes() const;
   /// Gives up responses until those that are left are within the limit.
--- a/tests/runtime/forwarder_copies_test.cpp
+++ b/tests/runtime/forwarder_copies_test.cpp
@@ -180,3 +180,31 @@
   CHECK(fixture.SendRequest() == 200);
   CHECK(server.runs == 1);
 }
+
+// Guards against REFUSED: the caller sent its refused request again, and was told by a copy of the
+// first refusal that the second one had not run either.
+TEST_CASE("a caller that sends an id again gets no copy of its first refusal",
+          "[runtime][reports][copies]")
+{
+  struct Row
+  {
+    std::string name;
+    std::string status;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "full", "503" },
+    { "too many", "429" },
+  }));
+  INFO(row.name);
+  asio::io_context context;
+  RepeatingServer server(context,
+                         "HTTP/1.1 " + row.status +
+                           " X\r\nX-Hawthornlug-Not-Executed: 1\r\n"
+                           "X-Hawthornlug-Attempt-Id: r1\r\nContent-Length: 0\r\n\r\n");
+  CopiesFixture fixture(context, server.Address());
+  const int first = fixture.SendRequest();
+  CHECK(first == 503);
+  CHECK(server.runs == 0);
+  CHECK(fixture.SendRequest() == 200);
+  CHECK(server.runs == 1);
+}
