--- a/tests/promises/serve_entry_test.cpp
+++ b/tests/promises/serve_entry_test.cpp
@@ -130,12 +130,12 @@
       [](EntryFixture& aFixture) { aFixture.peerLive = true; } },
   }));
   INFO(NameOf(kFirstNames, first) << ", then " << row.name);
+  int looks = 0;
   EntryFixture fixture;
   OtherDaemon other{ fixture, first };
   other.next = [](std::uint64_t, const PeerPort::Unsent& aUnsent) { aUnsent(); };
   if (first == First::kNeverAnswer && row.refusal == Refusal::kUnreachable) {
     // The daemon is seen again after its first order was given up.
-    int looks = 0;
     fixture.allowed.push_back(
       NAMED_ALLOW_CALL(fixture.daemonView, IsLive(_)).LR_RETURN(other.orders == 0 || ++looks > 1));
   } else if (first != First::kNone) {
