--- a/http/client.cpp
+++ b/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include "core/hashing.h"
 #include "http/syntax.h"
 
 #include <algorithm>
@@ -86,9 +87,7 @@
   }
 
 private:
-  static std::size_t HashOf(const std::string& aText) { return std::hash<std::string>()(aText); }
-
-  std::vector<std::size_t> mHashes;
+  std::vector<std::uint64_t> mHashes;
   /// The place that is used again next, once there are kRememberedCalls.
   std::size_t mOldest = 0;
 };
--- a/routing/forward_result.h
+++ b/routing/forward_result.h
@@ -71,15 +71,14 @@
 /// What in a server's answer decided the result of an attempt.
 enum class AnswerGround
 {
-  kNone,              ///< There was no complete answer.
-  kNotExecutedHeader, ///< The header by which servers state that they have not run a request.
-  kOtherInstance,     ///< The answer names another server process than the one that was meant.
-  kStatusAlone,       ///< Nothing: a 421 without any statement.
-  kSeal,              ///< The server's seal, with the id of the request.
-  kUnattributed,      ///< Seal or id are missing or wrong: it may be the answer to something else.
+  kNone,          ///< There was no complete answer.
+  kStatement,     ///< The server states that it has not run the request.
+  kOtherInstance, ///< The answer names another server process than the one that was meant.
+  kStatusAlone,   ///< Nothing: a 421 without any statement.
+  kSignature,     ///< The server's signature, with the id of the request.
+  kUnattributed,  ///< Signature or id are missing or wrong: it may belong to something else.
 };
-inline constexpr EnumNames<6> kAnswerGroundNames = { "none",           "not-executed-header",
-                                                     "other-instance", "status-alone",
-                                                     "seal",           "unattributed" };
+inline constexpr EnumNames<6> kAnswerGroundNames = { "none",         "statement", "other-instance",
+                                                     "status-alone", "signature", "unattributed" };
 
 } // namespace hawthornlug
--- a/tests/support/fake_backends.h
+++ b/tests/support/fake_backends.h
@@ -78,10 +78,10 @@
     switch (aResult) {
       case ForwardResult::kAnswered:
       case ForwardResult::kUnstated:
-        return AnswerGround::kSeal;
+        return AnswerGround::kSignature;
       case ForwardResult::kNotRun:
       case ForwardResult::kNotOwner:
-        return AnswerGround::kNotExecutedHeader;
+        return AnswerGround::kStatement;
       default:
         return AnswerGround::kNone;
     }
