--- a/tests/runtime/pipelined_stop_test.cpp
+++ b/tests/runtime/pipelined_stop_test.cpp
@@ -217,7 +217,7 @@
     return fixture.HasEnded();
   }));
   fixture.NoteUnread();
-  CHECK(fixture.ledger.Falsehoods() == std::vector<std::string>{});
+  CHECK(fixture.ledger.Falsehoods().empty());
   for (std::size_t n = 0; n < passedOn; ++n) {
     CHECK(fixture.IsAnswered(n));
   }
